Lay out the Maven build, the Thrift schema and the shared vocabulary of core

Cause: the parts of the product are written side by side and must meet at fixed interfaces. Change: seven modules with formatter and linter failing the build; Thrift schema for grants, gossip and settings with the generated code committed; core types for the sheet, endpoints, requests, storage, events and routing; docs/design/interfaces.md for what is spoken with the outside. Conclusion: subsystems can be built against these interfaces.

--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/error/CodedException.java
@@ -0,0 +1,24 @@
+package org.dragonflygw.core.error;
+
+/**
+ * Base of all exceptions of the project: unchecked, with a stable code. Each layer has a subclass and turns
+ * exceptions of the layer below into its own, with the original as the cause.
+ */
+public abstract class CodedException extends RuntimeException {
+    private final transient ErrorCode code;
+
+    protected CodedException(ErrorCode code, String message) {
+        super(code.name() + ": " + message);
+        this.code = code;
+    }
+
+    protected CodedException(ErrorCode code, String message, Throwable cause) {
+        super(code.name() + ": " + message, cause);
+        this.code = code;
+    }
+
+    /** The code of this failure. */
+    public final ErrorCode code() {
+        return code;
+    }
+}
