--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/inspect/MemberView.java
@@ -0,0 +1,25 @@
+package org.dragonflygw.core.inspect;
+
+/**
+ * One daemon as another one sees it.
+ *
+ * @param daemonId name
+ * @param address IP address
+ * @param operatorPort port for operators
+ * @param availabilityZone availability zone
+ * @param region region
+ * @param incarnation grows with each restart
+ * @param status alive, suspect, leaving or dead
+ * @param sheetNumber version of the sheet in force there
+ * @param heardMillisAgo time since the last sign of life, in milliseconds
+ */
+public record MemberView(
+        String daemonId,
+        String address,
+        int operatorPort,
+        String availabilityZone,
+        String region,
+        long incarnation,
+        String status,
+        long sheetNumber,
+        long heardMillisAgo) {}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/inspect/RequestView.java
@@ -0,0 +1,23 @@
+package org.dragonflygw.core.inspect;
+
+/**
+ * One open request: element of the answer of {@code GET /v1/requests}.
+ *
+ * @param requestId request
+ * @param team team
+ * @param service service
+ * @param chatId chat; empty for none
+ * @param endpointId endpoint that runs it; empty while it waits
+ * @param attempt number of the attempt, from 1
+ * @param ageMillis time since arrival, in milliseconds
+ * @param tokens tokens relayed
+ */
+public record RequestView(
+        String requestId,
+        String team,
+        String service,
+        String chatId,
+        String endpointId,
+        int attempt,
+        long ageMillis,
+        long tokens) {}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/inspect/ServiceView.java
@@ -0,0 +1,21 @@
+package org.dragonflygw.core.inspect;
+
+/**
+ * Load of one service.
+ *
+ * @param name service
+ * @param liveEndpoints endpoints that take new work
+ * @param endpoints all endpoints
+ * @param meanInFlight mean number of requests on one endpoint
+ * @param maxInFlight greatest number of requests on one endpoint
+ * @param skew greatest load over the mean; 0 without load
+ * @param loadBound greatest skew that the sheet allows
+ */
+public record ServiceView(
+        String name,
+        int liveEndpoints,
+        int endpoints,
+        double meanInFlight,
+        int maxInFlight,
+        double skew,
+        double loadBound) {}
