--- /dev/null
+++ b/cli/src/main/java/org/dragonflygw/cli/CliException.java
@@ -0,0 +1,23 @@
+package org.dragonflygw.cli;
+
+import org.dragonflygw.core.error.CodedException;
+
+/** A command that failed; its code is the exit code of the process. */
+public final class CliException extends CodedException {
+    private final ExitCode exitCode;
+
+    public CliException(ExitCode code, String message) {
+        super(code, message);
+        this.exitCode = code;
+    }
+
+    public CliException(ExitCode code, String message, Throwable cause) {
+        super(code, message, cause);
+        this.exitCode = code;
+    }
+
+    /** The code with which the process exits. */
+    public ExitCode exitCode() {
+        return exitCode;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflygw/cli/Fleet.java
@@ -0,0 +1,127 @@
+package org.dragonflygw.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.dragonflygw.core.inspect.FleetView;
+import org.dragonflygw.core.inspect.MemberView;
+
+/** The daemons that a command talks to: the named ones, and those that they know. */
+public final class Fleet {
+    private static final String DEAD = "DEAD";
+
+    private final List<DaemonAddress> named;
+    private final OperatorClient client;
+    private final ObjectMapper json;
+
+    public Fleet(List<DaemonAddress> named, OperatorClient client, ObjectMapper json) {
+        this.named = List.copyOf(named);
+        this.client = client;
+        this.json = json;
+    }
+
+    /** Reads a resource of the first daemon that answers. */
+    public <T> T getFromAny(String path, Class<T> type) {
+        return getFromAny(path, objectDecoder(type));
+    }
+
+    /** Reads a list from the first daemon that answers. */
+    public <T> List<T> getListFromAny(String path, Class<T> element) {
+        return getFromAny(path, listDecoder(element));
+    }
+
+    /** Sends content to the first daemon that can be reached; the answer may be an error. */
+    public OperatorReply postToAny(String path, byte[] content) {
+        return fromAny(daemon -> client.post(daemon, path, content));
+    }
+
+    /** Reads a resource of the first daemon that can be reached; the answer may be an error. */
+    public OperatorReply getReplyFromAny(String path) {
+        return fromAny(daemon -> client.get(daemon, path));
+    }
+
+    /** Reads a resource of every daemon of the fleet, in parallel. */
+    public <T> FleetAnswers<T> getFromAll(String path, Class<T> type) {
+        return getFromAll(path, objectDecoder(type));
+    }
+
+    /** Reads a list from every daemon of the fleet, in parallel. */
+    public <T> FleetAnswers<List<T>> getListFromAll(String path, Class<T> element) {
+        return getFromAll(path, listDecoder(element));
+    }
+
+    private <T> FleetAnswers<T> getFromAll(String path, Decoder<T> decoder) {
+        List<String> silent = Collections.synchronizedList(new ArrayList<>());
+        List<T> answers = discover().parallelStream()
+                .flatMap(daemon -> ask(daemon, path, decoder, silent))
+                .toList();
+        return new FleetAnswers<>(answers, silent.stream().sorted().toList());
+    }
+
+    private <T> Stream<T> ask(DaemonAddress daemon, String path, Decoder<T> decoder, List<String> silent) {
+        try {
+            return Stream.of(decode(client.get(daemon, path), decoder));
+        } catch (CliException e) {
+            silent.add(daemon + ": " + e.getMessage());
+            return Stream.empty();
+        }
+    }
+
+    private Set<DaemonAddress> discover() {
+        FleetView fleet = getFromAny("/v1/fleet", FleetView.class);
+        Set<DaemonAddress> daemons = new LinkedHashSet<>(named);
+        for (MemberView member : fleet.members()) {
+            if (!member.status().equals(DEAD)) {
+                daemons.add(new DaemonAddress(member.address(), member.operatorPort()));
+            }
+        }
+        return daemons;
+    }
+
+    private <T> T getFromAny(String path, Decoder<T> decoder) {
+        return decode(getReplyFromAny(path), decoder);
+    }
+
+    private OperatorReply fromAny(Function<DaemonAddress, OperatorReply> call) {
+        List<String> failures = new ArrayList<>();
+        for (DaemonAddress daemon : named) {
+            try {
+                return call.apply(daemon);
+            } catch (CliException e) {
+                failures.add(e.getMessage());
+            }
+        }
+        throw new CliException(ExitCode.UNREACHABLE, String.join("; ", failures));
+    }
+
+    private static <T> T decode(OperatorReply reply, Decoder<T> decoder) {
+        if (reply.isError()) {
+            throw new CliException(ExitCode.FAILED, "HTTP " + reply.status() + " " + reply.body());
+        }
+        try {
+            return decoder.decode(reply.body());
+        } catch (JsonProcessingException e) {
+            throw new CliException(ExitCode.FAILED, "the answer is not the expected JSON", e);
+        }
+    }
+
+    private <T> Decoder<T> objectDecoder(Class<T> type) {
+        return body -> json.readValue(body, type);
+    }
+
+    private <T> Decoder<List<T>> listDecoder(Class<T> element) {
+        ObjectReader reader = json.readerForListOf(element);
+        return body -> reader.readValue(body);
+    }
+
+    private interface Decoder<T> {
+        T decode(String body) throws JsonProcessingException;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflygw/cli/OutputFormat.java
@@ -0,0 +1,7 @@
+package org.dragonflygw.cli;
+
+/** How answers are printed. */
+public enum OutputFormat {
+    TABLE,
+    JSON
+}
--- /dev/null
+++ b/cli/src/main/java/org/dragonflygw/cli/command/ExplainCommand.java
@@ -0,0 +1,96 @@
+package org.dragonflygw.cli.command;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import org.dragonflygw.cli.CliException;
+import org.dragonflygw.cli.Command;
+import org.dragonflygw.cli.ExitCode;
+import org.dragonflygw.cli.FleetAnswers;
+import org.dragonflygw.cli.Invocation;
+import org.dragonflygw.cli.Output;
+import org.dragonflygw.cli.OutputFormat;
+import org.dragonflygw.core.inspect.TimelineView;
+import org.dragonflygw.core.timeline.Event;
+import org.dragonflygw.core.timeline.EventKey;
+import org.dragonflygw.core.timeline.EventType;
+
+/** Explains one request: the candidates and their scores, what was waited for, refused or retried, and the end. */
+public final class ExplainCommand implements Command {
+    private static final int LIMIT = 10_000;
+    private static final Set<EventType> CHOICE = EnumSet.of(EventType.CANDIDATES_RANKED);
+    private static final Set<EventType> WAITING = EnumSet.of(
+            EventType.GRANT_REQUESTED,
+            EventType.GRANT_GIVEN,
+            EventType.GRANT_REFUSED,
+            EventType.GRANT_EXPIRED,
+            EventType.STEWARD_UNREACHABLE,
+            EventType.CLAIM_INSERTED,
+            EventType.CLAIM_REPLAYED,
+            EventType.CLAIM_WAITED);
+    private static final Set<EventType> RUNNING =
+            EnumSet.of(EventType.DISPATCHED, EventType.FIRST_TOKEN, EventType.GRANT_RELEASED);
+    private static final Set<EventType> TROUBLE = EnumSet.of(
+            EventType.CONNECTION_SILENT,
+            EventType.STREAM_RESUMED,
+            EventType.CHUNK_REJECTED,
+            EventType.RETRIED,
+            EventType.RETRY_DENIED,
+            EventType.FINGERPRINT_QUARANTINED);
+
+    @Override
+    public String name() {
+        return "explain";
+    }
+
+    @Override
+    public String arguments() {
+        return "REQUEST";
+    }
+
+    @Override
+    public String summary() {
+        return "why a request went where it went, and what was waited for, refused or retried";
+    }
+
+    @Override
+    public ExitCode run(Invocation invocation) {
+        String request = invocation.argument(0, "request id");
+        String path = TimelineCommand.query(EventKey.REQUEST, request, LIMIT);
+        FleetAnswers<TimelineView> views = invocation.fleet().getFromAll(path, TimelineView.class);
+        List<Event> events = TimelineCommand.merge(views.answers(), LIMIT);
+        invocation.output().silent(views.silent());
+        if (events.isEmpty()) {
+            throw new CliException(ExitCode.FAILED, "no daemon that answered remembers request " + request);
+        }
+        if (invocation.output().format() == OutputFormat.JSON) {
+            invocation.output().json(events);
+        } else {
+            print(invocation.output(), request, events);
+        }
+        return views.exitCode();
+    }
+
+    private static void print(Output output, String request, List<Event> events) {
+        Event first = events.get(0);
+        Event last = events.get(events.size() - 1);
+        output.line("request " + request + "  team=" + first.subject().team() + "  chat="
+                + first.subject().chatId());
+        section(output, "choice of the endpoint", events, CHOICE);
+        section(output, "waiting and grants", events, WAITING);
+        section(output, "run", events, RUNNING);
+        section(output, "failures and retries", events, TROUBLE);
+        long millis = last.at().physicalMillis() - first.at().physicalMillis();
+        output.line("end: " + last.type() + " after " + millis + " ms  " + last.detail());
+    }
+
+    private static void section(Output output, String heading, List<Event> events, Set<EventType> types) {
+        List<Event> chosen =
+                events.stream().filter(event -> types.contains(event.type())).toList();
+        if (chosen.isEmpty()) {
+            return;
+        }
+        output.line(heading);
+        chosen.forEach(event -> output.line("  " + EventText.of(event)));
+    }
+}
