--- a/core/src/main/java/org/dragonflygw/core/ledger/StoredAnswer.java
+++ b/core/src/main/java/org/dragonflygw/core/ledger/StoredAnswer.java
@@ -1,11 +1,20 @@
 package org.dragonflygw.core.ledger;
 
+import java.util.List;
+import java.util.Optional;
+
 /**
- * The whole answer to a submission, kept to be given again to the same key.
+ * The answer of a run, kept for repeats of its key.
  *
  * @param status HTTP status
- * @param contentType content type of the body
- * @param body the whole body
+ * @param headers the headers that a repeat gets again
+ * @param body the whole body; empty when it was longer than {@link #MAX_BODY_BYTES} or could not be kept
  */
-@SuppressWarnings("ArrayRecordComponent")
-public record StoredAnswer(int status, String contentType, byte[] body) {}
+public record StoredAnswer(int status, List<AnswerHeader> headers, Optional<byte[]> body) {
+    /** Longest body that is kept, in bytes. */
+    public static final int MAX_BODY_BYTES = 1 << 20;
+
+    public StoredAnswer {
+        headers = List.copyOf(headers);
+    }
+}
--- a/core/src/main/java/org/dragonflygw/core/ledger/SubmissionGate.java
+++ b/core/src/main/java/org/dragonflygw/core/ledger/SubmissionGate.java
@@ -1,14 +1,16 @@
 package org.dragonflygw.core.ledger;
 
-import org.dragonflygw.core.request.RequestContext;
+import java.util.concurrent.CompletableFuture;
 
-/** Lets each non-idempotent submission run at most once. Safe from every thread. */
+/**
+ * Stands before the dispatch of each non-idempotent submission and lets it pass at most once per team and key.
+ * Safe from every thread.
+ */
 public interface SubmissionGate {
     /**
-     * Claims a submission by its team and idempotency key before it is dispatched. Blocks while another owner of the
-     * same key runs it, up to the deadline of the request.
-     *
-     * @param request a non-idempotent request with a key
+     * Claims a submission before its dispatch. The call does not block. The future completes with a decision at the
+     * latest at the deadline of the submission and never exceptionally; a repeat of a submission that is still
+     * running waits in it without holding a thread.
      */
-    ClaimResult claim(RequestContext request);
+    CompletableFuture<SubmissionDecision> claim(Submission submission);
 }
