--- a/cli/src/main/java/org/dragonflygw/cli/Fleet.java
+++ b/cli/src/main/java/org/dragonflygw/cli/Fleet.java
@@ -69,7 +69,7 @@
         try {
             return Stream.of(decode(client.get(daemon, path), decoder));
         } catch (CliException e) {
-            silent.add(daemon + ": " + e.getMessage());
+            silent.add(daemon + ": " + e.detail());
             return Stream.empty();
         }
     }
@@ -95,7 +95,7 @@
             try {
                 return call.apply(daemon);
             } catch (CliException e) {
-                failures.add(e.getMessage());
+                failures.add(e.detail());
             }
         }
         throw new CliException(ExitCode.UNREACHABLE, String.join("; ", failures));
