Read, check, write and compare sheets

Cause: the configuration had types but no form that operators could write or that daemons could check.

--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/config/RowChange.java
@@ -0,0 +1,18 @@
+package org.dragonflygw.core.config;
+
+import java.util.List;
+
+/**
+ * One row that differs between two sheets.
+ *
+ * @param type how it differs
+ * @param kind kind of the row
+ * @param row identity of the row among those of its kind: a name, team and model of a rule, or pool, model, version and
+ *     adapter of a placement
+ * @param cells the cells that differ; empty for added and removed rows
+ */
+public record RowChange(ChangeType type, RowKind kind, String row, List<CellChange> cells) {
+    public RowChange {
+        cells = List.copyOf(cells);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/config/SheetText.java
@@ -0,0 +1,66 @@
+package org.dragonflygw.core.config;
+
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharsetDecoder;
+import java.nio.charset.CoderResult;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Decodes the bytes of a sheet as strict UTF-8, with or without a byte order mark. */
+final class SheetText {
+    private static final byte[] UTF8_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
+    private static final byte[] UTF16_BIG_MARK = {(byte) 0xFE, (byte) 0xFF};
+    private static final byte[] UTF16_LITTLE_MARK = {(byte) 0xFF, (byte) 0xFE};
+
+    private SheetText() {}
+
+    /** Gives the text, or reports why there is none. */
+    static Optional<String> decode(byte[] content, SheetProblems problems) {
+        if (startsWith(content, UTF16_BIG_MARK) || startsWith(content, UTF16_LITTLE_MARK)) {
+            problems.add("the file is UTF-16; export it as UTF-8");
+            return Optional.empty();
+        }
+        int start = startsWith(content, UTF8_MARK) ? UTF8_MARK.length : 0;
+        ByteBuffer in = ByteBuffer.wrap(content, start, content.length - start);
+        CharBuffer out = CharBuffer.allocate(content.length - start);
+        CharsetDecoder decoder = StandardCharsets.UTF_8
+                .newDecoder()
+                .onMalformedInput(CodingErrorAction.REPORT)
+                .onUnmappableCharacter(CodingErrorAction.REPORT);
+        CoderResult result = decoder.decode(in, out, true);
+        if (result.isError()) {
+            problems.add(lineOf(content, in.position()), "", "the file is not UTF-8; export it as UTF-8");
+            return Optional.empty();
+        }
+        out.flip();
+        if (out.chars().anyMatch(c -> c == 0)) {
+            problems.add("the file holds NUL characters; export it as UTF-8 text");
+            return Optional.empty();
+        }
+        return Optional.of(out.toString());
+    }
+
+    private static int lineOf(byte[] content, int position) {
+        int line = 1;
+        for (int i = 0; i < position; i++) {
+            if (content[i] == '\n') {
+                line++;
+            }
+        }
+        return line;
+    }
+
+    private static boolean startsWith(byte[] content, byte[] mark) {
+        if (content.length < mark.length) {
+            return false;
+        }
+        for (int i = 0; i < mark.length; i++) {
+            if (content[i] != mark[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
