--- a/core/src/main/java/org/dragonflygw/core/request/RequestException.java
+++ b/core/src/main/java/org/dragonflygw/core/request/RequestException.java
@@ -4,15 +4,8 @@
 
 /** A request that cannot be read. It was not run. */
 public final class RequestException extends CodedException {
-    private final String detail;
 
     public RequestException(RequestCode code, String detail) {
         super(code, detail);
-        this.detail = detail;
-    }
-
-    /** What is wrong, for the caller. */
-    public String detail() {
-        return detail;
     }
 }
