Add the sheet commands and the JSON of the sheet resources

Cause: operators drive the fleet by the sheet. Change: sheet check (without a daemon), diff, apply with expected version and token, show on every daemon; typed views of the operators' resources.

--- a/cli/src/main/java/org/dragonflygw/cli/CliMain.java
+++ b/cli/src/main/java/org/dragonflygw/cli/CliMain.java
@@ -8,6 +8,10 @@
 import org.dragonflygw.cli.command.ExplainCommand;
 import org.dragonflygw.cli.command.FleetCommand;
 import org.dragonflygw.cli.command.RequestsCommand;
+import org.dragonflygw.cli.command.SheetApplyCommand;
+import org.dragonflygw.cli.command.SheetCheckCommand;
+import org.dragonflygw.cli.command.SheetDiffCommand;
+import org.dragonflygw.cli.command.SheetShowCommand;
 import org.dragonflygw.cli.command.TeamsCommand;
 import org.dragonflygw.cli.command.TimelineCommand;
 
@@ -28,6 +32,10 @@
 
     static List<Command> commands() {
         return List.of(
+                new SheetCheckCommand(),
+                new SheetDiffCommand(),
+                new SheetApplyCommand(),
+                new SheetShowCommand(),
                 new FleetCommand(),
                 new EnginesCommand(),
                 new TeamsCommand(),
--- a/cli/src/main/java/org/dragonflygw/cli/Fleet.java
+++ b/cli/src/main/java/org/dragonflygw/cli/Fleet.java
@@ -57,6 +57,16 @@
         return getFromAll(path, listDecoder(element));
     }
 
+    /** Reads a value from an answer; throws {@link CliException} when the answer is an error. */
+    public <T> T decode(OperatorReply reply, Class<T> type) {
+        return decode(reply, objectDecoder(type));
+    }
+
+    /** Reads a value from an answer, also from an error that carries one. */
+    public <T> T decodeAny(OperatorReply reply, Class<T> type) {
+        return parse(reply, objectDecoder(type));
+    }
+
     private <T> FleetAnswers<T> getFromAll(String path, Decoder<T> decoder) {
         List<String> silent = Collections.synchronizedList(new ArrayList<>());
         List<T> answers = discover().parallelStream()
@@ -105,10 +115,14 @@
         if (reply.isError()) {
             throw new CliException(ExitCode.FAILED, "HTTP " + reply.status() + " " + reply.body());
         }
+        return parse(reply, decoder);
+    }
+
+    private static <T> T parse(OperatorReply reply, Decoder<T> decoder) {
         try {
             return decoder.decode(reply.body());
         } catch (JsonProcessingException e) {
-            throw new CliException(ExitCode.FAILED, "the answer is not the expected JSON", e);
+            throw new CliException(ExitCode.FAILED, "the answer is not the expected JSON: " + reply.body(), e);
         }
     }
 
--- a/cli/src/test/java/org/dragonflygw/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/dragonflygw/cli/CommandLineTest.java
@@ -3,11 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 final class CommandLineTest {
     private static final String FLEET =
@@ -139,4 +143,48 @@
             assertThat(run("explain", "q")).isEqualTo(ExitCode.FAILED);
         }
     }
+
+    @Nested
+    final class Sheets {
+        @TempDir
+        private Path folder;
+
+        private String file(String content) throws IOException {
+            return Files.writeString(folder.resolve("sheet.csv"), content).toString();
+        }
+
+        @Test
+        void checkNamesRowAndColumn() throws IOException {
+            String sheet = file("kind,name,weight\nteam,clerks,many\n");
+            assertThat(run("sheet", "check", sheet)).isEqualTo(ExitCode.INVALID_SHEET);
+            assertThat(output()).contains("row 2, column weight");
+        }
+
+        @Test
+        void applyOfAnAcceptedSheetSaysItsVersion() throws IOException {
+            client.reply("1.1.1.1:1", "/v1/sheet", 200, "{\"daemonId\":\"a\",\"number\":3}");
+            String accepted = "{\"accepted\":true,\"number\":4,\"digest\":\"d4\",\"changes\":[]}";
+            client.reply("1.1.1.1:1", "/v1/sheet/apply", 200, accepted);
+            assertThat(run("sheet", "apply", file("x"))).isEqualTo(ExitCode.OK);
+            assertThat(output()).contains("accepted as version 4");
+        }
+
+        @Test
+        void theLoserOfARaceSeesWhoWonAndWhatDiffers() throws IOException {
+            String lost = "{\"accepted\":false,\"number\":5,\"digest\":\"d5\",\"operator\":\"ana\","
+                    + "\"changes\":[\"changed team clerks\"]}";
+            client.reply("1.1.1.1:1", "/v1/sheet/apply", 409, lost);
+            assertThat(run("sheet", "apply", file("x"), "--expected", "4")).isEqualTo(ExitCode.CONFLICT);
+            assertThat(output()).contains("ana applied version 5 first");
+            assertThat(output()).contains("changed team clerks");
+        }
+
+        @Test
+        void anApplyWithoutAnswerSaysHowToTryTheSameOneAgain() throws IOException {
+            client.reply("1.1.1.1:1", "/v1/sheet/apply", 503, "{}");
+            assertThat(run("sheet", "apply", file("x"), "--expected", "4", "--token", "t1"))
+                    .isEqualTo(ExitCode.FAILED);
+            assertThat(errors()).contains("--expected 4 --token t1");
+        }
+    }
 }
