Add engine steward, candidate order, fair queue, team rates, retry budget and quarantine

Cause: the request path needs decisions on which engine takes a request, how many it may carry, whose turn it is and what may be tried again. Change: core.routing has the steward of one engine (leased grants fenced by epoch, load bound from stale sums, foreign load from lagging reports, weighted fair queue, suspension after failures) and the prefix-affine candidate order; core.limits has the fair queue and fleet-wide team rates; core.retry has retry budgets and the quarantine.

--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/limits/TeamRateSteward.java
@@ -0,0 +1,52 @@
+package org.dragonflygw.core.limits;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.dragonflygw.core.config.Team;
+
+/**
+ * Keeps the token buckets of the teams that this daemon owns by hashing. Bounded: the bucket used longest ago goes
+ * first. A new owner starts with one second's worth of tokens rather than the whole burst, so that a change of owner
+ * gives no second burst. Guarded by its own monitor, which is a leaf of the lock order.
+ */
+public final class TeamRateSteward {
+    private static final long VALID_MILLIS = 1_000;
+
+    private final int maxTeams;
+    private final InstantSource clock;
+    private final LinkedHashMap<String, TokenBucket> buckets = new LinkedHashMap<>(16, 0.75f, true);
+
+    public TeamRateSteward(int maxTeams, InstantSource clock) {
+        this.maxTeams = maxTeams;
+        this.clock = clock;
+    }
+
+    /** Takes tokens of a team. */
+    public synchronized TeamTokens take(Team team, int wanted) {
+        Instant now = clock.instant();
+        TokenBucket bucket = buckets.get(team.name());
+        if (bucket == null) {
+            bucket = new TokenBucket(team.requestsPerSecond(), team.requestsPerSecond(), now);
+            buckets.put(team.name(), bucket);
+            evictEldest();
+        }
+        bucket.configure(team.requestsPerSecond(), (double) team.requestsPerSecond() + team.burst(), now);
+        int granted = bucket.take(Math.max(1, wanted), now);
+        return new TeamTokens(granted, VALID_MILLIS, granted > 0 ? 0 : bucket.millisToNext(now));
+    }
+
+    /** Number of buckets kept. */
+    public synchronized int size() {
+        return buckets.size();
+    }
+
+    private void evictEldest() {
+        if (buckets.size() > maxTeams) {
+            Map.Entry<String, TokenBucket> eldest =
+                    buckets.entrySet().iterator().next();
+            buckets.remove(eldest.getKey());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/retry/RetryBudgets.java
@@ -0,0 +1,28 @@
+package org.dragonflygw.core.retry;
+
+import java.time.InstantSource;
+import java.util.concurrent.ConcurrentHashMap;
+import org.dragonflygw.core.config.Service;
+
+/** The retry budgets of this daemon, one for each service. Safe from every thread. */
+public final class RetryBudgets {
+    private final InstantSource clock;
+    private final ConcurrentHashMap<BudgetKey, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    public RetryBudgets(InstantSource clock) {
+        this.clock = clock;
+    }
+
+    /** The budget of a service with the percentage that is in force now. */
+    public RetryBudget of(Service service) {
+        BudgetKey key = new BudgetKey(service.name(), service.retryBudgetPercent());
+        RetryBudget budget = budgets.get(key);
+        if (budget != null) {
+            return budget;
+        }
+        budgets.keySet().removeIf(other -> other.service().equals(service.name()));
+        return budgets.computeIfAbsent(key, created -> new RetryBudget(created.percent(), clock));
+    }
+
+    private record BudgetKey(String service, int percent) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/routing/MeanLoadBound.java
@@ -0,0 +1,50 @@
+package org.dragonflygw.core.routing;
+
+/**
+ * Bounds an engine's load to a multiple of the service's mean plus one request. The mean is taken low, so that the
+ * bound holds although the sums are stale and the set of engines changes: stated loads are discounted by what may have
+ * ended since, and the mean is taken as though one more empty engine had joined. The discount is cut where it would
+ * keep a service with even load from taking more.
+ */
+public final class MeanLoadBound implements LoadBound {
+    private static final double PROGRESS_MARGIN = 1.04;
+
+    private final String endpointId;
+    private final double bound;
+    private final ServiceLoads loads;
+    private final double durationMillis;
+    private final double joinMargin;
+
+    /**
+     * Makes a bound for one engine.
+     *
+     * @param endpointId engine
+     * @param bound greatest load over the mean of the service
+     * @param loads stated loads of the service
+     * @param durationMillis mean duration of a request, in milliseconds
+     * @param joinMargin number of empty engines that may join unseen
+     */
+    public MeanLoadBound(
+            String endpointId, double bound, ServiceLoads loads, double durationMillis, double joinMargin) {
+        this.endpointId = endpointId;
+        this.bound = bound;
+        this.loads = loads;
+        this.durationMillis = durationMillis;
+        this.joinMargin = joinMargin;
+    }
+
+    @Override
+    public int maxLoad(int ownLoad) {
+        int total = loads.totalCapacity();
+        int capacity = loads.capacity(endpointId);
+        if (total <= capacity) {
+            return Integer.MAX_VALUE;
+        }
+        double engines = (double) total / capacity;
+        double margin = Math.min(joinMargin, engines * (bound - 1) / 2);
+        double discounted = (ownLoad + loads.othersLoad(endpointId, durationMillis)) / (engines + margin);
+        double stated = (ownLoad + loads.othersLoad(endpointId, Double.MAX_VALUE)) / engines;
+        double mean = Math.max(discounted, stated * PROGRESS_MARGIN / bound);
+        return (int) Math.floor(bound * mean + 1);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/routing/ServiceLoads.java
@@ -0,0 +1,119 @@
+package org.dragonflygw.core.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.fleet.EndpointState;
+
+/**
+ * Last stated loads of the endpoints of one service. Guarded by its own monitor, which is a leaf of the lock order.
+ */
+public final class ServiceLoads implements EndpointLoadSink {
+    private static final long SUMS_VALID_MILLIS = 50;
+
+    private final InstantSource clock;
+    private final Map<String, EndpointLoad> loads = new HashMap<>();
+    private Map<String, Integer> capacities = Map.of();
+    private int totalCapacity;
+    private double sum;
+    private double ageWeightedSum;
+    private long sumsAtMillis;
+    private boolean sumsStale = true;
+
+    public ServiceLoads(InstantSource clock) {
+        this.clock = clock;
+    }
+
+    /** Sets the endpoints that take new work; loads of others are forgotten. */
+    public synchronized void setEndpoints(List<Endpoint> endpoints) {
+        Map<String, Integer> next = new HashMap<>();
+        int total = 0;
+        for (Endpoint endpoint : endpoints) {
+            if (endpoint.state() != EndpointState.LEAVING) {
+                int capacity = Math.max(1, endpoint.capacity());
+                next.put(endpoint.id(), capacity);
+                total += capacity;
+            }
+        }
+        capacities = next;
+        totalCapacity = total;
+        loads.keySet().retainAll(next.keySet());
+        sumsStale = true;
+    }
+
+    @Override
+    public synchronized void accept(EndpointLoad load) {
+        if (!capacities.containsKey(load.endpointId())) {
+            return;
+        }
+        EndpointLoad known = loads.get(load.endpointId());
+        if (known == null || load.isNewerThan(known)) {
+            loads.put(load.endpointId(), load);
+            sumsStale = true;
+        }
+    }
+
+    /** Last stated load of an endpoint. */
+    public synchronized Optional<EndpointLoad> find(String endpointId) {
+        return Optional.ofNullable(loads.get(endpointId));
+    }
+
+    /** Sum of the capacities of the endpoints. */
+    public synchronized int totalCapacity() {
+        return totalCapacity;
+    }
+
+    /** Capacity of an endpoint; 1 when it is unknown. */
+    public synchronized int capacity(String endpointId) {
+        return capacities.getOrDefault(endpointId, 1);
+    }
+
+    /**
+     * A low estimate of the load of all other endpoints: what they last stated, less what may have ended since.
+     *
+     * @param endpointId endpoint that is left out
+     * @param durationMillis mean duration of a request, in milliseconds
+     */
+    public synchronized double othersLoad(String endpointId, double durationMillis) {
+        Instant now = clock.instant();
+        refreshSums(now);
+        EndpointLoad own = loads.get(endpointId);
+        double others = sum;
+        double aged = ageWeightedSum;
+        if (own != null) {
+            others -= own.inFlight();
+            aged -= own.inFlight() * ageMillis(own, now);
+        }
+        return Math.max(0, others - aged / Math.max(1, durationMillis));
+    }
+
+    /** Last stated load of all endpoints. */
+    public synchronized double statedLoad() {
+        refreshSums(clock.instant());
+        return sum;
+    }
+
+    private void refreshSums(Instant now) {
+        long millis = now.toEpochMilli();
+        if (!sumsStale && millis - sumsAtMillis < SUMS_VALID_MILLIS) {
+            return;
+        }
+        sum = 0;
+        ageWeightedSum = 0;
+        for (EndpointLoad load : loads.values()) {
+            sum += load.inFlight();
+            ageWeightedSum += load.inFlight() * ageMillis(load, now);
+        }
+        sumsAtMillis = millis;
+        sumsStale = false;
+    }
+
+    private static double ageMillis(EndpointLoad load, Instant now) {
+        return Math.max(0, Duration.between(load.receivedAt(), now).toMillis());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/limits/FairQueueTest.java
@@ -0,0 +1,65 @@
+package org.dragonflygw.core.limits;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class FairQueueTest {
+    private final FairQueue<String> queue = new FairQueue<>(12);
+
+    @Nested
+    final class Order {
+        @Test
+        void servesTeamsByWeight() {
+            for (int i = 0; i < 6; i++) {
+                queue.offer("heavy", 2, "h");
+                queue.offer("light", 1, "l");
+            }
+            StringBuilder served = new StringBuilder();
+            for (int i = 0; i < 6; i++) {
+                served.append(queue.poll(team -> true).orElseThrow());
+            }
+            assertThat(served.chars().filter(c -> c == 'h').count()).isEqualTo(4);
+        }
+
+        @Test
+        void aBurstDoesNotDelayALaterTeam() {
+            for (int i = 0; i < 6; i++) {
+                queue.offer("surging", 1, "s");
+            }
+            queue.poll(team -> true);
+            queue.offer("small", 1, "x");
+            assertThat(queue.poll(team -> true).orElseThrow()).isEqualTo("x");
+        }
+
+        @Test
+        void passesOverTeamsThatAreNotEligible() {
+            queue.offer("a", 1, "a");
+            queue.offer("b", 1, "b");
+            assertThat(queue.poll(team -> team.equals("b")).orElseThrow()).isEqualTo("b");
+            assertThat(queue.poll(team -> team.equals("b")).isEmpty()).isTrue();
+        }
+    }
+
+    @Nested
+    final class Limit {
+        @Test
+        void refusesTheTeamThatHoldsMost() {
+            for (int i = 0; i < 12; i++) {
+                queue.offer("surging", 1, "s" + i);
+            }
+            assertThat(queue.offer("surging", 1, "last").orElseThrow()).isEqualTo("last");
+        }
+
+        @Test
+        void makesRoomForATeamBelowItsShare() {
+            for (int i = 0; i < 12; i++) {
+                queue.offer("surging", 1, "s" + i);
+            }
+            assertThat(queue.offer("small", 1, "x").orElseThrow()).isEqualTo("s11");
+            assertThat(queue.size()).isEqualTo(12);
+            assertThat(queue.size("small")).isEqualTo(1);
+        }
+    }
+}
