--- a/core/src/main/java/org/dragonflygw/core/routing/EndpointTable.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EndpointTable.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.routing;
 
 import java.util.List;
+import java.util.Optional;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.core.fleet.EndpointState;
 
@@ -50,6 +51,11 @@
         return endpoints;
     }
 
+    /** The endpoint with an id; empty when it is not in the table. */
+    public Optional<Endpoint> find(String endpointId) {
+        return endpoints.stream().filter(e -> e.id().equals(endpointId)).findFirst();
+    }
+
     /** Sum of the capacities. */
     public int totalCapacity() {
         return totalCapacity;
