Add stand-ins of engines, plain services and the platform

Cause: tests and the demo need something that speaks the outside interfaces and fails on command. Conclusion: the servers can be started in one process by tests.

--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/engine/PrefixCache.java
@@ -0,0 +1,64 @@
+package org.dragonflygw.standins.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/** Prompt prefixes in limited memory, the least recently used evicted first. Guarded by the lock of its owner. */
+final class PrefixCache {
+    private final long capacityTokens;
+    private final CacheEventLog events;
+    private final LinkedHashMap<String, Long> tokensByPrefix = new LinkedHashMap<>(16, 0.75f, true);
+    private long usedTokens;
+
+    PrefixCache(long capacityTokens, CacheEventLog events) {
+        this.capacityTokens = capacityTokens;
+        this.events = events;
+    }
+
+    /** Uses the cache for a prompt and stores the prompt's prefix; returns the prompt tokens found in the cache. */
+    long use(String prefix, long promptTokens) {
+        if (prefix.isEmpty()) {
+            return 0;
+        }
+        Long cached = tokensByPrefix.get(prefix);
+        if (cached == null) {
+            store(prefix, promptTokens);
+            return 0;
+        }
+        return Math.min(cached, promptTokens);
+    }
+
+    /** Stores a prefix. */
+    void store(String prefix, long tokens) {
+        if (tokens > capacityTokens) {
+            return;
+        }
+        Long before = tokensByPrefix.put(prefix, tokens);
+        usedTokens += tokens - (before == null ? 0 : before);
+        events.add(CacheEvent.STORED, prefix);
+        evict();
+    }
+
+    /** Length of a stored prefix. */
+    OptionalLong tokens(String prefix) {
+        Long tokens = tokensByPrefix.get(prefix);
+        return tokens == null ? OptionalLong.empty() : OptionalLong.of(tokens);
+    }
+
+    void clear() {
+        tokensByPrefix.clear();
+        usedTokens = 0;
+    }
+
+    private void evict() {
+        Iterator<Map.Entry<String, Long>> oldest = tokensByPrefix.entrySet().iterator();
+        while (usedTokens > capacityTokens) {
+            Map.Entry<String, Long> entry = oldest.next();
+            usedTokens -= entry.getValue();
+            events.add(CacheEvent.EVICTED, entry.getKey());
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/platform/PlatformServer.java
@@ -0,0 +1,152 @@
+package org.dragonflygw.standins.platform;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflygw.core.fleet.HostEntry;
+import org.dragonflygw.core.fleet.HostState;
+import org.dragonflygw.core.storage.TableRow;
+import org.dragonflygw.standins.http.Exchange;
+import org.dragonflygw.standins.http.HttpListener;
+import org.dragonflygw.standins.time.RateLimit;
+import org.dragonflygw.standins.time.TaskTimer;
+
+/**
+ * The platform's service for tests and demos: table service, object store, weight store and host list, with faults
+ * on command. Hosts are entered by {@code POST /admin/hosts} or {@link #register}.
+ */
+public final class PlatformServer implements AutoCloseable {
+    private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+    private static final String ADMIN = "/admin/";
+
+    private final TableService tables = new TableService();
+    private final ObjectShelf objects = new ObjectShelf();
+    private final HostRegistry hosts;
+    private final PlatformFaultSwitch faults = new PlatformFaultSwitch();
+    private final TaskTimer timer = new TaskTimer("platform");
+    private final StoreCalls stores;
+    private final HostAdmin admin;
+    private final HttpListener listener;
+
+    /** Starts the platform with the clock of the runtime. */
+    public PlatformServer(PlatformConfig config) {
+        this(config, InstantSource.system());
+    }
+
+    /** Starts the platform; the clock drives its rates and lags. */
+    public PlatformServer(PlatformConfig config, InstantSource clock) {
+        hosts = new HostRegistry(clock, Duration.ofMillis(config.hostListLagMillis()));
+        admin = new HostAdmin(hosts);
+        StoreLimits limits = new StoreLimits(
+                new RateLimit(clock, config.readsPerSecond()),
+                new RateLimit(clock, config.writesPerSecond()),
+                new RateLimit(clock, config.weightBytesPerSecond()),
+                config.weightSizeBytes());
+        stores = new StoreCalls(tables, objects, limits, faults, timer);
+        listener = new HttpListener(config.port(), "platform", this::handle);
+    }
+
+    /** Port of the platform. */
+    public int port() {
+        return listener.port();
+    }
+
+    /** Base URL of the platform. */
+    public String baseUrl() {
+        return listener.baseUrl();
+    }
+
+    /** Replaces the faults in force and begins to count anew. */
+    public void setFaults(PlatformFaults newFaults) {
+        if (newFaults.staleReads()) {
+            tables.freeze();
+            objects.freeze();
+        } else {
+            tables.thaw();
+            objects.thaw();
+        }
+        if (newFaults.hostListFrozen()) {
+            hosts.freeze();
+        } else {
+            hosts.thaw();
+        }
+        faults.set(newFaults);
+    }
+
+    /** Closes the port and drops all connections; nothing is forgotten. */
+    public void closePort() {
+        listener.closePort();
+    }
+
+    /** Opens the port again. */
+    public void openPort() {
+        listener.openPort();
+    }
+
+    /** Enters a host in the list or replaces the one of the same id. */
+    public void register(HostEntry host) {
+        hosts.register(host);
+    }
+
+    /** Removes a host from the list; false when it is unknown. */
+    public boolean removeHost(String id) {
+        return hosts.remove(id);
+    }
+
+    /** Changes the state of a host in the list; false when it is unknown. */
+    public boolean setHostState(String id, HostState state) {
+        return hosts.setState(id, state);
+    }
+
+    /** Changes how far the host list lags behind. */
+    public void setHostListLag(Duration lag) {
+        hosts.setLag(lag);
+    }
+
+    /** Reads a row past all faults. */
+    public Optional<TableRow> row(String table, String key) {
+        return tables.readTruth(table, key);
+    }
+
+    /** Reads all rows of a table past all faults. */
+    public List<TableRow> rows(String table) {
+        return tables.scanTruth(table);
+    }
+
+    /** Calls of the table service and the object store that took effect, by kind. */
+    public StoreCounts counts() {
+        return stores.counts();
+    }
+
+    @Override
+    public void close() {
+        timer.close();
+        listener.close();
+    }
+
+    private void handle(Exchange exchange) {
+        String path = exchange.path();
+        if (path.startsWith(ADMIN)) {
+            admin.handle(exchange);
+        } else if (path.equals("/faults")) {
+            setFaults(exchange.body(PlatformFaults.class));
+            exchange.status(NO_CONTENT);
+        } else if (path.equals("/hosts")) {
+            listHosts(exchange);
+        } else if (!stores.handle(exchange)) {
+            exchange.error(NOT_FOUND, "NO_SUCH_CALL");
+        }
+    }
+
+    private void listHosts(Exchange exchange) {
+        if (faults.current().hostListOutage()) {
+            exchange.error(UNAVAILABLE, "OUTAGE");
+            return;
+        }
+        exchange.json(OK, hosts.read());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/platform/StoreCalls.java
@@ -0,0 +1,192 @@
+package org.dragonflygw.standins.platform;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
+import org.dragonflygw.core.storage.CommitResult;
+import org.dragonflygw.core.storage.Mutation;
+import org.dragonflygw.core.storage.TableRow;
+import org.dragonflygw.core.storage.WeightPermit;
+import org.dragonflygw.standins.http.Exchange;
+import org.dragonflygw.standins.http.StandinCode;
+import org.dragonflygw.standins.http.StandinException;
+import org.dragonflygw.standins.time.RateLimit;
+import org.dragonflygw.standins.time.TaskTimer;
+
+/** Calls of the table service, object store and weight store, with their limits and faults. */
+final class StoreCalls {
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_FOUND = 404;
+    private static final int THROTTLED = 429;
+    private static final int UNAVAILABLE = 503;
+    private static final int MAX_MUTATIONS = 500;
+    private static final int MAX_SCAN_ROWS = 1000;
+    private static final String OBJECTS = "/objects/";
+
+    private final TableService tables;
+    private final ObjectShelf objects;
+    private final StoreLimits limits;
+    private final PlatformFaultSwitch faults;
+    private final TaskTimer timer;
+    private final LongAdder reads = new LongAdder();
+    private final LongAdder commits = new LongAdder();
+    private final LongAdder mutations = new LongAdder();
+    private final LongAdder objectReads = new LongAdder();
+    private final LongAdder objectWrites = new LongAdder();
+    private final LongAdder throttled = new LongAdder();
+
+    StoreCalls(
+            TableService tables, ObjectShelf objects, StoreLimits limits, PlatformFaultSwitch faults, TaskTimer timer) {
+        this.tables = tables;
+        this.objects = objects;
+        this.limits = limits;
+        this.faults = faults;
+        this.timer = timer;
+    }
+
+    StoreCounts counts() {
+        return new StoreCounts(
+                reads.sum(), commits.sum(), mutations.sum(), objectReads.sum(), objectWrites.sum(), throttled.sum());
+    }
+
+    /** Takes a call; false when it is none of a store. */
+    boolean handle(Exchange exchange) {
+        String path = exchange.path();
+        if (path.startsWith(OBJECTS)) {
+            object(exchange, path.substring(OBJECTS.length()));
+            return true;
+        }
+        switch (exchange.method() + " " + path) {
+            case "POST /tables/read" -> read(exchange);
+            case "POST /tables/scan" -> scan(exchange);
+            case "POST /tables/commit" -> commit(exchange);
+            case "POST /weights/reads" -> weights(exchange);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void read(Exchange exchange) {
+        RowName name = exchange.body(RowName.class);
+        reading(exchange, () -> {
+            reads.increment();
+            return Answer.json(new RowBody(tables.read(name.table(), name.key())));
+        });
+    }
+
+    private void scan(Exchange exchange) {
+        ScanBody scan = exchange.body(ScanBody.class);
+        int limit = Math.max(0, Math.min(MAX_SCAN_ROWS, scan.limit()));
+        reading(exchange, () -> {
+            reads.increment();
+            return Answer.json(
+                    new RowsBody(tables.scan(scan.table(), text(scan.prefix()), text(scan.afterKey()), limit)));
+        });
+    }
+
+    private void commit(Exchange exchange) {
+        List<Mutation> wanted = exchange.body(CommitBody.class).mutations();
+        if (wanted == null || wanted.size() > MAX_MUTATIONS) {
+            throw new StandinException(StandinCode.BAD_REQUEST, "mutations: 0 to " + MAX_MUTATIONS);
+        }
+        writing(exchange, limits.writes(), () -> {
+            commits.increment();
+            mutations.add(wanted.size());
+            CommitResult result = tables.commit(wanted);
+            return Answer.json(result);
+        });
+    }
+
+    private void object(Exchange exchange, String key) {
+        switch (exchange.method()) {
+            case "GET" ->
+                reading(exchange, () -> {
+                    objectReads.increment();
+                    Optional<byte[]> content = objects.get(key);
+                    return content.isPresent() ? Answer.bytes(content.get()) : Answer.status(NOT_FOUND);
+                });
+            case "PUT" ->
+                writing(exchange, limits.writes(), () -> {
+                    objectWrites.increment();
+                    objects.put(key, exchange.body());
+                    return Answer.status(NO_CONTENT);
+                });
+            default -> exchange.error(NOT_FOUND, "NO_SUCH_CALL");
+        }
+    }
+
+    private void weights(Exchange exchange) {
+        long size = limits.weightSizeBytes();
+        writing(exchange, limits.reads(), () -> {
+            boolean granted = limits.weightBytes().tryTake(size);
+            long wait = granted ? 0 : Math.max(1, limits.weightBytes().waitMillis(size));
+            return Answer.json(new WeightPermit(granted, size, wait));
+        });
+    }
+
+    private void reading(Exchange exchange, Supplier<Answer> effect) {
+        if (refused(exchange, limits.reads())) {
+            return;
+        }
+        PlatformFaults now = faults.current();
+        timer.after(now.slowMillis(), () -> {
+            Answer answer = effect.get();
+            timer.after(now.answerDelayMillis(), () -> answer.send(exchange));
+        });
+    }
+
+    private void writing(Exchange exchange, RateLimit limit, Supplier<Answer> effect) {
+        if (refused(exchange, limit)) {
+            return;
+        }
+        PlatformFaults now = faults.current();
+        PlatformFaultSwitch.WriteFault fault = faults.nextWrite();
+        if (fault == PlatformFaultSwitch.WriteFault.LOST_BEFORE) {
+            exchange.drop();
+            return;
+        }
+        timer.after(now.slowMillis(), () -> {
+            Answer answer = effect.get();
+            if (fault == PlatformFaultSwitch.WriteFault.LOST_AFTER) {
+                exchange.drop();
+                return;
+            }
+            timer.after(now.answerDelayMillis(), () -> answer.send(exchange));
+        });
+    }
+
+    /** Ends a call that has no effect; true when it was such a call. */
+    private boolean refused(Exchange exchange, RateLimit limit) {
+        PlatformFaults now = faults.current();
+        if (now.silent()) {
+            return true;
+        }
+        if (now.outage()) {
+            exchange.error(UNAVAILABLE, "OUTAGE");
+            return true;
+        }
+        if (!limit.tryTake(1)) {
+            throttled.increment();
+            exchange.error(THROTTLED, "THROTTLED");
+            return true;
+        }
+        return false;
+    }
+
+    private static String text(String value) {
+        return value == null ? "" : value;
+    }
+
+    private record RowName(String table, String key) {}
+
+    private record RowBody(Optional<TableRow> row) {}
+
+    private record ScanBody(String table, String prefix, String afterKey, int limit) {}
+
+    private record RowsBody(List<TableRow> rows) {}
+
+    private record CommitBody(List<Mutation> mutations) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/platform/TableService.java
@@ -0,0 +1,108 @@
+package org.dragonflygw.standins.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.dragonflygw.core.storage.CommitResult;
+import org.dragonflygw.core.storage.Mutation;
+import org.dragonflygw.core.storage.TableRow;
+
+/**
+ * Tables of rows with conditional transactions over many rows. A row that was deleted and written again begins at
+ * version 1. Safe from every thread.
+ */
+final class TableService {
+    private final NavigableMap<RowKey, TableRow> rows = new TreeMap<>();
+    private NavigableMap<RowKey, TableRow> snapshot;
+
+    synchronized Optional<TableRow> read(String table, String key) {
+        return Optional.ofNullable(readable().get(new RowKey(table, key)));
+    }
+
+    synchronized List<TableRow> scan(String table, String prefix, String afterKey, int limit) {
+        String first = afterKey.compareTo(prefix) < 0 ? prefix : afterKey;
+        List<TableRow> found = new ArrayList<>();
+        for (TableRow row : readable().tailMap(new RowKey(table, first), true).values()) {
+            boolean inRange = row.table().equals(table) && row.key().startsWith(prefix);
+            if (!inRange || found.size() == limit) {
+                break;
+            }
+            if (row.key().compareTo(afterKey) > 0) {
+                found.add(row);
+            }
+        }
+        return found;
+    }
+
+    synchronized CommitResult commit(List<Mutation> mutations) {
+        List<TableRow> conflicts = new ArrayList<>();
+        for (Mutation mutation : mutations) {
+            TableRow row = current(mutation);
+            boolean conditional = mutation.expectedVersion() != Mutation.ANY;
+            if (conditional && row.version() != mutation.expectedVersion()) {
+                conflicts.add(row);
+            }
+        }
+        if (!conflicts.isEmpty()) {
+            return CommitResult.conflict(conflicts);
+        }
+        mutations.forEach(this::apply);
+        return CommitResult.success();
+    }
+
+    /** Reads a row as it truly is. */
+    synchronized Optional<TableRow> readTruth(String table, String key) {
+        return Optional.ofNullable(rows.get(new RowKey(table, key)));
+    }
+
+    /** All rows of a table as they truly are. */
+    synchronized List<TableRow> scanTruth(String table) {
+        return rows.values().stream().filter(row -> row.table().equals(table)).toList();
+    }
+
+    /** Answers reads from the present state until {@link #thaw}. */
+    synchronized void freeze() {
+        if (snapshot == null) {
+            snapshot = new TreeMap<>(rows);
+        }
+    }
+
+    synchronized void thaw() {
+        snapshot = null;
+    }
+
+    private NavigableMap<RowKey, TableRow> readable() {
+        return snapshot == null ? rows : snapshot;
+    }
+
+    private TableRow current(Mutation mutation) {
+        TableRow row = rows.get(new RowKey(mutation.table(), mutation.key()));
+        return row == null ? new TableRow(mutation.table(), mutation.key(), Mutation.ABSENT, "") : row;
+    }
+
+    private void apply(Mutation mutation) {
+        RowKey key = new RowKey(mutation.table(), mutation.key());
+        if (mutation.value().isEmpty()) {
+            rows.remove(key);
+            return;
+        }
+        long version = current(mutation).version() + 1;
+        rows.put(
+                key,
+                new TableRow(
+                        mutation.table(),
+                        mutation.key(),
+                        version,
+                        mutation.value().get()));
+    }
+
+    private record RowKey(String table, String key) implements Comparable<RowKey> {
+        @Override
+        public int compareTo(RowKey other) {
+            int byTable = table.compareTo(other.table);
+            return byTable != 0 ? byTable : key.compareTo(other.key);
+        }
+    }
+}
