Give the sheet check test a whole header

Cause: the test's sheet lacked columns, so the reader stopped at the header and never named row 2; the expectation was wrong, not the reader. Change: the test writes the whole header and leaves the weight of a team empty. Conclusion: the check that a row and a column are named stays.

--- a/cli/src/test/java/org/dragonflygw/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/dragonflygw/cli/CommandLineTest.java
@@ -9,6 +9,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import org.dragonflygw.core.config.Sheet;
+import org.dragonflygw.core.config.SheetWriter;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -155,8 +157,10 @@
 
         @Test
         void checkNamesRowAndColumn() throws IOException {
-            String sheet = file("kind,name,weight\nteam,clerks,many\n");
-            assertThat(run("sheet", "check", sheet)).isEqualTo(ExitCode.INVALID_SHEET);
+            byte[] empty = new SheetWriter().write(Sheet.EMPTY);
+            String header = new String(empty, StandardCharsets.UTF_8).strip();
+            String row = header.replaceAll("[^,]+", "").replaceFirst("^", "team,many");
+            assertThat(run("sheet", "check", file(header + "\n" + row + "\n"))).isEqualTo(ExitCode.INVALID_SHEET);
             assertThat(output()).contains("row 2, column weight");
         }
 
