Serve callers, operators and other daemons from one process

Change: Dropwizard and Guice frame, callers' resources, engine client with resumes, peer server and clients, planned stop.

--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
@@ -0,0 +1,14 @@
+package org.dragonflygw.daemon;
+
+import com.google.inject.Module;
+import java.util.List;
+
+/** The modules of the subsystems that a daemon runs with, besides its frame. */
+public final class Subsystems {
+    private Subsystems() {}
+
+    /** All subsystems, in the order of their start. */
+    public static List<Module> all() {
+        return List.of(new PlatformModule());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
@@ -0,0 +1,156 @@
+package org.dragonflygw.daemon.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.Optional;
+import org.dragonflygw.core.error.RunStatus;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.routing.AttemptOutcome;
+import org.dragonflygw.core.routing.EndpointGrant;
+import org.dragonflygw.core.stream.SilenceLimits;
+import org.dragonflygw.core.stream.SseEvent;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.daemon.endpoint.EndpointException;
+import org.dragonflygw.daemon.endpoint.EndpointExchange;
+import org.dragonflygw.daemon.endpoint.EngineClient;
+import org.dragonflygw.daemon.endpoint.TokenStream;
+import org.dragonflygw.daemon.endpoint.TokenStreams;
+
+/** Runs chat completions on engines. Safe from every thread. */
+@Singleton
+public final class ChatAttempts {
+    private static final String CONTENT_TYPE = "application/json";
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_TOO_MANY_REQUESTS = 429;
+    private static final int STATUS_SERVER_ERROR = 500;
+    private static final int MAX_ERROR_BYTES = 65_536;
+    private static final int MAX_ERROR_CHARS = 500;
+    private static final int MAX_ANSWER_BYTES = 16_777_216;
+
+    private final EngineClient engines;
+    private final TokenStreams streams;
+    private final EventRecorder events;
+    private final CallerMetrics metrics;
+    private final ObjectMapper json;
+    private final Clock clock;
+
+    @Inject
+    public ChatAttempts(
+            EngineClient engines,
+            TokenStreams streams,
+            EventRecorder events,
+            CallerMetrics metrics,
+            ObjectMapper json,
+            Clock clock) {
+        this.engines = engines;
+        this.streams = streams;
+        this.events = events;
+        this.metrics = metrics;
+        this.json = json;
+        this.clock = clock;
+    }
+
+    /** Runs a request whose answer comes as events. */
+    AttemptRunner streaming(byte[] body) {
+        return (request, grant, claim) -> stream(request, grant, claim, body);
+    }
+
+    /** Runs a request whose answer comes as one JSON object. */
+    AttemptRunner whole(byte[] body) {
+        return (request, grant, claim) -> whole(request, grant, claim, body);
+    }
+
+    private Answer stream(RequestContext request, EndpointGrant grant, ClaimedRun claim, byte[] body) {
+        Endpoint engine = grant.endpoint();
+        TokenStream tokens = streams.create(engine, request);
+        boolean started = false;
+        try {
+            connect(tokens, engine, request, body);
+            SseEvent first = tokens.next();
+            started = true;
+            return new StreamAnswer(
+                    request, grant, claim, tokens, first, new StreamAnswer.Tools(engines, events, metrics, json));
+        } catch (EndpointException e) {
+            throw lost(e);
+        } finally {
+            if (!started) {
+                tokens.close();
+            }
+        }
+    }
+
+    private void connect(TokenStream tokens, Endpoint engine, RequestContext request, byte[] body) {
+        EndpointExchange exchange;
+        try {
+            exchange =
+                    engines.run(engine, request, body, SilenceLimits.of(request).firstTokenMillis());
+        } catch (EndpointException e) {
+            if (e.certainlyNotSent()) {
+                throw e;
+            }
+            tokens.startLost(e);
+            return;
+        }
+        if (exchange.status() != STATUS_OK) {
+            throw refused(engine, exchange);
+        }
+        tokens.start(exchange);
+    }
+
+    private Answer whole(RequestContext request, EndpointGrant grant, ClaimedRun claim, byte[] body) {
+        Endpoint engine = grant.endpoint();
+        long remainingMillis =
+                Math.max(1, request.deadline().toEpochMilli() - clock.instant().toEpochMilli());
+        try (EndpointExchange exchange = engines.run(engine, request, body, remainingMillis)) {
+            if (exchange.status() != STATUS_OK) {
+                throw refused(engine, exchange);
+            }
+            byte[] content = exchange.readAll(engine.id(), MAX_ANSWER_BYTES);
+            AnswerCheck.check(engine, request, content, json);
+            claim.done(STATUS_OK, CONTENT_TYPE, Optional.of(content));
+            grant.end(AttemptOutcome.COMPLETED);
+            metrics.completed();
+            return new WholeAnswer(STATUS_OK, CONTENT_TYPE, content);
+        } catch (EndpointException e) {
+            throw lost(e);
+        }
+    }
+
+    private static AttemptException lost(EndpointException e) {
+        if (e.certainlyNotSent()) {
+            return new AttemptException(
+                    CallerCode.ENDPOINT_UNREACHABLE,
+                    AttemptOutcome.ENDPOINT_LOST,
+                    RunStatus.NOT_RUN,
+                    true,
+                    "the engine could not be reached",
+                    e);
+        }
+        return new AttemptException(
+                CallerCode.ANSWER_LOST,
+                AttemptOutcome.ENDPOINT_LOST,
+                RunStatus.UNKNOWN,
+                true,
+                "the answer of the engine was lost",
+                e);
+    }
+
+    private static AttemptException refused(Endpoint engine, EndpointExchange exchange) {
+        int status = exchange.status();
+        String text;
+        try (exchange) {
+            text = new String(exchange.readAll(engine.id(), MAX_ERROR_BYTES), StandardCharsets.UTF_8);
+        } catch (EndpointException e) {
+            text = "";
+        }
+        String detail =
+                "the engine answered " + status + ": " + text.substring(0, Math.min(text.length(), MAX_ERROR_CHARS));
+        boolean retryable = status >= STATUS_SERVER_ERROR || status == STATUS_TOO_MANY_REQUESTS;
+        CallerCode code = retryable ? CallerCode.ENDPOINT_FAILED : CallerCode.REJECTED_BY_ENDPOINT;
+        return new AttemptException(code, AttemptOutcome.FAILED, RunStatus.UNKNOWN, retryable, detail, null);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/PlainAttempts.java
@@ -0,0 +1,99 @@
+package org.dragonflygw.daemon.caller;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflygw.core.error.RunStatus;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.routing.AttemptOutcome;
+import org.dragonflygw.core.routing.EndpointGrant;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventType;
+import org.dragonflygw.daemon.endpoint.EndpointClient;
+import org.dragonflygw.daemon.endpoint.EndpointCode;
+import org.dragonflygw.daemon.endpoint.EndpointException;
+import org.dragonflygw.daemon.endpoint.EndpointExchange;
+import org.dragonflygw.daemon.endpoint.EndpointRequest;
+
+/**
+ * Runs calls on plain services. The answer is read whole before any of it is passed on, so that a lost one becomes an
+ * error and not a cut body. Safe from every thread.
+ */
+@Singleton
+public final class PlainAttempts {
+    private static final int MAX_ANSWER_BYTES = 16_777_216;
+
+    private final EndpointClient client;
+    private final EventRecorder events;
+    private final CallerMetrics metrics;
+    private final Clock clock;
+
+    @Inject
+    public PlainAttempts(EndpointClient client, EventRecorder events, CallerMetrics metrics, Clock clock) {
+        this.client = client;
+        this.events = events;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    /** Runs one call. */
+    AttemptRunner of(PlainCall call) {
+        return (request, grant, claim) -> run(request, grant, claim, call);
+    }
+
+    private Answer run(RequestContext request, EndpointGrant grant, ClaimedRun claim, PlainCall call) {
+        Endpoint endpoint = grant.endpoint();
+        long remainingMillis =
+                Math.max(1, request.deadline().toEpochMilli() - clock.instant().toEpochMilli());
+        boolean fresh = request.nonIdempotent() || !call.repeatable();
+        try (EndpointExchange exchange = client.send(endpoint, toEndpoint(request, call), remainingMillis, fresh)) {
+            byte[] body = exchange.readAll(endpoint.id(), MAX_ANSWER_BYTES);
+            String contentType = exchange.header("Content-Type");
+            claim.done(exchange.status(), contentType, Optional.of(body));
+            grant.end(AttemptOutcome.COMPLETED);
+            metrics.completed();
+            events.record(
+                    EventType.REQUEST_COMPLETED,
+                    RequestRunner.subject(request, endpoint.id()),
+                    "status " + exchange.status());
+            return new WholeAnswer(exchange.status(), contentType, body);
+        } catch (EndpointException e) {
+            throw failed(e, call);
+        }
+    }
+
+    private static AttemptException failed(EndpointException e, PlainCall call) {
+        if (e.certainlyNotSent()) {
+            return new AttemptException(
+                    CallerCode.ENDPOINT_UNREACHABLE,
+                    AttemptOutcome.ENDPOINT_LOST,
+                    RunStatus.NOT_RUN,
+                    true,
+                    "the service could not be reached",
+                    e);
+        }
+        CallerCode code =
+                e.code() == EndpointCode.ANSWER_TOO_LARGE ? CallerCode.ANSWER_TOO_LARGE : CallerCode.ANSWER_LOST;
+        return new AttemptException(
+                code,
+                AttemptOutcome.ENDPOINT_LOST,
+                RunStatus.UNKNOWN,
+                call.repeatable() && code == CallerCode.ANSWER_LOST,
+                "the answer of the service was lost",
+                e);
+    }
+
+    private static EndpointRequest toEndpoint(RequestContext request, PlainCall call) {
+        List<EndpointRequest.Header> headers = new ArrayList<>();
+        headers.add(new EndpointRequest.Header("X-Request-Id", request.requestId()));
+        request.idempotencyKey().ifPresent(key -> headers.add(new EndpointRequest.Header("Idempotency-Key", key)));
+        if (!call.accept().isEmpty()) {
+            headers.add(new EndpointRequest.Header("Accept", call.accept()));
+        }
+        return new EndpointRequest(call.method(), call.path(), headers, call.contentType(), call.body());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/PlainCall.java
@@ -0,0 +1,44 @@
+package org.dragonflygw.daemon.caller;
+
+import jakarta.servlet.http.HttpServletRequest;
+
+/**
+ * A call to a plain service as it is passed on.
+ *
+ * @param method HTTP method
+ * @param path path within the service, with query
+ * @param contentType content type of the body; empty for none
+ * @param accept accepted types of answer; empty for any
+ * @param body body; empty for none
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record PlainCall(String method, String path, String contentType, String accept, byte[] body) {
+    private static final String PREFIX = "/services/";
+
+    /** Takes a call out of a request; path and query stay encoded as the caller sent them. */
+    static PlainCall of(HttpServletRequest request, byte[] body) {
+        String uri = request.getRequestURI();
+        int afterName = uri.indexOf('/', PREFIX.length());
+        String path = afterName < 0 ? "/" : uri.substring(afterName);
+        String query = request.getQueryString();
+        String target = query == null ? path : path + '?' + query;
+        return new PlainCall(
+                request.getMethod(),
+                target,
+                orEmpty(request.getContentType()),
+                orEmpty(request.getHeader("Accept")),
+                body);
+    }
+
+    /** Whether HTTP defines the method as one that may be repeated. */
+    boolean repeatable() {
+        return switch (method) {
+            case "GET", "HEAD", "PUT", "DELETE" -> true;
+            default -> false;
+        };
+    }
+
+    private static String orEmpty(String value) {
+        return value == null ? "" : value;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/RequestRunner.java
@@ -0,0 +1,156 @@
+package org.dragonflygw.daemon.caller;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.HashSet;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflygw.core.error.RunStatus;
+import org.dragonflygw.core.ledger.Submission;
+import org.dragonflygw.core.ledger.SubmissionDecision;
+import org.dragonflygw.core.ledger.SubmissionGate;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.retry.RetryPolicy;
+import org.dragonflygw.core.routing.AttemptOutcome;
+import org.dragonflygw.core.routing.EndpointGrant;
+import org.dragonflygw.core.routing.EndpointSelector;
+import org.dragonflygw.core.routing.RoutingException;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventSubject;
+import org.dragonflygw.core.timeline.EventType;
+
+/**
+ * Takes a request from its checks to the start of its answer: claims it when it must run at most once, takes a slot,
+ * dispatches it, and tries another endpoint where that is allowed. Safe from every thread.
+ */
+@Singleton
+public final class RequestRunner {
+    private static final Logger LOG = LogManager.getLogger(RequestRunner.class);
+
+    private final EndpointSelector selector;
+    private final RetryPolicy retries;
+    private final SubmissionGate gate;
+    private final EventRecorder events;
+    private final CallerMetrics metrics;
+
+    @Inject
+    public RequestRunner(
+            EndpointSelector selector,
+            RetryPolicy retries,
+            SubmissionGate gate,
+            EventRecorder events,
+            CallerMetrics metrics) {
+        this.selector = selector;
+        this.retries = retries;
+        this.gate = gate;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Runs a request until its answer begins.
+     *
+     * @throws CallerException when no answer can be had
+     */
+    Answer run(RequestContext request, AttemptRunner attempts) {
+        events.record(
+                EventType.REQUEST_RECEIVED,
+                subject(request, ""),
+                request.service().name());
+        if (!request.nonIdempotent()) {
+            return runClaimed(request, attempts, ClaimedRun.unclaimed());
+        }
+        SubmissionDecision decision = gate.claim(Submission.of(request)).join();
+        if (decision instanceof SubmissionDecision.Run run) {
+            return runClaimed(request, attempts, ClaimedRun.of(run.claim()));
+        }
+        if (decision instanceof SubmissionDecision.Replay replay) {
+            return WholeAnswer.replay(replay.answer());
+        }
+        SubmissionDecision.Rejected rejected = (SubmissionDecision.Rejected) decision;
+        throw new CallerException(
+                CallerCode.valueOf(rejected.code().name()),
+                rejected.run(),
+                rejected.message(),
+                rejected.retryAfterMillis(),
+                null);
+    }
+
+    private Answer runClaimed(RequestContext request, AttemptRunner attempts, ClaimedRun claim) {
+        try {
+            return runAttempts(request, attempts, claim);
+        } catch (CallerException e) {
+            claim.failed(e.run());
+            EventType type = e.run() == RunStatus.NOT_RUN ? EventType.REQUEST_REFUSED : EventType.REQUEST_FAILED;
+            events.record(type, subject(request, ""), e.code().name());
+            throw e;
+        } catch (RuntimeException e) {
+            claim.failed(RunStatus.UNKNOWN);
+            throw e;
+        }
+    }
+
+    private Answer runAttempts(RequestContext request, AttemptRunner attempts, ClaimedRun claim) {
+        Set<String> excluded = new HashSet<>();
+        RunStatus run = RunStatus.NOT_RUN;
+        for (int attempt = 1; ; attempt++) {
+            EndpointGrant grant = acquire(request, excluded, run);
+            String endpointId = grant.endpoint().id();
+            try {
+                checkClaim(claim, run);
+                events.record(EventType.DISPATCHED, subject(request, endpointId), "attempt " + attempt);
+                return attempts.run(request, grant, claim);
+            } catch (AttemptException e) {
+                grant.end(e.outcome());
+                run = e.run() == RunStatus.NOT_RUN ? run : e.run();
+                LOG.warn("attempt {} on {} failed: {}", attempt, endpointId, e.getMessage());
+                if (!mayRetry(request, e, attempt)) {
+                    throw e.toCaller(run);
+                }
+                excluded.add(endpointId);
+            } catch (RuntimeException e) {
+                grant.end(AttemptOutcome.FAILED);
+                throw e;
+            }
+        }
+    }
+
+    private static void checkClaim(ClaimedRun claim, RunStatus run) {
+        if (!claim.mayDispatch()) {
+            throw new CallerException(
+                    CallerCode.LEDGER_UNAVAILABLE, run, "the claim grew too old before the dispatch", 0, null);
+        }
+    }
+
+    private boolean mayRetry(RequestContext request, AttemptException e, int attempt) {
+        boolean notRun = e.run() == RunStatus.NOT_RUN;
+        boolean allowed = e.retryable() && retries.tryRetry(request, e.outcome(), notRun, attempt);
+        events.record(
+                allowed ? EventType.RETRIED : EventType.RETRY_DENIED,
+                subject(request, ""),
+                "after attempt " + attempt + ": " + e.code().name());
+        if (allowed) {
+            metrics.retried();
+        }
+        return allowed;
+    }
+
+    private EndpointGrant acquire(RequestContext request, Set<String> excluded, RunStatus run) {
+        try {
+            return selector.acquire(request, Set.copyOf(excluded));
+        } catch (RoutingException e) {
+            throw CallerException.of(e, run);
+        }
+    }
+
+    static EventSubject subject(RequestContext request, String endpointId) {
+        return new EventSubject(
+                request.requestId(),
+                request.chatId(),
+                endpointId,
+                request.team().name(),
+                request.idempotencyKey().orElse(""),
+                "");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/StreamAnswer.java
@@ -0,0 +1,204 @@
+package org.dragonflygw.daemon.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflygw.core.error.RunStatus;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.routing.AttemptOutcome;
+import org.dragonflygw.core.routing.EndpointGrant;
+import org.dragonflygw.core.stream.SseEvent;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventType;
+import org.dragonflygw.daemon.endpoint.EndpointException;
+import org.dragonflygw.daemon.endpoint.EngineClient;
+import org.dragonflygw.daemon.endpoint.TokenStream;
+
+/**
+ * An answer that is relayed token by token. Each event is written as it came; writes block while the caller is slow, and
+ * so does reading from the engine. When the caller goes away the engine is told to cancel, unless the request must run
+ * at most once: its answer is then read to the end and kept. For one thread.
+ */
+final class StreamAnswer implements Answer {
+    private static final Logger LOG = LogManager.getLogger(StreamAnswer.class);
+    private static final int STATUS_OK = 200;
+    private static final String CONTENT_TYPE = "text/event-stream;charset=utf-8";
+
+    private final RequestContext request;
+    private final EndpointGrant grant;
+    private final ClaimedRun claim;
+    private final TokenStream tokens;
+    private final SseEvent first;
+    private final Tools tools;
+    private final ByteArrayOutputStream kept = new ByteArrayOutputStream(0);
+    private boolean callerGone;
+    private boolean failed;
+    private boolean closed;
+
+    StreamAnswer(
+            RequestContext request,
+            EndpointGrant grant,
+            ClaimedRun claim,
+            TokenStream tokens,
+            SseEvent first,
+            Tools tools) {
+        this.request = request;
+        this.grant = grant;
+        this.claim = claim;
+        this.tokens = tokens;
+        this.first = first;
+        this.tools = tools;
+    }
+
+    @Override
+    public int status() {
+        return STATUS_OK;
+    }
+
+    @Override
+    public String contentType() {
+        return CONTENT_TYPE;
+    }
+
+    @Override
+    public void write(OutputStream out) throws IOException {
+        try {
+            relay(out);
+        } catch (EndpointException e) {
+            fail(out, e);
+        } finally {
+            close();
+        }
+    }
+
+    @Override
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        boolean whole = tokens.whole();
+        tokens.close();
+        if (whole) {
+            finish();
+            return;
+        }
+        tools.engines.cancel(grant.endpoint(), request.requestId());
+        if (!failed) {
+            abandon();
+        }
+    }
+
+    private void relay(OutputStream out) throws IOException {
+        SseEvent event = first;
+        while (true) {
+            send(out, event);
+            Optional<SseEvent> more = tokens.poll();
+            if (more.isPresent()) {
+                event = more.get();
+                continue;
+            }
+            flush(out);
+            if (tokens.whole()) {
+                return;
+            }
+            event = tokens.next();
+        }
+    }
+
+    private void send(OutputStream out, SseEvent event) throws IOException {
+        if (claim.claimed() && kept.size() <= ClaimedRun.MAX_KEPT_BYTES) {
+            kept.write(event.buffer(), event.offset(), event.length());
+        }
+        if (callerGone) {
+            return;
+        }
+        try {
+            out.write(event.buffer(), event.offset(), event.length());
+        } catch (IOException e) {
+            callerLeft(e);
+        }
+    }
+
+    private void flush(OutputStream out) throws IOException {
+        if (callerGone) {
+            return;
+        }
+        try {
+            out.flush();
+        } catch (IOException e) {
+            callerLeft(e);
+        }
+    }
+
+    private void callerLeft(IOException e) throws IOException {
+        callerGone = true;
+        LOG.info("caller left at token {}: {}", tokens.tokens(), e.toString());
+        if (!claim.claimed()) {
+            throw e;
+        }
+    }
+
+    private void fail(OutputStream out, EndpointException cause) throws IOException {
+        failed = true;
+        LOG.warn("answer lost after {} tokens: {}", tokens.tokens(), cause.getMessage());
+        CallerException e =
+                new CallerException(CallerCode.ANSWER_LOST, RunStatus.RUN, "the rest of the answer was lost", 0, cause);
+        tools.metrics.failed(e);
+        tools.events.record(
+                EventType.REQUEST_FAILED,
+                RequestRunner.subject(request, endpointId()),
+                e.code().name());
+        grant.end(AttemptOutcome.ENDPOINT_LOST);
+        claim.failed(RunStatus.RUN);
+        if (callerGone) {
+            return;
+        }
+        String body = tools.json.writeValueAsString(ErrorBody.of(e, request.requestId()));
+        out.write(("event: error\ndata: " + body + "\n\n").getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    private void finish() {
+        boolean complete = kept.size() <= ClaimedRun.MAX_KEPT_BYTES;
+        claim.done(STATUS_OK, CONTENT_TYPE, complete ? Optional.of(kept.toByteArray()) : Optional.empty());
+        grant.end(AttemptOutcome.COMPLETED);
+        tools.metrics.completed();
+        tools.events.record(
+                EventType.REQUEST_COMPLETED, RequestRunner.subject(request, endpointId()), tokens.tokens() + " tokens");
+    }
+
+    private void abandon() {
+        claim.failed(RunStatus.RUN);
+        grant.end(AttemptOutcome.CANCELLED);
+        tools.metrics.cancelled();
+        tools.events.record(
+                EventType.REQUEST_CANCELLED,
+                RequestRunner.subject(request, endpointId()),
+                "at token " + tokens.tokens());
+    }
+
+    private String endpointId() {
+        return grant.endpoint().id();
+    }
+
+    /** What all answers share. */
+    static final class Tools {
+        private final EngineClient engines;
+        private final EventRecorder events;
+        private final CallerMetrics metrics;
+        private final ObjectMapper json;
+
+        Tools(EngineClient engines, EventRecorder events, CallerMetrics metrics, ObjectMapper json) {
+            this.engines = engines;
+            this.events = events;
+            this.metrics = metrics;
+            this.json = json;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/WholeAnswer.java
@@ -0,0 +1,70 @@
+package org.dragonflygw.daemon.caller;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import org.dragonflygw.core.error.RunStatus;
+import org.dragonflygw.core.ledger.AnswerHeader;
+import org.dragonflygw.core.ledger.StoredAnswer;
+
+/** An answer that is there as a whole. */
+final class WholeAnswer implements Answer {
+    private final int status;
+    private final String contentType;
+    private final byte[] body;
+    private final boolean replayed;
+
+    WholeAnswer(int status, String contentType, byte[] body) {
+        this(status, contentType, body, false);
+    }
+
+    private WholeAnswer(int status, String contentType, byte[] body, boolean replayed) {
+        this.status = status;
+        this.contentType = contentType;
+        this.body = body;
+        this.replayed = replayed;
+    }
+
+    /**
+     * The stored answer of an earlier run.
+     *
+     * @throws CallerException when its body was not kept
+     */
+    static WholeAnswer replay(StoredAnswer stored) {
+        byte[] body = stored.body()
+                .orElseThrow(() -> new CallerException(
+                        CallerCode.ANSWER_NOT_KEPT,
+                        RunStatus.RUN,
+                        "the submission was run; its answer was not kept",
+                        0,
+                        null));
+        String contentType = stored.headers().stream()
+                .filter(header -> header.name().equalsIgnoreCase("Content-Type"))
+                .map(AnswerHeader::value)
+                .findFirst()
+                .orElse("");
+        return new WholeAnswer(stored.status(), contentType, body, true);
+    }
+
+    @Override
+    public int status() {
+        return status;
+    }
+
+    @Override
+    public String contentType() {
+        return contentType;
+    }
+
+    @Override
+    public boolean replayed() {
+        return replayed;
+    }
+
+    @Override
+    public void write(OutputStream out) throws IOException {
+        out.write(body);
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
@@ -0,0 +1,177 @@
+package org.dragonflygw.daemon.endpoint;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.SocketTimeoutException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeoutException;
+import org.apache.hc.client5.http.HttpRoute;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.io.ConnectionEndpoint;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.pool.PoolReusePolicy;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.wire.settings.RouterSettings;
+
+/**
+ * Sends requests to endpoints over pooled connections. It works below the client's request chain, on leased
+ * connections, so that nothing is ever sent twice and a failure to connect, which proves that nothing was sent, is told
+ * apart from a loss after it. Safe from every thread.
+ */
+@Singleton
+public final class EndpointClient implements AutoCloseable {
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long LEASE_TIMEOUT_MILLIS = 1_000;
+    private static final long VALIDATE_AFTER_MILLIS = 500;
+    private static final long IDLE_KEEP_MILLIS = 30_000;
+    private static final int SPARE_CONNECTIONS = 256;
+
+    private final PoolingHttpClientConnectionManager connections;
+    private final HttpRequestExecutor executor = new HttpRequestExecutor();
+    private final HttpProcessor processor = HttpProcessorBuilder.create()
+            .addAll(new RequestTargetHost(), new RequestContent())
+            .build();
+
+    @Inject
+    public EndpointClient(RouterSettings settings) {
+        this(settings.getMaxOpenRequests() + SPARE_CONNECTIONS);
+    }
+
+    EndpointClient(int maxConnections) {
+        this.connections = PoolingHttpClientConnectionManagerBuilder.create()
+                .setMaxConnTotal(maxConnections)
+                .setMaxConnPerRoute(maxConnections)
+                .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
+                .setConnPoolPolicy(PoolReusePolicy.LIFO)
+                .setDefaultSocketConfig(
+                        SocketConfig.custom().setTcpNoDelay(true).build())
+                .setDefaultConnectionConfig(ConnectionConfig.custom()
+                        .setConnectTimeout(Timeout.ofMilliseconds(CONNECT_TIMEOUT_MILLIS))
+                        .setValidateAfterInactivity(TimeValue.ofMilliseconds(VALIDATE_AFTER_MILLIS))
+                        .build())
+                .build();
+    }
+
+    /**
+     * Sends a request and waits for the status line and headers of the answer.
+     *
+     * @param endpoint where to send it
+     * @param request the request
+     * @param silenceMillis how long the connection may stay silent
+     * @param freshConnection whether to use a new connection, so that a connection that the endpoint closed meanwhile
+     *     cannot make the outcome uncertain
+     * @throws EndpointException when no answer came
+     */
+    public EndpointExchange send(
+            Endpoint endpoint, EndpointRequest request, long silenceMillis, boolean freshConnection) {
+        HttpHost host = new HttpHost(endpoint.address(), endpoint.port());
+        ConnectionEndpoint connection = connect(endpoint, new HttpRoute(host), freshConnection);
+        boolean answered = false;
+        try {
+            connection.setSocketTimeout(Timeout.ofMilliseconds(silenceMillis));
+            HttpCoreContext context = HttpCoreContext.create();
+            ClassicHttpRequest message = message(host, request);
+            executor.preProcess(message, processor, context);
+            ClassicHttpResponse response = connection.execute(
+                    Long.toHexString(System.identityHashCode(request)), message, executor::execute, context);
+            answered = true;
+            return new EndpointExchange(connections, connection, response, TimeValue.ofMilliseconds(IDLE_KEEP_MILLIS));
+        } catch (SocketTimeoutException e) {
+            throw new EndpointException(
+                    EndpointCode.CONNECTION_SILENT, endpoint.id() + " sent nothing for " + silenceMillis + " ms", e);
+        } catch (IOException e) {
+            throw new EndpointException(EndpointCode.CONNECTION_LOST, endpoint.id() + ": " + e, e);
+        } catch (HttpException e) {
+            throw new EndpointException(EndpointCode.MALFORMED_ANSWER, endpoint.id() + ": " + e, e);
+        } finally {
+            if (!answered) {
+                discard(connection);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        connections.close(CloseMode.IMMEDIATE);
+    }
+
+    private ConnectionEndpoint connect(Endpoint endpoint, HttpRoute route, boolean fresh) {
+        ConnectionEndpoint connection = lease(endpoint, route);
+        boolean connected = false;
+        try {
+            if (fresh && connection.isConnected()) {
+                connection.close(CloseMode.IMMEDIATE);
+            }
+            if (!connection.isConnected()) {
+                connections.connect(
+                        connection, TimeValue.ofMilliseconds(CONNECT_TIMEOUT_MILLIS), HttpCoreContext.create());
+            }
+            connected = true;
+            return connection;
+        } catch (IOException e) {
+            throw new EndpointException(EndpointCode.NOT_CONNECTED, endpoint.id() + ": " + e, e);
+        } finally {
+            if (!connected) {
+                discard(connection);
+            }
+        }
+    }
+
+    private ConnectionEndpoint lease(Endpoint endpoint, HttpRoute route) {
+        try {
+            return connections
+                    .lease(endpoint.id(), route, Timeout.ofMilliseconds(LEASE_TIMEOUT_MILLIS), null)
+                    .get(Timeout.ofMilliseconds(LEASE_TIMEOUT_MILLIS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new EndpointException(EndpointCode.NOT_CONNECTED, "interrupted", e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new EndpointException(EndpointCode.NOT_CONNECTED, "no free connection to " + endpoint.id(), e);
+        }
+    }
+
+    private void discard(ConnectionEndpoint connection) {
+        connection.close(CloseMode.IMMEDIATE);
+        connections.release(connection, null, TimeValue.ZERO_MILLISECONDS);
+    }
+
+    private static ClassicHttpRequest message(HttpHost host, EndpointRequest request) {
+        ClassicHttpRequest message = new BasicClassicHttpRequest(request.method(), host, request.path());
+        for (EndpointRequest.Header header : request.headers()) {
+            message.addHeader(header.name(), header.value());
+        }
+        if (request.body().length > 0 || !request.contentType().isEmpty()) {
+            ContentType type = request.contentType().isEmpty() ? null : ContentType.parseLenient(request.contentType());
+            message.setEntity(new ByteArrayEntity(request.body(), type));
+        }
+        return message;
+    }
+
+    /** Turns a failure to read an answer into one of this layer. */
+    static EndpointException readFailure(String endpointId, IOException e) {
+        EndpointCode code =
+                e instanceof InterruptedIOException ? EndpointCode.CONNECTION_SILENT : EndpointCode.CONNECTION_LOST;
+        return new EndpointException(code, endpointId + ": " + e, e);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EngineClient.java
@@ -0,0 +1,63 @@
+package org.dragonflygw.daemon.endpoint;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.request.RequestContext;
+
+/** Speaks the interface of model engines: runs, resumes and cancels chat completions. Safe from every thread. */
+@Singleton
+public final class EngineClient {
+    private static final Logger LOG = LogManager.getLogger(EngineClient.class);
+    private static final long CANCEL_SILENCE_MILLIS = 2_000;
+    private static final int MAX_CANCEL_ANSWER_BYTES = 4_096;
+    private static final String STREAMS = "/v1/streams/";
+
+    private final EndpointClient client;
+
+    @Inject
+    public EngineClient(EndpointClient client) {
+        this.client = client;
+    }
+
+    /**
+     * Dispatches a chat completion.
+     *
+     * @throws EndpointException when no answer came
+     */
+    public EndpointExchange run(Endpoint engine, RequestContext request, byte[] body, long silenceMillis) {
+        List<EndpointRequest.Header> headers = new ArrayList<>();
+        headers.add(new EndpointRequest.Header("X-Request-Id", request.requestId()));
+        headers.add(new EndpointRequest.Header("X-Priority", Integer.toString(request.priority())));
+        headers.add(new EndpointRequest.Header("X-Prefix-Fingerprint", Long.toHexString(request.prefixFingerprint())));
+        headers.add(new EndpointRequest.Header("X-Prompt-Tokens", Integer.toString(request.promptTokens())));
+        request.idempotencyKey().ifPresent(key -> headers.add(new EndpointRequest.Header("Idempotency-Key", key)));
+        EndpointRequest call = new EndpointRequest("POST", "/v1/chat/completions", headers, "application/json", body);
+        return client.send(engine, call, silenceMillis, request.nonIdempotent());
+    }
+
+    /**
+     * Resumes a stream at a token on a new connection.
+     *
+     * @throws EndpointException when no answer came
+     */
+    public EndpointExchange resume(Endpoint engine, String requestId, long fromToken, long silenceMillis) {
+        EndpointRequest call =
+                EndpointRequest.withoutBody("GET", STREAMS + requestId + "?from=" + fromToken, List.of());
+        return client.send(engine, call, silenceMillis, true);
+    }
+
+    /** Cancels a stream; a failure is logged, because the engine ends an abandoned stream by itself. */
+    public void cancel(Endpoint engine, String requestId) {
+        EndpointRequest call = EndpointRequest.withoutBody("DELETE", STREAMS + requestId, List.of());
+        try (EndpointExchange exchange = client.send(engine, call, CANCEL_SILENCE_MILLIS, true)) {
+            exchange.readAll(engine.id(), MAX_CANCEL_ANSWER_BYTES);
+        } catch (EndpointException e) {
+            LOG.warn("cancel at {} failed: {}", engine.id(), e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/TokenStream.java
@@ -0,0 +1,259 @@
+package org.dragonflygw.daemon.endpoint;
+
+import java.io.IOException;
+import java.time.Clock;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.stream.ResumePolicy;
+import org.dragonflygw.core.stream.SilenceLimits;
+import org.dragonflygw.core.stream.SseDecoder;
+import org.dragonflygw.core.stream.SseEvent;
+import org.dragonflygw.core.stream.StreamCheck;
+import org.dragonflygw.core.stream.StreamException;
+import org.dragonflygw.core.stream.Verdict;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventSubject;
+import org.dragonflygw.core.timeline.EventType;
+
+/**
+ * The answer of an engine as a sequence of checked events. A lost, silent or broken connection is replaced by a new one
+ * at the next token; the caller of this class never sees an event twice, out of order or of another request. For one
+ * thread.
+ */
+public final class TokenStream implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(TokenStream.class);
+    private static final int END_OF_BODY_MILLIS = 20;
+    private static final int READ_BYTES = 8_192;
+    private static final int MAX_EVENT_BYTES = 1_048_576;
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final long RESUME_PAUSE_MILLIS = 20;
+
+    private final EngineClient client;
+    private final Endpoint engine;
+    private final RequestContext request;
+    private final Clock clock;
+    private final EventRecorder events;
+    private final StreamMetrics metrics;
+    private final SilenceLimits limits;
+    private final StreamCheck check;
+    private final ResumePolicy resumes;
+    private final byte[] readBuffer = new byte[READ_BYTES];
+    private final long startNanos = System.nanoTime();
+    private EndpointExchange exchange;
+    private SseDecoder decoder = new SseDecoder(MAX_EVENT_BYTES);
+    private boolean gapLimitSet;
+    private long lastTokenNanos = startNanos;
+
+    TokenStream(
+            EngineClient client,
+            Endpoint engine,
+            RequestContext request,
+            Clock clock,
+            EventRecorder events,
+            StreamMetrics metrics) {
+        this.client = client;
+        this.engine = engine;
+        this.request = request;
+        this.clock = clock;
+        this.events = events;
+        this.metrics = metrics;
+        this.limits = SilenceLimits.of(request);
+        this.check = new StreamCheck(request.requestId());
+        this.resumes = new ResumePolicy(request.deadline());
+    }
+
+    /** Starts reading from the answer to the dispatch. */
+    public void start(EndpointExchange first) {
+        this.exchange = first;
+    }
+
+    /**
+     * Reconnects when the answer to the dispatch was lost.
+     *
+     * @throws EndpointException when the engine does not know the stream or cannot be reached
+     */
+    public void startLost(EndpointException cause) {
+        reconnect(cause);
+    }
+
+    /** Number of tokens accepted. */
+    public long tokens() {
+        return check.nextSequence();
+    }
+
+    /** Whether the whole answer came. */
+    public boolean whole() {
+        return check.whole();
+    }
+
+    /**
+     * Gives the next event for the caller without waiting, when one is there.
+     *
+     * @throws EndpointException when the rest of the answer is lost
+     */
+    public Optional<SseEvent> poll() {
+        while (true) {
+            Optional<SseEvent> event;
+            try {
+                event = decoder.next();
+            } catch (StreamException e) {
+                reconnect(e);
+                continue;
+            }
+            if (event.isEmpty() || check.whole()) {
+                return Optional.empty();
+            }
+            Verdict verdict = check.accept(event.get());
+            if (verdict == Verdict.RELAY || verdict == Verdict.DONE) {
+                return event;
+            }
+            reject(verdict);
+        }
+    }
+
+    /**
+     * Gives the next event for the caller; waits until it comes.
+     *
+     * @throws EndpointException when the rest of the answer is lost
+     */
+    public SseEvent next() {
+        while (true) {
+            Optional<SseEvent> event = poll();
+            if (event.isPresent()) {
+                noteProgress();
+                return event.get();
+            }
+            readMore();
+        }
+    }
+
+    @Override
+    public void close() {
+        if (exchange != null) {
+            finishBody();
+            exchange.close();
+            exchange = null;
+        }
+    }
+
+    private void finishBody() {
+        if (!check.whole()) {
+            return;
+        }
+        try {
+            exchange.setSilenceLimit(END_OF_BODY_MILLIS);
+            exchange.read(readBuffer);
+        } catch (IOException e) {
+            LOG.debug("body of {} not ended: {}", request.requestId(), e.toString());
+        }
+    }
+
+    private void readMore() {
+        try {
+            int count = exchange.read(readBuffer);
+            if (count < 0) {
+                reconnect(new EndpointException(
+                        EndpointCode.CONNECTION_LOST, engine.id() + " ended the stream at token " + tokens()));
+                return;
+            }
+            decoder.append(readBuffer, 0, count);
+        } catch (IOException e) {
+            reconnect(EndpointClient.readFailure(engine.id(), e));
+        }
+    }
+
+    private void noteProgress() {
+        long now = System.nanoTime();
+        if (gapLimitSet) {
+            metrics.tokenGap(now - lastTokenNanos);
+        } else {
+            metrics.firstToken(now - startNanos);
+            events.record(EventType.FIRST_TOKEN, subject(), "");
+            exchange.setSilenceLimit(limits.tokenGapMillis());
+            gapLimitSet = true;
+        }
+        lastTokenNanos = now;
+    }
+
+    private void reject(Verdict verdict) {
+        if (verdict == Verdict.EMPTY) {
+            return;
+        }
+        metrics.rejected(verdict);
+        events.record(EventType.CHUNK_REJECTED, subject(), verdict + " at token " + tokens());
+        if (verdict != Verdict.DUPLICATE && verdict != Verdict.FOREIGN) {
+            reconnect(new EndpointException(
+                    EndpointCode.MALFORMED_ANSWER, engine.id() + " sent " + verdict + " at token " + tokens()));
+        }
+    }
+
+    private void reconnect(RuntimeException cause) {
+        RuntimeException last = cause;
+        noteLoss(cause);
+        closeBroken();
+        while (resumes.tryResume(tokens(), clock.instant())) {
+            try {
+                EndpointExchange next =
+                        client.resume(engine, request.requestId(), tokens(), limits.limitMillis(tokens()));
+                if (next.status() == STATUS_OK) {
+                    resumed(next);
+                    return;
+                }
+                next.close();
+                last = new EndpointException(
+                        EndpointCode.MALFORMED_ANSWER, engine.id() + " answered a resume with " + next.status());
+                if (next.status() == STATUS_NOT_FOUND) {
+                    break;
+                }
+            } catch (EndpointException e) {
+                last = e;
+            }
+            pause();
+        }
+        metrics.streamLost();
+        throw new EndpointException(
+                EndpointCode.STREAM_LOST, "answer lost at token " + tokens() + " on " + engine.id(), last);
+    }
+
+    private void resumed(EndpointExchange next) {
+        resumes.resumed();
+        exchange = next;
+        decoder = new SseDecoder(MAX_EVENT_BYTES);
+        metrics.resumed();
+        events.record(EventType.STREAM_RESUMED, subject(), "at token " + tokens());
+    }
+
+    private void noteLoss(RuntimeException cause) {
+        boolean silent = cause instanceof EndpointException lost && lost.code() == EndpointCode.CONNECTION_SILENT;
+        if (silent) {
+            events.record(EventType.CONNECTION_SILENT, subject(), "at token " + tokens());
+        }
+    }
+
+    private void closeBroken() {
+        if (exchange != null) {
+            exchange.close();
+            exchange = null;
+        }
+    }
+
+    private EventSubject subject() {
+        return EventSubject.request(
+                request.requestId(),
+                request.chatId(),
+                engine.id(),
+                request.team().name());
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(RESUME_PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/TokenStreams.java
@@ -0,0 +1,30 @@
+package org.dragonflygw.daemon.endpoint;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.time.Clock;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.timeline.EventRecorder;
+
+/** Creates token streams. Safe from every thread. */
+@Singleton
+public final class TokenStreams {
+    private final EngineClient client;
+    private final Clock clock;
+    private final EventRecorder events;
+    private final StreamMetrics metrics;
+
+    @Inject
+    public TokenStreams(EngineClient client, Clock clock, EventRecorder events, StreamMetrics metrics) {
+        this.client = client;
+        this.clock = clock;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    /** A stream for the answer to a request, not yet started. */
+    public TokenStream create(Endpoint engine, RequestContext request) {
+        return new TokenStream(client, engine, request, clock, events, metrics);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/peer/PeerDispatcher.java
@@ -0,0 +1,91 @@
+package org.dragonflygw.daemon.peer;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TApplicationException;
+import org.apache.thrift.async.AsyncMethodCallback;
+import org.dragonflygw.wire.gossip.GossipMessage;
+import org.dragonflygw.wire.gossip.SheetReply;
+import org.dragonflygw.wire.gossip.SheetRequest;
+import org.dragonflygw.wire.grants.GrantReply;
+import org.dragonflygw.wire.grants.GrantRequest;
+import org.dragonflygw.wire.grants.GrantUpdate;
+import org.dragonflygw.wire.grants.GrantUpdateReply;
+import org.dragonflygw.wire.peer.Peer;
+
+/** Hands calls of other daemons to their handlers. Safe from every thread. */
+@Singleton
+final class PeerDispatcher implements Peer.AsyncIface {
+    private static final Logger LOG = LogManager.getLogger(PeerDispatcher.class);
+
+    private final GrantHandler grants;
+    private final GossipHandler gossip;
+
+    @Inject
+    PeerDispatcher(GrantHandler grants, GossipHandler gossip) {
+        this.grants = grants;
+        this.gossip = gossip;
+    }
+
+    @Override
+    public void acquireGrant(GrantRequest request, AsyncMethodCallback<GrantReply> callback) {
+        handle(callback, reply -> grants.acquireGrant(request, reply));
+    }
+
+    @Override
+    public void updateGrants(GrantUpdate update, AsyncMethodCallback<GrantUpdateReply> callback) {
+        handle(callback, reply -> grants.updateGrants(update, reply));
+    }
+
+    @Override
+    public void exchange(GossipMessage message, AsyncMethodCallback<GossipMessage> callback) {
+        handle(callback, reply -> gossip.exchange(message, reply));
+    }
+
+    @Override
+    public void fetchSheet(SheetRequest request, AsyncMethodCallback<SheetReply> callback) {
+        handle(callback, reply -> gossip.fetchSheet(request, reply));
+    }
+
+    private static <T> void handle(AsyncMethodCallback<T> callback, Handling<T> handling) {
+        CallbackReply<T> reply = new CallbackReply<>(callback);
+        try {
+            handling.run(reply);
+        } catch (RuntimeException e) {
+            LOG.error("call of another daemon failed", e);
+            reply.fail(e);
+        }
+    }
+
+    /** One call handed to its handler. */
+    private interface Handling<T> {
+        void run(PeerReply<T> reply);
+    }
+
+    /** Sends the first answer through the callback of the server. */
+    private static final class CallbackReply<T> implements PeerReply<T> {
+        private final AsyncMethodCallback<T> callback;
+        private final AtomicBoolean answered = new AtomicBoolean();
+
+        CallbackReply(AsyncMethodCallback<T> callback) {
+            this.callback = callback;
+        }
+
+        @Override
+        public void send(T answer) {
+            if (answered.compareAndSet(false, true)) {
+                callback.onComplete(answer);
+            }
+        }
+
+        @Override
+        public void fail(RuntimeException cause) {
+            if (answered.compareAndSet(false, true)) {
+                callback.onError(new TApplicationException(TApplicationException.INTERNAL_ERROR, cause.getMessage()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/peer/RefusingHandlers.java
@@ -0,0 +1,36 @@
+package org.dragonflygw.daemon.peer;
+
+import org.dragonflygw.wire.gossip.GossipMessage;
+import org.dragonflygw.wire.gossip.SheetReply;
+import org.dragonflygw.wire.gossip.SheetRequest;
+import org.dragonflygw.wire.grants.GrantReply;
+import org.dragonflygw.wire.grants.GrantRequest;
+import org.dragonflygw.wire.grants.GrantUpdate;
+import org.dragonflygw.wire.grants.GrantUpdateReply;
+
+/** Refuses every call, for a daemon that runs without the subsystem. */
+public final class RefusingHandlers implements GrantHandler, GossipHandler {
+    @Override
+    public void acquireGrant(GrantRequest request, PeerReply<GrantReply> reply) {
+        reply.fail(refusal());
+    }
+
+    @Override
+    public void updateGrants(GrantUpdate update, PeerReply<GrantUpdateReply> reply) {
+        reply.fail(refusal());
+    }
+
+    @Override
+    public void exchange(GossipMessage message, PeerReply<GossipMessage> reply) {
+        reply.fail(refusal());
+    }
+
+    @Override
+    public void fetchSheet(SheetRequest request, PeerReply<SheetReply> reply) {
+        reply.fail(refusal());
+    }
+
+    private static PeerException refusal() {
+        return new PeerException(PeerCode.REFUSED, "this daemon does not serve the call");
+    }
+}
