--- a/cli/src/main/java/org/dragonflygw/cli/command/RequestsCommand.java
+++ b/cli/src/main/java/org/dragonflygw/cli/command/RequestsCommand.java
@@ -44,8 +44,7 @@
                                 Columns.text("CHAT", RequestView::chatId),
                                 Columns.text("ENDPOINT", RequestView::endpointId),
                                 Columns.number("ATTEMPT", RequestView::attempt),
-                                Columns.number("AGE MS", RequestView::ageMillis),
-                                Columns.number("TOKENS", RequestView::tokens)));
+                                Columns.number("AGE MS", RequestView::ageMillis)));
         invocation.output().silent(answers.silent());
         return answers.exitCode();
     }
--- a/core/src/main/java/org/dragonflygw/core/inspect/RequestView.java
+++ b/core/src/main/java/org/dragonflygw/core/inspect/RequestView.java
@@ -10,14 +10,6 @@
  * @param endpointId endpoint that runs it; empty while it waits
  * @param attempt number of the attempt, from 1
  * @param ageMillis time since arrival, in milliseconds
- * @param tokens tokens relayed
  */
 public record RequestView(
-        String requestId,
-        String team,
-        String service,
-        String chatId,
-        String endpointId,
-        int attempt,
-        long ageMillis,
-        long tokens) {}
+        String requestId, String team, String service, String chatId, String endpointId, int attempt, long ageMillis) {}
--- a/daemon/src/main/java/org/dragonflygw/daemon/RouterModule.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/RouterModule.java
@@ -24,6 +24,7 @@
 import org.dragonflygw.core.retry.RetryPolicy;
 import org.dragonflygw.core.routing.EndpointSelector;
 import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.HybridClock;
 import org.dragonflygw.daemon.endpoint.HostListEndpointSource;
 import org.dragonflygw.daemon.endpoint.LocalEndpointSelector;
 import org.dragonflygw.daemon.operator.HealthResource;
@@ -65,6 +66,12 @@
         bindSets();
     }
 
+    @Provides
+    @Singleton
+    HybridClock hybridClock(Clock clock) {
+        return new HybridClock(clock);
+    }
+
     @Provides
     @Singleton
     ChatRequestReader chatRequestReader() {
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/timeline/MonitoredRecorder.java
@@ -0,0 +1,24 @@
+package org.dragonflygw.daemon.timeline;
+
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventRing;
+import org.dragonflygw.core.timeline.EventSubject;
+import org.dragonflygw.core.timeline.EventType;
+import org.dragonflygw.daemon.inspect.RequestMonitor;
+
+/** Keeps each event in the ring and lets the monitor of requests see it. Safe from every thread. */
+final class MonitoredRecorder implements EventRecorder {
+    private final EventRing ring;
+    private final RequestMonitor monitor;
+
+    MonitoredRecorder(EventRing ring, RequestMonitor monitor) {
+        this.ring = ring;
+        this.monitor = monitor;
+    }
+
+    @Override
+    public void record(EventType type, EventSubject subject, String detail) {
+        ring.record(type, subject, detail);
+        monitor.observe(type, subject, detail);
+    }
+}
