--- a/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
@@ -4,7 +4,9 @@
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import com.google.inject.multibindings.Multibinder;
+import com.google.inject.multibindings.OptionalBinder;
 import io.dropwizard.lifecycle.Managed;
+import org.dragonflygw.core.fleet.EndpointSource;
 import org.dragonflygw.core.storage.HostDirectory;
 import org.dragonflygw.core.storage.ObjectStore;
 import org.dragonflygw.core.storage.TableStore;
@@ -18,6 +20,9 @@
 final class PlatformModule extends AbstractModule {
     @Override
     protected void configure() {
+        OptionalBinder.newOptionalBinder(binder(), EndpointSource.class)
+                .setBinding()
+                .to(HostListEndpointSource.class);
         Multibinder.newSetBinder(binder(), Managed.class).addBinding().to(HostListEndpointSource.class);
     }
 
--- a/daemon/src/main/java/org/dragonflygw/daemon/RouterApplication.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/RouterApplication.java
@@ -1,5 +1,6 @@
 package org.dragonflygw.daemon;
 
+import com.codahale.metrics.health.HealthCheck;
 import com.google.inject.Guice;
 import com.google.inject.Injector;
 import com.google.inject.Key;
@@ -27,6 +28,7 @@
 import org.dragonflygw.daemon.caller.ServiceResource;
 import org.dragonflygw.daemon.endpoint.EndpointClient;
 import org.dragonflygw.daemon.operator.OperatorResources;
+import org.dragonflygw.daemon.operator.ReadinessCheck;
 import org.dragonflygw.daemon.peer.PeerClients;
 import org.dragonflygw.daemon.peer.PeerServer;
 import org.dragonflygw.daemon.stop.PlannedStop;
@@ -58,22 +60,38 @@
         this.subsystems = List.copyOf(subsystems);
     }
 
-    /** Starts the daemon; returns when its ports are open. */
-    public void start() throws Exception {
-        run("server");
+    /**
+     * Starts the daemon; returns when its ports are open.
+     *
+     * @throws DaemonException when it could not start
+     */
+    public void start() {
+        try {
+            run("server");
+        } catch (Exception e) {
+            throw new DaemonException(DaemonCode.START_FAILED, String.valueOf(e.getMessage()), e);
+        }
     }
 
     /** Runs the planned stop, then closes all ports. Returns whether every open request ended. */
-    public boolean stopGracefully() throws Exception {
-        boolean finished = injector.getInstance(PlannedStop.class).run();
-        stop();
-        return finished;
+    public boolean stopGracefully() {
+        try {
+            return injector.getInstance(PlannedStop.class).run();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        } finally {
+            stop();
+        }
     }
 
     /** Closes all ports at once. */
-    public void stop() throws Exception {
-        server.stop();
-        server.join();
+    public void stop() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new DaemonException(DaemonCode.STOP_FAILED, String.valueOf(e.getMessage()), e);
+        }
     }
 
     /** Port for callers. */
@@ -118,6 +136,7 @@
         injector = Guice.createInjector(modules);
         registerCallers(environment);
         registerOperators(environment);
+        registerHealthChecks(environment);
         manage(environment);
     }
 
@@ -126,7 +145,7 @@
 
     @Override
     protected void onFatalError(Throwable t) {
-        throw new IllegalStateException("the daemon could not start: " + t.getMessage(), t);
+        throw new DaemonException(DaemonCode.START_FAILED, String.valueOf(t.getMessage()), t);
     }
 
     private void registerCallers(Environment environment) {
@@ -154,6 +173,17 @@
                 .addMappingForUrlPatterns(EnumSet.of(DispatcherType.REQUEST), false, "/v1/*", "/health/*");
     }
 
+    private void registerHealthChecks(Environment environment) {
+        for (ReadinessCheck check : injector.getInstance(Key.get(new TypeLiteral<Set<ReadinessCheck>>() {}))) {
+            environment.healthChecks().register(check.name(), new HealthCheck() {
+                @Override
+                protected Result check() {
+                    return check.problem().map(Result::unhealthy).orElse(Result.healthy());
+                }
+            });
+        }
+    }
+
     private void manage(Environment environment) {
         EndpointClient endpoints = injector.getInstance(EndpointClient.class);
         environment.lifecycle().manage(new Managed() {
--- a/daemon/src/main/java/org/dragonflygw/daemon/RouterMain.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/RouterMain.java
@@ -50,7 +50,7 @@
         RouterApplication application = new RouterApplication(settings, subsystems);
         try {
             application.start();
-        } catch (Exception e) {
+        } catch (DaemonException e) {
             log.fatal("daemon {} could not start", settings.getDaemonId(), e);
             LogManager.shutdown();
             Runtime.getRuntime().halt(EXIT_FAILED);
@@ -73,7 +73,7 @@
             boolean finished = application.stopGracefully();
             exitCode = finished ? EXIT_OK : EXIT_FAILED;
             log.info("stopped; every open request ended: {}", finished);
-        } catch (Exception e) {
+        } catch (DaemonException e) {
             log.error("planned stop failed", e);
         } finally {
             LogManager.shutdown();
--- a/daemon/src/main/java/org/dragonflygw/daemon/RouterModule.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/RouterModule.java
@@ -10,6 +10,7 @@
 import io.dropwizard.core.setup.Environment;
 import io.dropwizard.lifecycle.Managed;
 import java.time.Clock;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.dragonflygw.core.config.ActiveSheet;
 import org.dragonflygw.core.config.SheetSource;
@@ -24,7 +25,6 @@
 import org.dragonflygw.core.retry.RetryPolicy;
 import org.dragonflygw.core.routing.EndpointSelector;
 import org.dragonflygw.core.timeline.EventRecorder;
-import org.dragonflygw.daemon.endpoint.HostListEndpointSource;
 import org.dragonflygw.daemon.endpoint.LocalEndpointSelector;
 import org.dragonflygw.daemon.operator.HealthResource;
 import org.dragonflygw.daemon.operator.OperatorResources;
@@ -86,7 +86,7 @@
                 .toInstance(() -> ActiveSheet.NONE);
         OptionalBinder.newOptionalBinder(binder(), EndpointSource.class)
                 .setDefault()
-                .to(HostListEndpointSource.class);
+                .toInstance(pool -> List.of());
         OptionalBinder.newOptionalBinder(binder(), EndpointSelector.class)
                 .setDefault()
                 .to(LocalEndpointSelector.class);
--- a/daemon/src/test/java/org/dragonflygw/daemon/RouterFixture.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/RouterFixture.java
@@ -40,7 +40,7 @@
     private volatile ActiveSheet sheet = ActiveSheet.NONE;
     private volatile List<Endpoint> endpoints = List.of();
 
-    public RouterFixture(RouterSettings settings, Module... more) throws Exception {
+    public RouterFixture(RouterSettings settings, Module... more) {
         List<Module> modules = new ArrayList<>(List.of(more));
         modules.add(new AbstractModule() {
             @Override
@@ -139,7 +139,7 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() {
         application.stop();
     }
 
