--- a/wire/src/main/thrift/gossip.thrift
+++ b/wire/src/main/thrift/gossip.thrift
@@ -12,18 +12,16 @@
 /** One daemon as known to the sender. */
 struct MemberRow {
   1: required string daemonId
-  2: required string host
+  2: required string address
   3: required i32 peerPort
   4: required i32 operatorPort
   5: required string availabilityZone
   6: required string region
   7: required i64 incarnation
-  8: required i64 heartbeat
-  9: required MemberStatus status
-  10: required i64 configVersion
+  8: required MemberStatus status
 }
 
-/** One engine or plain endpoint as last seen by its steward. */
+/** One engine or plain endpoint as last stated by its steward. */
 struct EndpointRow {
   1: required string endpointId
   2: required i64 epoch
@@ -32,6 +30,8 @@
   5: required i32 queued
   6: required bool leaving
   7: required i32 waitMillis
+  /** Time since the sender learned it, in milliseconds. */
+  8: required i32 ageMillis
 }
 
 /** A request fingerprint under quarantine. */
@@ -41,24 +41,29 @@
   3: required i64 untilMillis
 }
 
+/** One half of a push-pull exchange. */
 struct GossipMessage {
-  1: required string senderId
-  2: required i64 senderIncarnation
-  /** Digest of the sender's whole state, to tell when a full exchange is needed. */
-  3: required i64 stateDigest
-  4: required list<MemberRow> members
-  5: required list<EndpointRow> endpoints
-  6: required list<QuarantineRow> quarantined
-  7: required i64 configVersion
-  8: required string configDigest
+  1: required MemberRow sender
+  /** Digest of the members that the sender knows; rows are exchanged where digests differ. */
+  2: required i64 memberDigest
+  /** Number of the sheet in force at the sender. */
+  3: required i64 sheetInForce
+  /** Newest sheet version that the sender has heard of; 0 and empty for none. */
+  4: required i64 newestSheet
+  5: required binary newestDigest
+  6: required list<MemberRow> members
+  7: required list<EndpointRow> endpoints
+  8: required list<QuarantineRow> quarantined
   9: required clock.HybridTimestamp sentAt
 }
 
 struct SheetRequest {
+  /** SHA-256 of the wanted sheet, in hexadecimal. */
   1: required string digest
 }
 
 struct SheetReply {
   1: required bool found
+  /** The sheet, compressed with gzip. */
   2: required binary content
 }
