--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
@@ -0,0 +1,322 @@
+package org.dragonflygw.bench.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.dragonflygw.core.retry.BoundedRetryPolicy;
+import org.dragonflygw.core.retry.Quarantine;
+import org.dragonflygw.core.retry.QuarantineEntry;
+import org.dragonflygw.core.retry.RetryBudget;
+import org.dragonflygw.core.retry.SuspectVerdict;
+import org.dragonflygw.core.routing.AttemptOutcome;
+import org.dragonflygw.core.routing.CandidateOrder;
+import org.dragonflygw.core.routing.EndpointLoad;
+import org.dragonflygw.core.routing.EndpointTable;
+import org.dragonflygw.core.routing.EngineSteward;
+import org.dragonflygw.core.routing.HotPrefixTracker;
+import org.dragonflygw.core.routing.MeanLoadBound;
+import org.dragonflygw.core.routing.PrefixAffinityOrder;
+import org.dragonflygw.core.routing.SearchRequest;
+import org.dragonflygw.core.routing.ServiceLoads;
+import org.dragonflygw.core.routing.SlotDecision;
+import org.dragonflygw.core.routing.SlotQuestion;
+import org.dragonflygw.core.routing.SlotSearch;
+import org.dragonflygw.core.routing.StewardAssignment;
+import org.dragonflygw.core.routing.StewardSettings;
+
+/** The decisions of the product: candidate order, stewards, retry budgets and quarantine, without the network. */
+final class StewardPolicy implements Policy {
+    private static final int CANDIDATES = 4;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final int RETRY_PERCENT = 10;
+    private static final long GOSSIP_MILLIS = 1_000;
+    private static final double PREFILL_TOKENS_PER_MILLI = 10;
+
+    private final PolicyLoop loop;
+    private final String name;
+    private final List<String> daemons;
+    private final CandidateOrder[] orders;
+    private final RetryBudget[] budgets;
+    private final Quarantine[] quarantines;
+    private final Map<String, ServiceLoads> loadsOf = new HashMap<>();
+    private final Map<StewardKey, EngineSteward> stewards = new TreeMap<>();
+    private final MessageSizes sizes = new MessageSizes();
+    private EndpointTable table = EndpointTable.of(List.of());
+    private long nextEpoch = 1;
+
+    StewardPolicy(String name, PolicyLoop loop) {
+        this.name = name;
+        this.loop = loop;
+        int routers = loop.scenario().routers();
+        this.daemons = IntStream.range(0, routers).mapToObj(i -> "router-" + i).toList();
+        this.orders = new CandidateOrder[routers];
+        this.budgets = new RetryBudget[routers];
+        this.quarantines = new Quarantine[routers];
+        for (int i = 0; i < routers; i++) {
+            orders[i] = new PrefixAffinityOrder(new HotPrefixTracker(256, 4_096), 1);
+            budgets[i] = new RetryBudget(RETRY_PERCENT, loop.clock());
+            quarantines[i] = new Quarantine(1_024, loop.clock());
+        }
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public void submit(Attempt attempt) {
+        if (attempt.number() == 1) {
+            budgets[attempt.router()].onRequest();
+        }
+        Quarantine local = quarantines[attempt.router()];
+        if (local.isQuarantined(attempt.arrival().id())) {
+            loop.refuse(attempt, "QUARANTINED");
+            return;
+        }
+        Arrival arrival = attempt.arrival();
+        boolean suspect = false;
+        if (attempt.wasLost() || local.crashes(arrival.id()) > 0) {
+            SuspectVerdict verdict = ask(attempt);
+            if (refusedAsSuspect(attempt, verdict)) {
+                return;
+            }
+            suspect = verdict.kind() == SuspectVerdict.Kind.SOLO;
+        }
+        int[] candidates = orders[attempt.router()].rank(Keys.of(arrival), table, CANDIDATES);
+        SearchRequest request = new SearchRequest(
+                attempt.requestId(),
+                "team-" + arrival.team(),
+                loop.shape().weights().get(arrival.team()),
+                Keys.of(arrival),
+                arrival.id(),
+                (long) ((arrival.documentTokens() + arrival.historyTokens()) / PREFILL_TOKENS_PER_MILLI),
+                suspect);
+        step(new Flight(attempt, new SlotSearch(request, table, candidates, attempt.excluded()), suspect));
+    }
+
+    private void step(Flight flight) {
+        Attempt attempt = flight.attempt();
+        long remaining = remaining(attempt.arrival());
+        if (flight.search().firstUnavailable() && !flight.suspect()) {
+            SuspectVerdict verdict = ask(attempt);
+            if (refusedAsSuspect(attempt, verdict)) {
+                return;
+            }
+            if (verdict.kind() == SuspectVerdict.Kind.SOLO) {
+                flight.search().markSuspect();
+            }
+        }
+        Optional<SlotQuestion> question = flight.search().next(remaining);
+        if (question.isEmpty()) {
+            endSolo(attempt, false);
+            loop.refuse(attempt, flight.search().refusal().name());
+            return;
+        }
+        Optional<EngineSteward> steward = steward(attempt.router(), question.get().endpoint().id());
+        if (steward.isEmpty()) {
+            flight.search().onUnreachable();
+            step(flight);
+            return;
+        }
+        loop.result().grantCalls++;
+        steward.get().acquire(question.get().request(), decision -> answered(flight, question.get(), decision));
+    }
+
+    private void answered(Flight flight, SlotQuestion question, SlotDecision decision) {
+        loop.result().grantBytes += sizes.call(question.endpoint().id(), question.request(), decision);
+        flight.search().onDecision(decision);
+        if (!decision.granted()) {
+            step(flight);
+            return;
+        }
+        Attempt attempt = flight.attempt();
+        String engineId = flight.search().endpoint().id();
+        if (flight.search().spilled()) {
+            noteSpill(attempt, flight.search().first().id(), engineId);
+        }
+        attempt.setGrant(new Held(engineId, decision.epoch(), decision.grantId()));
+        loop.dispatch(attempt, loop.engine(engineId).orElseThrow());
+    }
+
+    @Override
+    public void onEnd(Attempt attempt, FakeEngine engine, AttemptOutcome outcome) {
+        Held held = (Held) attempt.grant();
+        loop.result().grantBytes += sizes.end(engine.id(), held.grantId(), held.epoch(), attempt.arrival().id());
+        stewards.forEach((key, steward) -> {
+            if (key.engineId().equals(engine.id()) && steward.epoch() == held.epoch()) {
+                steward.end(held.grantId(), held.epoch(), outcome);
+            }
+        });
+        long fingerprint = attempt.arrival().id();
+        if (outcome == AttemptOutcome.ENDPOINT_LOST) {
+            owner(fingerprint).onEngineLost(fingerprint, engine.id(), attempt.requestId());
+            quarantines[attempt.router()].onEngineLost(fingerprint, engine.id(), attempt.requestId());
+        }
+        endSolo(attempt, outcome == AttemptOutcome.COMPLETED);
+    }
+
+    @Override
+    public boolean mayRetry(Attempt attempt, AttemptOutcome outcome) {
+        return attempt.number() < MAX_ATTEMPTS && budgets[attempt.router()].tryRetry();
+    }
+
+    @Override
+    public void tick(long now) {
+        stewards.values().forEach(EngineSteward::expire);
+        if (now % GOSSIP_MILLIS == 0) {
+            gossip(now);
+            assign();
+        }
+        if (now % GOSSIP_MILLIS == GOSSIP_MILLIS / 2) {
+            reportEngines(now);
+        }
+    }
+
+    @Override
+    public void onEnginesChanged() {
+        table = EndpointTable.of(loop.endpoints());
+        assign();
+    }
+
+    private void gossip(long now) {
+        List<EndpointLoad> loads =
+                stewards.values().stream().map(EngineSteward::load).toList();
+        List<QuarantineEntry> entries = new ArrayList<>();
+        for (Quarantine quarantine : quarantines) {
+            entries.addAll(quarantine.entries());
+        }
+        loop.schedule(now + loop.scenario().reportAgeMillis() - GOSSIP_MILLIS / 2, () -> {
+            loadsOf.values().forEach(known -> loads.forEach(load -> known.accept(received(load))));
+            for (Quarantine quarantine : quarantines) {
+                entries.forEach(quarantine::accept);
+            }
+        });
+    }
+
+    private EndpointLoad received(EndpointLoad load) {
+        return new EndpointLoad(
+                load.endpointId(),
+                load.epoch(),
+                load.version(),
+                load.inFlight(),
+                load.queued(),
+                load.leaving(),
+                load.waitMillis(),
+                loop.clock().instant());
+    }
+
+    private void reportEngines(long now) {
+        Map<String, Integer> loads = new HashMap<>();
+        loop.liveEngines().forEach(engine -> loads.put(engine.id(), engine.inFlight()));
+        loop.schedule(now + GOSSIP_MILLIS, () -> stewards.forEach((key, steward) -> {
+            Integer load = loads.get(key.engineId());
+            if (load != null) {
+                steward.onReport(load, false);
+            }
+        }));
+    }
+
+    private void assign() {
+        loadsOf.values().forEach(loads -> loads.setEndpoints(loop.endpoints()));
+        Map<StewardKey, Boolean> wanted = new HashMap<>();
+        for (FakeEngine engine : loop.liveEngines()) {
+            for (int view = 0; view < views(); view++) {
+                wanted.put(new StewardKey(engine.id(), stewardId(engine.id(), view)), true);
+            }
+        }
+        stewards.keySet().removeIf(key -> {
+            boolean gone = !wanted.containsKey(key);
+            if (gone) {
+                stewards.get(key).close();
+            }
+            return gone;
+        });
+        wanted.keySet().stream()
+                .sorted()
+                .filter(key -> !stewards.containsKey(key))
+                .forEach(key -> stewards.put(key, newSteward(key)));
+    }
+
+    private EngineSteward newSteward(StewardKey key) {
+        ServiceLoads loads = loadsOf.computeIfAbsent(key.daemonId(), id -> {
+            ServiceLoads made = new ServiceLoads(loop.clock());
+            made.setEndpoints(loop.endpoints());
+            return made;
+        });
+        int inherited = loads.find(key.engineId()).map(EndpointLoad::inFlight).orElse(0);
+        MeanLoadBound bound = new MeanLoadBound(key.engineId(), PolicyLoop.LOAD_BOUND, loads, 8_000, 1);
+        StewardSettings settings = new StewardSettings(FakeEngine.MAX_BATCH, 32, 20_000, 12, 5_000, 8_000);
+        return new EngineSteward(key.engineId(), nextEpoch++, settings, bound, inherited, loop.clock());
+    }
+
+    private Optional<EngineSteward> steward(int router, String engineId) {
+        int view = views() > 1 ? router % 2 : 0;
+        return Optional.ofNullable(stewards.get(new StewardKey(engineId, stewardId(engineId, view))));
+    }
+
+    /** In the second view every third daemon is missing. */
+    private String stewardId(String engineId, int view) {
+        List<String> seen = view == 0
+                ? daemons
+                : IntStream.range(0, daemons.size())
+                        .filter(i -> i % 3 != 0)
+                        .mapToObj(daemons::get)
+                        .toList();
+        return StewardAssignment.steward(engineId, seen);
+    }
+
+    private int views() {
+        long now = loop.clock().now();
+        Scenario scenario = loop.scenario();
+        boolean split = now >= scenario.splitFromMillis() && now < scenario.splitUntilMillis();
+        return split ? 2 : 1;
+    }
+
+    private SuspectVerdict ask(Attempt attempt) {
+        return owner(attempt.arrival().id()).ask(attempt.arrival().id(), attempt.requestId());
+    }
+
+    private boolean refusedAsSuspect(Attempt attempt, SuspectVerdict verdict) {
+        boolean refused = verdict.kind() == SuspectVerdict.Kind.BUSY
+                || verdict.kind() == SuspectVerdict.Kind.QUARANTINED;
+        if (refused) {
+            loop.refuse(attempt, verdict.kind().name());
+        }
+        return refused;
+    }
+
+    private void endSolo(Attempt attempt, boolean completed) {
+        owner(attempt.arrival().id()).onSoloEnd(attempt.arrival().id(), attempt.requestId(), completed);
+    }
+
+    private Quarantine owner(long fingerprint) {
+        return quarantines[(int) Math.floorMod(fingerprint, (long) quarantines.length)];
+    }
+
+    private void noteSpill(Attempt attempt, String fromEngine, String toEngine) {
+        long chatHash = Keys.of(attempt.arrival()).chatHash();
+        loop.result().grantBytes += sizes.spill(fromEngine, chatHash, toEngine);
+        steward(attempt.router(), fromEngine).ifPresent(steward -> steward.noteSpill(chatHash, toEngine));
+    }
+
+    private long remaining(Arrival arrival) {
+        return arrival.atMillis() + arrival.deadlineMillis() - loop.clock().now();
+    }
+
+    private record Flight(Attempt attempt, SlotSearch search, boolean suspect) {}
+
+    private record Held(String engineId, long epoch, long grantId) {}
+
+    private record StewardKey(String engineId, String daemonId) implements Comparable<StewardKey> {
+        @Override
+        public int compareTo(StewardKey other) {
+            int byEngine = engineId.compareTo(other.engineId);
+            return byEngine != 0 ? byEngine : daemonId.compareTo(other.daemonId);
+        }
+    }
+}
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
@@ -33,6 +33,7 @@
     private SlotStatus worst = SlotStatus.UNAVAILABLE;
     private boolean firstUnavailable;
     private int calls;
+    private boolean suspect;
 
     /**
      * Starts a search.
@@ -47,6 +48,7 @@
         this.table = table;
         this.candidates = candidates.clone();
         this.excluded = excluded;
+        this.suspect = request.suspect();
         for (int candidate : candidates) {
             indexes.put(table.endpoint(candidate).id(), candidate);
         }
@@ -114,6 +116,11 @@
         onUnavailable();
     }
 
+    /** Asks the next stewards to run this request alone among suspects. */
+    public void markSuspect() {
+        suspect = true;
+    }
+
     /** The slot; empty while none is held. */
     public Optional<SlotDecision> grant() {
         return Optional.ofNullable(grant);
@@ -181,7 +188,7 @@
                 request.fingerprint(),
                 remaining,
                 Math.min(maxWait, remaining),
-                request.suspect(),
+                suspect,
                 mayRedirect);
         return Optional.of(new SlotQuestion(endpoint, slot));
     }
--- a/wire/src/main/thrift/grants.thrift
+++ b/wire/src/main/thrift/grants.thrift
@@ -17,6 +17,10 @@
   QUARANTINED = 5
   /** The team is over its rate. */
   TEAM_RATE = 6
+  /** The chat was moved to another engine, which holds its cache. */
+  REDIRECTED = 7
+  /** The request was in flight on a crashing engine, and another such request already runs here. */
+  SUSPECT_BUSY = 8
 }
 
 struct GrantRequest {
@@ -33,6 +37,17 @@
   9: required i64 fingerprint
   10: required i32 attempt
   11: required clock.HybridTimestamp sentAt
+  /** Hash of the chat. */
+  12: required i64 chatHash
+  /** Hash of service, adapter and prompt prefix. */
+  13: required i64 prefixHash
+  14: required i32 teamWeight
+  /** The request was in flight on an engine that was lost. */
+  15: optional bool suspect = false
+  /** An answer that names the engine with the chat's cache is wanted. */
+  16: optional bool followRedirect = false
+  /** The request runs already under a grant of an earlier steward; it is counted and never refused. */
+  17: optional bool adopted = false
 }
 
 struct GrantReply {
@@ -46,6 +61,10 @@
   /** When refused: earliest useful retry, in milliseconds from now. */
   6: required i64 retryAfterMillis
   7: required clock.HybridTimestamp sentAt
+  /** Requests on the engine after the decision. */
+  8: required i32 inFlight
+  /** Engine that holds the chat's cache; set when redirected. */
+  9: optional string redirectEngineId
 }
 
 enum GrantOutcome {
@@ -64,15 +83,77 @@
   5: required i64 fingerprint
 }
 
-/** Renewals and ends of grants, batched per steward. */
+/** Renewals of the grants on one engine. */
+struct GrantRenewal {
+  1: required string engineId
+  2: required i64 epoch
+  3: required list<i64> grantIds
+}
+
+/** Tells the steward of a chat's first engine where the chat went. */
+struct ChatSpill {
+  1: required string engineId
+  2: required i64 chatHash
+  3: required string toEngineId
+}
+
+/** Tells the owner of a request fingerprint that an engine was lost while it ran the request. */
+struct CrashReport {
+  1: required i64 fingerprint
+  2: required string engineId
+  3: required string requestId
+}
+
+/** Tells the owner of a request fingerprint that the only allowed attempt is over, or still runs. */
+struct SuspectUpdate {
+  1: required i64 fingerprint
+  2: required string requestId
+  3: required bool ended
+  4: required bool completed
+}
+
+/** Renewals and ends of grants and what goes with them, batched per receiver. */
 struct GrantUpdate {
   1: required list<GrantEnd> ends
-  2: required list<i64> renewedGrantIds
+  2: required list<GrantRenewal> renewals
   3: required clock.HybridTimestamp sentAt
+  4: optional list<ChatSpill> spills
+  5: optional list<CrashReport> crashes
+  6: optional list<SuspectUpdate> suspects
 }
 
 struct GrantUpdateReply {
-  /** Grants that the steward no longer knows. */
-  1: required list<i64> unknownGrantIds
+  /** Renewals of grants that the steward does not know; they must be asked for anew. */
+  1: required list<GrantRenewal> unknown
   2: required clock.HybridTimestamp sentAt
 }
+
+/** Asks the daemon that keeps a team's token bucket for tokens. */
+struct TeamTokenRequest {
+  1: required string teamName
+  2: required i32 wanted
+}
+
+struct TeamTokenReply {
+  1: required i32 granted
+  2: required i64 validMillis
+  3: required i64 retryAfterMillis
+}
+
+enum SuspectKind {
+  CLEAR = 0
+  SOLO = 1
+  BUSY = 2
+  QUARANTINED = 3
+}
+
+/** Asks the owner of a request fingerprint whether the request may be attempted. */
+struct SuspectRequest {
+  1: required i64 fingerprint
+  2: required string requestId
+}
+
+struct SuspectReply {
+  1: required SuspectKind kind
+  2: required i64 retryAfterMillis
+}
