Route spilled requests by stated loads; keep copies of one request on two engines

Cause: with four candidates in fixed order a request asked 3.4 to 4.8 stewards and queued although other engines had room; engines that fail pulled the mean down; copies of a poison request spilled to several engines. Change: alternatives are drawn among engines that seem to be below the mean; closed engines are left out of the mean; a steward whose engine another steward states with a higher epoch raises its own; copies stay on two engines.

--- a/bench/src/main/java/org/dragonflygw/bench/policy/Baselines.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/Baselines.java
@@ -92,14 +92,29 @@
         return new DirectPolicy("oracle", loop) {
             @Override
             int choose(Attempt attempt) {
-                double mean = engines.stream().mapToInt(FakeEngine::inFlight).average().orElse(0);
+                double mean = engines.stream()
+                        .mapToInt(FakeEngine::inFlight)
+                        .average()
+                        .orElse(0);
                 int best = -1;
+                int least = -1;
                 for (int i = 0; i < engines.size(); i++) {
                     FakeEngine engine = engines.get(i);
+                    if (!usable(attempt, i)
+                            || engine.isFailing()
+                            || engine.isDown(loop.clock().now())) {
+                        continue;
+                    }
                     boolean fits = engine.hasRoom() && engine.inFlight() + 1 <= PolicyLoop.LOAD_BOUND * mean + 1;
-                    if (usable(attempt, i) && (best < 0 || (fits && isBetter(attempt, engine, engines.get(best))))) {
+                    if (fits && (best < 0 || isBetter(attempt, engine, engines.get(best)))) {
                         best = i;
                     }
+                    if (least < 0 || engine.inFlight() < engines.get(least).inFlight()) {
+                        least = i;
+                    }
+                }
+                if (best < 0) {
+                    return Math.max(0, least);
                 }
                 return best;
             }
--- a/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
@@ -79,8 +79,8 @@
         schedulePlan();
         int next = 0;
         while (next < arrivals.size() || !events.isEmpty()) {
-            boolean arrivalFirst =
-                    next < arrivals.size() && (events.isEmpty() || arrivals.get(next).atMillis() <= events.peek().at);
+            boolean arrivalFirst = next < arrivals.size()
+                    && (events.isEmpty() || arrivals.get(next).atMillis() <= events.peek().at);
             if (arrivalFirst) {
                 Arrival arrival = arrivals.get(next++);
                 clock.set(Math.max(clock.now(), arrival.atMillis()));
@@ -247,13 +247,13 @@
         int sum = 0;
         int count = 0;
         for (FakeEngine engine : engines) {
-            if (!engine.isLeaving()) {
+            if (!engine.isLeaving() && !engine.isFailing() && !engine.isDown(clock.now())) {
                 max = Math.max(max, engine.inFlight());
                 sum += engine.inFlight();
                 count++;
             }
         }
-        result.sampleLoads(max, (double) sum / count, LOAD_BOUND);
+        result.sampleLoads(max, count == 0 ? 0 : (double) sum / count, LOAD_BOUND);
     }
 
     private void replaceOldest() {
--- a/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
-import org.dragonflygw.core.retry.BoundedRetryPolicy;
 import org.dragonflygw.core.retry.Quarantine;
 import org.dragonflygw.core.retry.QuarantineEntry;
 import org.dragonflygw.core.retry.RetryBudget;
@@ -18,6 +17,7 @@
 import org.dragonflygw.core.routing.EndpointTable;
 import org.dragonflygw.core.routing.EngineSteward;
 import org.dragonflygw.core.routing.HotPrefixTracker;
+import org.dragonflygw.core.routing.LoadAwareOrder;
 import org.dragonflygw.core.routing.MeanLoadBound;
 import org.dragonflygw.core.routing.PrefixAffinityOrder;
 import org.dragonflygw.core.routing.SearchRequest;
@@ -30,7 +30,9 @@
 
 /** The decisions of the product: candidate order, stewards, retry budgets and quarantine, without the network. */
 final class StewardPolicy implements Policy {
-    private static final int CANDIDATES = 4;
+    private static final int CANDIDATES = 5;
+    private static final int KEPT_CANDIDATES = Integer.getInteger("kept", 2);
+    private static final double SET_SHARE = Double.parseDouble(System.getProperty("setShare", "1"));
     private static final int MAX_ATTEMPTS = 3;
     private static final int RETRY_PERCENT = 10;
     private static final long GOSSIP_MILLIS = 1_000;
@@ -42,7 +44,7 @@
     private final CandidateOrder[] orders;
     private final RetryBudget[] budgets;
     private final Quarantine[] quarantines;
-    private final Map<String, ServiceLoads> loadsOf = new HashMap<>();
+    private final ServiceLoads loadsOfService;
     private final Map<StewardKey, EngineSteward> stewards = new TreeMap<>();
     private final MessageSizes sizes = new MessageSizes();
     private EndpointTable table = EndpointTable.of(List.of());
@@ -53,11 +55,13 @@
         this.loop = loop;
         int routers = loop.scenario().routers();
         this.daemons = IntStream.range(0, routers).mapToObj(i -> "router-" + i).toList();
+        this.loadsOfService = new ServiceLoads(loop.clock());
         this.orders = new CandidateOrder[routers];
         this.budgets = new RetryBudget[routers];
         this.quarantines = new Quarantine[routers];
         for (int i = 0; i < routers; i++) {
-            orders[i] = new PrefixAffinityOrder(new HotPrefixTracker(256, 4_096), 1);
+            CandidateOrder affinity = new PrefixAffinityOrder(new HotPrefixTracker(256, 4_096), SET_SHARE);
+            orders[i] = new LoadAwareOrder(affinity, loadsOfService, KEPT_CANDIDATES);
             budgets[i] = new RetryBudget(RETRY_PERCENT, loop.clock());
             quarantines[i] = new Quarantine(1_024, loop.clock());
         }
@@ -117,7 +121,8 @@
             loop.refuse(attempt, flight.search().refusal().name());
             return;
         }
-        Optional<EngineSteward> steward = steward(attempt.router(), question.get().endpoint().id());
+        Optional<EngineSteward> steward =
+                steward(attempt.router(), question.get().endpoint().id());
         if (steward.isEmpty()) {
             flight.search().onUnreachable();
             step(flight);
@@ -146,7 +151,8 @@
     @Override
     public void onEnd(Attempt attempt, FakeEngine engine, AttemptOutcome outcome) {
         Held held = (Held) attempt.grant();
-        loop.result().grantBytes += sizes.end(engine.id(), held.grantId(), held.epoch(), attempt.arrival().id());
+        loop.result().grantBytes += sizes.end(
+                engine.id(), held.grantId(), held.epoch(), attempt.arrival().id());
         stewards.forEach((key, steward) -> {
             if (key.engineId().equals(engine.id()) && steward.epoch() == held.epoch()) {
                 steward.end(held.grantId(), held.epoch(), outcome);
@@ -191,7 +197,9 @@
             entries.addAll(quarantine.entries());
         }
         loop.schedule(now + loop.scenario().reportAgeMillis() - GOSSIP_MILLIS / 2, () -> {
-            loadsOf.values().forEach(known -> loads.forEach(load -> known.accept(received(load))));
+            loads.forEach(load -> loadsOfService.accept(received(load)));
+            stewards.forEach(
+                    (key, steward) -> loadsOfService.find(key.engineId()).ifPresent(steward::onOtherSteward));
             for (Quarantine quarantine : quarantines) {
                 entries.forEach(quarantine::accept);
             }
@@ -205,7 +213,7 @@
                 load.version(),
                 load.inFlight(),
                 load.queued(),
-                load.leaving(),
+                load.closed(),
                 load.waitMillis(),
                 loop.clock().instant());
     }
@@ -213,16 +221,18 @@
     private void reportEngines(long now) {
         Map<String, Integer> loads = new HashMap<>();
         loop.liveEngines().forEach(engine -> loads.put(engine.id(), engine.inFlight()));
-        loop.schedule(now + GOSSIP_MILLIS, () -> stewards.forEach((key, steward) -> {
-            Integer load = loads.get(key.engineId());
-            if (load != null) {
-                steward.onReport(load, false);
-            }
-        }));
+        loop.schedule(
+                now + GOSSIP_MILLIS,
+                () -> stewards.forEach((key, steward) -> {
+                    Integer load = loads.get(key.engineId());
+                    if (load != null) {
+                        steward.onReport(load, false);
+                    }
+                }));
     }
 
     private void assign() {
-        loadsOf.values().forEach(loads -> loads.setEndpoints(loop.endpoints()));
+        loadsOfService.setEndpoints(loop.endpoints());
         Map<StewardKey, Boolean> wanted = new HashMap<>();
         for (FakeEngine engine : loop.liveEngines()) {
             for (int view = 0; view < views(); view++) {
@@ -243,13 +253,9 @@
     }
 
     private EngineSteward newSteward(StewardKey key) {
-        ServiceLoads loads = loadsOf.computeIfAbsent(key.daemonId(), id -> {
-            ServiceLoads made = new ServiceLoads(loop.clock());
-            made.setEndpoints(loop.endpoints());
-            return made;
-        });
-        int inherited = loads.find(key.engineId()).map(EndpointLoad::inFlight).orElse(0);
-        MeanLoadBound bound = new MeanLoadBound(key.engineId(), PolicyLoop.LOAD_BOUND, loads, 8_000, 1);
+        int inherited =
+                loadsOfService.find(key.engineId()).map(EndpointLoad::inFlight).orElse(0);
+        MeanLoadBound bound = new MeanLoadBound(key.engineId(), PolicyLoop.LOAD_BOUND, loadsOfService, 1);
         StewardSettings settings = new StewardSettings(FakeEngine.MAX_BATCH, 32, 20_000, 12, 5_000, 8_000);
         return new EngineSteward(key.engineId(), nextEpoch++, settings, bound, inherited, loop.clock());
     }
@@ -282,8 +288,8 @@
     }
 
     private boolean refusedAsSuspect(Attempt attempt, SuspectVerdict verdict) {
-        boolean refused = verdict.kind() == SuspectVerdict.Kind.BUSY
-                || verdict.kind() == SuspectVerdict.Kind.QUARANTINED;
+        boolean refused =
+                verdict.kind() == SuspectVerdict.Kind.BUSY || verdict.kind() == SuspectVerdict.Kind.QUARANTINED;
         if (refused) {
             loop.refuse(attempt, verdict.kind().name());
         }
--- a/core/src/main/java/org/dragonflygw/core/routing/EndpointLoad.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EndpointLoad.java
@@ -10,7 +10,7 @@
  * @param version grows with each statement of the same epoch
  * @param inFlight requests on the endpoint
  * @param queued requests that wait for a slot
- * @param leaving whether the endpoint takes no new work
+ * @param closed whether the endpoint takes no new work: it is leaving, suspended or probed
  * @param waitMillis expected wait for a slot, in milliseconds
  * @param receivedAt when this daemon learned it
  */
@@ -20,7 +20,7 @@
         long version,
         int inFlight,
         int queued,
-        boolean leaving,
+        boolean closed,
         int waitMillis,
         Instant receivedAt) {
     /** Whether this statement is later than another one about the same endpoint. */
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
@@ -37,8 +37,10 @@
     private final EngineHealth health = new EngineHealth();
     private final SpillMemory spills = new SpillMemory(SPILL_MEMORY_CHATS, SPILL_KEEP);
     private long nextGrantId = 1;
+    private long statementEpoch;
     private long version;
     private double durationMillis;
+    private final Map<Long, Integer> fingerprints = new HashMap<>();
     private int suspects;
     private boolean leaving;
     private boolean closed;
@@ -62,6 +64,7 @@
             InstantSource clock) {
         this.endpointId = endpointId;
         this.epoch = epoch;
+        this.statementEpoch = epoch;
         this.settings = settings;
         this.bound = bound;
         this.clock = clock;
@@ -212,7 +215,20 @@
     public synchronized EndpointLoad load() {
         Instant now = clock.instant();
         int wait = (int) Math.min(Integer.MAX_VALUE, waitMillis(queue.size()));
-        return new EndpointLoad(endpointId, epoch, ++version, inFlight(now), queue.size(), leaving, wait, now);
+        boolean closedToWork = leaving || health.isProbing() || health.isSuspended(now);
+        return new EndpointLoad(
+                endpointId, statementEpoch, ++version, inFlight(now), queue.size(), closedToWork, wait, now);
+    }
+
+    /**
+     * Notes a statement about this engine by another daemon: an earlier steward, or a second one. This steward's own
+     * statements go before it from now on, and free slots are handed out with care for a while.
+     */
+    public synchronized void onOtherSteward(EndpointLoad statement) {
+        if (statement.epoch() > statementEpoch) {
+            statementEpoch = statement.epoch() + 1;
+            foreign.startGrace(clock.instant(), Duration.ofMillis(settings.graceMillis()));
+        }
     }
 
     /** Number of own grants. */
@@ -239,7 +255,8 @@
         Optional<String> spilledTo = request.followRedirect() ? spills.find(request.chatHash(), now) : Optional.empty();
         if (spilledTo.isPresent()) {
             outbox.add(
-                    waiter, new SlotDecision(SlotStatus.REDIRECTED, 0, epoch, 0, 0, 0, spilledTo.get(), inFlight(now)));
+                    waiter,
+                    new SlotDecision(SlotStatus.REDIRECTED, 0, epoch, 0, 0, 0, spilledTo.get(), inFlight(now), false));
             return;
         }
         if (request.suspect() && suspects > 0) {
@@ -260,11 +277,11 @@
         long wait = waitMillis(queue.position(request.team(), request.teamWeight()));
         double shortest = shares.expectedMillis(request.team(), 0) / 2;
         if (wait + shortest > request.remainingMillis()) {
-            outbox.add(waiter, refusal(SlotStatus.DEADLINE, wait, now));
+            outbox.add(waiter, refusal(SlotStatus.DEADLINE, wait, now).withSameInFlight(isInFlight(request)));
             return;
         }
         if (wait > request.maxWaitMillis()) {
-            outbox.add(waiter, refusal(SlotStatus.OVERLOADED, wait, now));
+            outbox.add(waiter, refusal(SlotStatus.OVERLOADED, wait, now).withSameInFlight(isInFlight(request)));
             return;
         }
         Optional<Waiter> displaced = queue.offer(request.team(), request.teamWeight(), waiter);
@@ -290,7 +307,7 @@
 
     private boolean hasSlot(String team, Instant now) {
         int load = inFlight(now);
-        int limit = health.isProbing() ? 1 : Math.min(settings.maxInFlight(), bound.maxLoad(load));
+        int limit = health.isProbing() ? 1 : Math.min(settings.maxInFlight(), bound.maxLoad(load, durationMillis));
         if (load >= limit || !foreign.allows(limit - load, now)) {
             return false;
         }
@@ -301,18 +318,20 @@
     private SlotDecision grant(SlotRequest request, Instant since, Instant now) {
         long grantId = nextGrantId++;
         Instant expiry = now.plusMillis(settings.leaseMillis());
-        grants.put(grantId, new Grant(request.team(), request.suspect(), now, expiry));
+        grants.put(grantId, new Grant(request.team(), request.fingerprint(), request.suspect(), now, expiry));
+        fingerprints.merge(request.fingerprint(), 1, Integer::sum);
         shares.take(request.team());
         suspects += request.suspect() ? 1 : 0;
         foreign.onOwnChange(grants.size(), now);
         foreign.onGrant();
         long queued = Duration.between(since, now).toMillis();
         return new SlotDecision(
-                SlotStatus.GRANTED, grantId, epoch, settings.leaseMillis(), queued, 0, "", inFlight(now));
+                SlotStatus.GRANTED, grantId, epoch, settings.leaseMillis(), queued, 0, "", inFlight(now), false);
     }
 
     private void dropped(Grant grant, Instant now) {
         shares.give(grant.team());
+        fingerprints.computeIfPresent(grant.fingerprint(), (key, count) -> count > 1 ? count - 1 : null);
         suspects -= grant.suspect() ? 1 : 0;
         foreign.onOwnChange(grants.size(), now);
     }
@@ -341,6 +360,10 @@
         return SlotDecision.refused(status, epoch, retryAfterMillis, inFlight(now));
     }
 
+    private boolean isInFlight(SlotRequest request) {
+        return fingerprints.containsKey(request.fingerprint());
+    }
+
     private int inFlight(Instant now) {
         return grants.size() + foreign.current(now);
     }
@@ -350,9 +373,9 @@
         return (long) (position * durationMillis / slots);
     }
 
-    private record Grant(String team, boolean suspect, Instant since, Instant expiry) {
+    private record Grant(String team, long fingerprint, boolean suspect, Instant since, Instant expiry) {
         private Grant renewed(Instant newExpiry) {
-            return new Grant(team, suspect, since, newExpiry);
+            return new Grant(team, fingerprint, suspect, since, newExpiry);
         }
     }
 
--- a/core/src/main/java/org/dragonflygw/core/routing/ForeignLoad.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/ForeignLoad.java
@@ -13,7 +13,7 @@
     private static final Duration PEAK_BUCKET = Duration.ofMillis(1_500);
     private static final Duration REPORT_VALID_FOR = Duration.ofSeconds(10);
 
-    private final Instant graceEnd;
+    private Instant graceEnd;
     private int foreign;
     private Instant foreignAt;
     private int currentPeak;
@@ -29,6 +29,12 @@
         this.bucketStart = start;
     }
 
+    /** Starts a time in which another steward may grant as well. */
+    void startGrace(Instant now, Duration grace) {
+        graceEnd = now.plus(grace);
+        budgetSet = false;
+    }
+
     /** Requests of others now. */
     int current(Instant now) {
         if (foreign > 0 && now.isAfter(foreignAt.plus(REPORT_VALID_FOR))) {
--- a/core/src/main/java/org/dragonflygw/core/routing/MeanLoadBound.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/MeanLoadBound.java
@@ -12,7 +12,6 @@
     private final String endpointId;
     private final double bound;
     private final ServiceLoads loads;
-    private final double durationMillis;
     private final double joinMargin;
 
     /**
@@ -21,20 +20,17 @@
      * @param endpointId engine
      * @param bound greatest load over the mean of the service
      * @param loads stated loads of the service
-     * @param durationMillis mean duration of a request, in milliseconds
      * @param joinMargin number of empty engines that may join unseen
      */
-    public MeanLoadBound(
-            String endpointId, double bound, ServiceLoads loads, double durationMillis, double joinMargin) {
+    public MeanLoadBound(String endpointId, double bound, ServiceLoads loads, double joinMargin) {
         this.endpointId = endpointId;
         this.bound = bound;
         this.loads = loads;
-        this.durationMillis = durationMillis;
         this.joinMargin = joinMargin;
     }
 
     @Override
-    public int maxLoad(int ownLoad) {
+    public int maxLoad(int ownLoad, double durationMillis) {
         int total = loads.totalCapacity();
         int capacity = loads.capacity(endpointId);
         if (total <= capacity) {
--- a/core/src/main/java/org/dragonflygw/core/routing/ServiceLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/ServiceLoads.java
@@ -19,7 +19,7 @@
     private final InstantSource clock;
     private final Map<String, EndpointLoad> loads = new HashMap<>();
     private Map<String, Integer> capacities = Map.of();
-    private int totalCapacity;
+    private int openCapacity;
     private double sum;
     private double ageWeightedSum;
     private long sumsAtMillis;
@@ -32,16 +32,13 @@
     /** Sets the endpoints that take new work; loads of others are forgotten. */
     public synchronized void setEndpoints(List<Endpoint> endpoints) {
         Map<String, Integer> next = new HashMap<>();
-        int total = 0;
         for (Endpoint endpoint : endpoints) {
             if (endpoint.state() != EndpointState.LEAVING) {
                 int capacity = Math.max(1, endpoint.capacity());
                 next.put(endpoint.id(), capacity);
-                total += capacity;
             }
         }
         capacities = next;
-        totalCapacity = total;
         loads.keySet().retainAll(next.keySet());
         sumsStale = true;
     }
@@ -63,9 +60,10 @@
         return Optional.ofNullable(loads.get(endpointId));
     }
 
-    /** Sum of the capacities of the endpoints. */
+    /** Sum of the capacities of the endpoints that take work. */
     public synchronized int totalCapacity() {
-        return totalCapacity;
+        refreshSums(clock.instant());
+        return openCapacity;
     }
 
     /** Capacity of an endpoint; 1 when it is unknown. */
@@ -85,13 +83,27 @@
         EndpointLoad own = loads.get(endpointId);
         double others = sum;
         double aged = ageWeightedSum;
-        if (own != null) {
+        if (own != null && !own.closed()) {
             others -= own.inFlight();
             aged -= own.inFlight() * ageMillis(own, now);
         }
         return Math.max(0, others - aged / Math.max(1, durationMillis));
     }
 
+    /**
+     * Whether an endpoint seems to have room: it takes work, and its stated load is at most the mean. An endpoint of
+     * which nothing is known has room.
+     */
+    public synchronized boolean seemsBelowMean(String endpointId) {
+        EndpointLoad load = loads.get(endpointId);
+        if (load == null) {
+            return true;
+        }
+        refreshSums(clock.instant());
+        double mean = openCapacity == 0 ? 0 : sum / openCapacity;
+        return !load.closed() && load.queued() == 0 && load.inFlight() <= mean * capacity(endpointId);
+    }
+
     /** Last stated load of all endpoints. */
     public synchronized double statedLoad() {
         refreshSums(clock.instant());
@@ -105,7 +117,12 @@
         }
         sum = 0;
         ageWeightedSum = 0;
+        openCapacity = capacities.values().stream().mapToInt(Integer::intValue).sum();
         for (EndpointLoad load : loads.values()) {
+            if (load.closed()) {
+                openCapacity -= capacities.get(load.endpointId());
+                continue;
+            }
             sum += load.inFlight();
             ageWeightedSum += load.inFlight() * ageMillis(load, now);
         }
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotDecision.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotDecision.java
@@ -11,6 +11,7 @@
  * @param retryAfterMillis when refused, time until a new try makes sense, in milliseconds
  * @param redirectEndpointId engine that holds the chat's cache; empty unless redirected
  * @param inFlight requests on the engine after the decision
+ * @param sameInFlight when refused, whether a request with the same fingerprint runs on the engine
  */
 public record SlotDecision(
         SlotStatus status,
@@ -20,10 +21,25 @@
         long queuedMillis,
         long retryAfterMillis,
         String redirectEndpointId,
-        int inFlight) {
+        int inFlight,
+        boolean sameInFlight) {
     /** A refusal. */
     public static SlotDecision refused(SlotStatus status, long epoch, long retryAfterMillis, int inFlight) {
-        return new SlotDecision(status, 0, epoch, 0, 0, retryAfterMillis, "", inFlight);
+        return new SlotDecision(status, 0, epoch, 0, 0, retryAfterMillis, "", inFlight, false);
+    }
+
+    /** The same decision with or without the note that the same request is in flight. */
+    public SlotDecision withSameInFlight(boolean same) {
+        return new SlotDecision(
+                status,
+                grantId,
+                epoch,
+                leaseMillis,
+                queuedMillis,
+                retryAfterMillis,
+                redirectEndpointId,
+                inFlight,
+                same);
     }
 
     /** Whether a slot is held. */
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
@@ -17,7 +17,7 @@
 public final class SlotSearch {
     private final SearchRequest request;
     private final EndpointTable table;
-    private final int[] candidates;
+    private int[] candidates;
     private final Set<String> excluded;
 
     private final Set<String> asked = new HashSet<>();
@@ -161,7 +161,21 @@
         return calls;
     }
 
+    /** Copies of one request stay on two engines, so that one that crashes engines cannot reach more at a time. */
+    private void keepToTwoEngines() {
+        long key = RoutingHash.mix(request.key().chatHash(), request.fingerprint());
+        for (int candidate : table.top(key, 2)) {
+            if (candidate != candidates[0]) {
+                candidates = new int[] {candidates[0], candidate};
+                return;
+            }
+        }
+    }
+
     private void onFull(SlotDecision decision) {
+        if (decision.sameInFlight()) {
+            keepToTwoEngines();
+        }
         if (worst == SlotStatus.UNAVAILABLE || decision.status() == SlotStatus.OVERLOADED) {
             worst = decision.status();
         }
--- a/core/src/test/java/org/dragonflygw/core/routing/EngineStewardStateTest.java
+++ b/core/src/test/java/org/dragonflygw/core/routing/EngineStewardStateTest.java
@@ -63,7 +63,7 @@
         private final MutableClock clock = MutableClock.of(Instant.ofEpochSecond(1_000), ZoneOffset.UTC);
         private int bound = SLOTS;
         private final EngineSteward steward =
-                new EngineSteward("e1", EPOCH, StewardSettings.of(SLOTS, QUEUE), own -> bound, 0, clock);
+                new EngineSteward("e1", EPOCH, StewardSettings.of(SLOTS, QUEUE), (own, millis) -> bound, 0, clock);
         private final List<Open> open = new ArrayList<>();
         private final Set<Long> grantIds = new HashSet<>();
         private int asked;
--- a/core/src/test/java/org/dragonflygw/core/routing/EngineStewardTest.java
+++ b/core/src/test/java/org/dragonflygw/core/routing/EngineStewardTest.java
@@ -37,7 +37,7 @@
         void neverGrantsAboveTheLoadBound() {
             int[] bound = {2};
             EngineSteward bounded =
-                    new EngineSteward("e1", EPOCH, StewardSettings.of(16, 0), own -> bound[0], 0, clock);
+                    new EngineSteward("e1", EPOCH, StewardSettings.of(16, 0), (own, millis) -> bound[0], 0, clock);
             clock.add(Duration.ofSeconds(6));
             for (int i = 0; i < 5; i++) {
                 bounded.acquire(request("r" + i, "a", LONG_MILLIS, false), decisions::add);
@@ -51,7 +51,7 @@
         void servesWaitersWhenTheBoundRises() {
             int[] bound = {1};
             EngineSteward bounded =
-                    new EngineSteward("e1", EPOCH, StewardSettings.of(16, 4), own -> bound[0], 0, clock);
+                    new EngineSteward("e1", EPOCH, StewardSettings.of(16, 4), (own, millis) -> bound[0], 0, clock);
             clock.add(Duration.ofSeconds(6));
             bounded.acquire(request("r1", "a", LONG_MILLIS, false), decisions::add);
             bounded.acquire(request("r2", "a", LONG_MILLIS, false), decisions::add);
--- a/core/src/test/java/org/dragonflygw/core/routing/MeanLoadBoundTest.java
+++ b/core/src/test/java/org/dragonflygw/core/routing/MeanLoadBoundTest.java
@@ -19,7 +19,7 @@
     @Test
     void anIdleServiceLetsEachEngineTakeOne() {
         setEngines(12);
-        assertThat(bound().maxLoad(0)).isEqualTo(1);
+        assertThat(bound().maxLoad(0, 10_000)).isEqualTo(1);
     }
 
     @Test
@@ -27,7 +27,7 @@
         setEngines(12);
         state(12, 20);
         clock.add(Duration.ofSeconds(30));
-        assertThat(bound().maxLoad(20)).isAtLeast(21);
+        assertThat(bound().maxLoad(20, 10_000)).isAtLeast(21);
     }
 
     @Test
@@ -35,7 +35,7 @@
         setEngines(12);
         state(12, 20);
         double meanWithOneMore = 12.0 * 20 / 13;
-        assertThat((double) bound().maxLoad(20)).isAtMost(1.25 * meanWithOneMore + 1);
+        assertThat((double) bound().maxLoad(20, 10_000)).isAtMost(1.25 * meanWithOneMore + 1);
     }
 
     @Test
@@ -62,7 +62,7 @@
     }
 
     private MeanLoadBound bound() {
-        return new MeanLoadBound("e0", 1.25, loads, 10_000, 1);
+        return new MeanLoadBound("e0", 1.25, loads, 1);
     }
 
     private void setEngines(int count) {
--- a/wire/src/main/thrift/grants.thrift
+++ b/wire/src/main/thrift/grants.thrift
@@ -65,6 +65,8 @@
   8: required i32 inFlight
   /** Engine that holds the chat's cache; set when redirected. */
   9: optional string redirectEngineId
+  /** When refused: a request with the same fingerprint runs on the engine. */
+  10: optional bool sameInFlight = false
 }
 
 enum GrantOutcome {
