--- a/standins/src/main/java/org/dragonflygw/standins/http/StandinCode.java
+++ b/standins/src/main/java/org/dragonflygw/standins/http/StandinCode.java
@@ -4,6 +4,8 @@
 
 /** Failures of the stand-ins. */
 public enum StandinCode implements ErrorCode {
+    /** The command line cannot be read. */
+    USAGE,
     /** The server could not open or close its port. */
     PORT,
     /** A value could not be written as JSON. */
