Add the load tool for streams

Cause: the relay's added latency has to be measured against the same load sent directly to the engines.

--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/load/LoadRecord.java
@@ -0,0 +1,74 @@
+package org.dragonflygw.bench.load;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** What was seen at one target. Safe from every thread. */
+final class LoadRecord {
+    private static final long MAX_MICROS = 600_000_000;
+    private static final int DIGITS = 3;
+    private static final int NANOS_PER_MICRO = 1000;
+
+    private final Histogram firstTokenMicros = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+    private final Histogram tokenGapMicros = new ConcurrentHistogram(MAX_MICROS, DIGITS);
+    private final LongAdder tokens = new LongAdder();
+    private final LongAdder whole = new LongAdder();
+    private final LongAdder failed = new LongAdder();
+    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicInteger mostOpen = new AtomicInteger();
+
+    void started() {
+        mostOpen.accumulateAndGet(open.incrementAndGet(), Math::max);
+    }
+
+    void ended(boolean wholeAnswer) {
+        open.decrementAndGet();
+        (wholeAnswer ? whole : failed).increment();
+    }
+
+    void firstToken(long nanos) {
+        firstTokenMicros.recordValue(clamp(nanos));
+    }
+
+    void tokenGap(long nanos) {
+        tokenGapMicros.recordValue(clamp(nanos));
+    }
+
+    void tokens(int count) {
+        tokens.add(count);
+    }
+
+    Histogram firstTokenMicros() {
+        return firstTokenMicros;
+    }
+
+    Histogram tokenGapMicros() {
+        return tokenGapMicros;
+    }
+
+    long tokenCount() {
+        return tokens.sum();
+    }
+
+    long wholeCount() {
+        return whole.sum();
+    }
+
+    long failedCount() {
+        return failed.sum();
+    }
+
+    int openCount() {
+        return open.get();
+    }
+
+    int mostOpenCount() {
+        return mostOpen.get();
+    }
+
+    private static long clamp(long nanos) {
+        return Math.max(0, Math.min(MAX_MICROS, nanos / NANOS_PER_MICRO));
+    }
+}
