Keep non-idempotent submissions in a ledger over the table service

Cause: a fee payment or booking must run at most once, also when its key arrives at several routers at once, the owner is paused or gone, or the store is down or loses its answers. Conclusion: a claim that is not certain is never dispatched; nobody takes an open row over.

--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/ledger/ClaimVerdict.java
@@ -0,0 +1,30 @@
+package org.dragonflygw.core.ledger;
+
+/** What a stored row means for an arrival that wants to claim its key. */
+enum ClaimVerdict {
+    /** The key was run; its answer goes out again. */
+    REPLAY,
+    /** The key was not run; it may be claimed on condition that the row has not changed. */
+    CLAIM_AGAIN,
+    /** The owner may still end the claim. */
+    WAIT,
+    /** Nobody will tell what became of it. */
+    OUTCOME_UNKNOWN,
+    /** The key belongs to other content. */
+    KEY_REUSED;
+
+    /** Judges a row that another arrival wrote. */
+    static ClaimVerdict of(SubmissionRow row, Submission arrival, boolean ownerMayEnd) {
+        if (row.state() == SubmissionState.NOT_RUN) {
+            return CLAIM_AGAIN;
+        }
+        if (row.fingerprint() != arrival.fingerprint()) {
+            return KEY_REUSED;
+        }
+        return switch (row.state()) {
+            case DONE -> REPLAY;
+            case UNKNOWN -> OUTCOME_UNKNOWN;
+            default -> ownerMayEnd ? WAIT : OUTCOME_UNKNOWN;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/ledger/RetentionSweeper.java
@@ -0,0 +1,90 @@
+package org.dragonflygw.core.ledger;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import org.dragonflygw.core.storage.Mutation;
+import org.dragonflygw.core.storage.ObjectStore;
+import org.dragonflygw.core.storage.StorageException;
+import org.dragonflygw.core.storage.TableRow;
+import org.dragonflygw.core.storage.TableStore;
+
+/**
+ * Deletes submissions that are older than the retention, one page of rows for each call. Two sweepers of the same
+ * bucket do no harm: a row is deleted only at the version that was read. Used by one thread.
+ */
+public final class RetentionSweeper {
+    /** Rows read by one scan and deleted by one transaction, at most. */
+    public static final int PAGE_ROWS = 100;
+
+    private static final byte[] NO_CONTENT = new byte[0];
+
+    private final TableStore store;
+    private final ObjectStore objects;
+    private final InstantSource clock;
+    private final String deployment;
+    private final long retentionMillis;
+    private int bucket;
+    private String afterKey = "";
+
+    public RetentionSweeper(
+            TableStore store, ObjectStore objects, InstantSource clock, String deployment, long retentionMillis) {
+        this.store = store;
+        this.objects = objects;
+        this.clock = clock;
+        this.deployment = deployment;
+        this.retentionMillis = retentionMillis;
+    }
+
+    /** The bucket that the next page is read from. */
+    public int bucket() {
+        return bucket;
+    }
+
+    /** Leaves out the rest of the bucket. */
+    public void skipBucket() {
+        bucket = (bucket + 1) % SubmissionKeys.BUCKETS;
+        afterKey = "";
+    }
+
+    /** Reads the next page and deletes what has expired in it; returns the number of rows deleted. */
+    public int sweepPage() {
+        String prefix = SubmissionKeys.bucketPrefix(deployment, bucket);
+        List<TableRow> page = store.scan(SubmissionKeys.TABLE, prefix, afterKey, PAGE_ROWS);
+        List<Mutation> deletes = new ArrayList<>();
+        for (TableRow row : page) {
+            if (isExpired(row)) {
+                deletes.add(Mutation.delete(SubmissionKeys.TABLE, row.key(), row.version()));
+            }
+        }
+        if (page.size() < PAGE_ROWS) {
+            skipBucket();
+        } else {
+            afterKey = page.get(page.size() - 1).key();
+        }
+        return deletes.isEmpty() || !store.commit(deletes).committed() ? 0 : deletes.size();
+    }
+
+    private boolean isExpired(TableRow row) {
+        return SubmissionCodec.decode(row)
+                .filter(s -> clock.millis() - s.claimedAtMillis() >= retentionMillis)
+                .filter(this::clearBody)
+                .isPresent();
+    }
+
+    private boolean clearBody(SubmissionRow submission) {
+        boolean inObject = submission
+                .answer()
+                .filter(a -> a.location() == BodyLocation.OBJECT)
+                .isPresent();
+        if (!inObject) {
+            return true;
+        }
+        try {
+            objects.put(SubmissionKeys.objectKey(deployment, submission.token()), NO_CONTENT);
+            return true;
+        } catch (StorageException e) {
+            return false;
+        }
+    }
+}
