--- a/core/src/main/java/org/dragonflygw/core/ledger/RetentionSweeper.java
+++ b/core/src/main/java/org/dragonflygw/core/ledger/RetentionSweeper.java
@@ -27,24 +27,20 @@
     private int bucket;
     private String afterKey = "";
 
+    /** Makes a sweeper that begins with the given bucket, so that several begin apart. */
     public RetentionSweeper(
-            TableStore store, ObjectStore objects, InstantSource clock, String deployment, long retentionMillis) {
+            TableStore store,
+            ObjectStore objects,
+            InstantSource clock,
+            String deployment,
+            long retentionMillis,
+            int firstBucket) {
         this.store = store;
         this.objects = objects;
         this.clock = clock;
         this.deployment = deployment;
         this.retentionMillis = retentionMillis;
-    }
-
-    /** The bucket that the next page is read from. */
-    public int bucket() {
-        return bucket;
-    }
-
-    /** Leaves out the rest of the bucket. */
-    public void skipBucket() {
-        bucket = (bucket + 1) % SubmissionKeys.BUCKETS;
-        afterKey = "";
+        this.bucket = firstBucket;
     }
 
     /** Reads the next page and deletes what has expired in it; returns the number of rows deleted. */
@@ -58,7 +54,8 @@
             }
         }
         if (page.size() < PAGE_ROWS) {
-            skipBucket();
+            bucket = (bucket + 1) % SubmissionKeys.BUCKETS;
+            afterKey = "";
         } else {
             afterKey = page.get(page.size() - 1).key();
         }
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/ledger/LedgerTasks.java
@@ -0,0 +1,49 @@
+package org.dragonflygw.daemon.ledger;
+
+import io.dropwizard.lifecycle.Managed;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflygw.core.ledger.LedgerTimer;
+
+/** The pool that runs the timed tasks of the ledger: ends of waits, reads of other daemons' claims, long answers. */
+public final class LedgerTasks implements LedgerTimer, Managed {
+    private static final Logger LOG = LogManager.getLogger(LedgerTasks.class);
+    private static final int THREADS = 4;
+
+    private final ScheduledExecutorService pool;
+
+    public LedgerTasks() {
+        pool = Executors.newScheduledThreadPool(THREADS, task -> {
+            Thread thread = new Thread(task, "ledger-task");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    @Override
+    public void after(long delayMillis, Runnable task) {
+        try {
+            Future<?> unused = pool.schedule(() -> runLogged(task), delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("ledger task after the stop", e);
+        }
+    }
+
+    @Override
+    public void stop() {
+        pool.shutdownNow();
+    }
+
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("ledger task failed", e);
+        }
+    }
+}
