--- a/core/src/main/java/org/dragonflygw/core/membership/GossipProtocol.java
+++ b/core/src/main/java/org/dragonflygw/core/membership/GossipProtocol.java
@@ -284,7 +284,7 @@
                 load.version(),
                 load.inFlight(),
                 load.queued(),
-                load.leaving(),
+                load.closed(),
                 load.waitMillis(),
                 now);
     }
@@ -297,7 +297,7 @@
     }
 
     private void noteLeaving(EndpointLoad load) {
-        if (!load.leaving()) {
+        if (!load.closed()) {
             leavingEndpoints.remove(load.endpointId());
         } else if (leavingEndpoints.add(load.endpointId())) {
             urgent = true;
--- a/wire/src/main/java/org/dragonflygw/wire/codec/GossipCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/GossipCodec.java
@@ -127,7 +127,7 @@
                 load.version(),
                 load.inFlight(),
                 load.queued(),
-                load.leaving(),
+                load.closed(),
                 load.waitMillis(),
                 (int) Math.min(Integer.MAX_VALUE, age));
     }
