Record how every request ends, also replayed and refused ones

Cause: answers that were not streamed, replays and refused claims left no event, so a request stayed open in the view of requests. Change: one place in the runner records refusals and failures; whole answers and replays record their completion.

--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
@@ -14,6 +14,7 @@
 import org.dragonflygw.core.stream.SilenceLimits;
 import org.dragonflygw.core.stream.SseEvent;
 import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventType;
 import org.dragonflygw.daemon.endpoint.EndpointException;
 import org.dragonflygw.daemon.endpoint.EndpointExchange;
 import org.dragonflygw.daemon.endpoint.EngineClient;
@@ -114,6 +115,10 @@
             claim.done(STATUS_OK, CONTENT_TYPE, Optional.of(content));
             grant.end(AttemptOutcome.COMPLETED);
             metrics.completed();
+            events.record(
+                    EventType.REQUEST_COMPLETED,
+                    RequestRunner.subject(request, engine.id()),
+                    content.length + " bytes");
             return new WholeAnswer(STATUS_OK, CONTENT_TYPE, content);
         } catch (EndpointException e) {
             throw lost(e);
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/RequestRunner.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/RequestRunner.java
@@ -58,14 +58,28 @@
                 EventType.REQUEST_RECEIVED,
                 subject(request, ""),
                 request.service().name());
-        if (!request.nonIdempotent()) {
-            return runClaimed(request, attempts, ClaimedRun.unclaimed());
+        try {
+            return request.nonIdempotent()
+                    ? runOnce(request, attempts)
+                    : runClaimed(request, attempts, ClaimedRun.unclaimed());
+        } catch (CallerException e) {
+            EventType type = e.run() == RunStatus.NOT_RUN ? EventType.REQUEST_REFUSED : EventType.REQUEST_FAILED;
+            events.record(type, subject(request, ""), e.code().name());
+            throw e;
+        } catch (RuntimeException e) {
+            events.record(
+                    EventType.REQUEST_FAILED, subject(request, ""), e.getClass().getSimpleName());
+            throw e;
         }
+    }
+
+    private Answer runOnce(RequestContext request, AttemptRunner attempts) {
         SubmissionDecision decision = gate.claim(Submission.of(request)).join();
         if (decision instanceof SubmissionDecision.Run run) {
             return runClaimed(request, attempts, ClaimedRun.of(run.claim()));
         }
         if (decision instanceof SubmissionDecision.Replay replay) {
+            events.record(EventType.REQUEST_COMPLETED, subject(request, ""), "answer replayed");
             return WholeAnswer.replay(replay.answer());
         }
         SubmissionDecision.Rejected rejected = (SubmissionDecision.Rejected) decision;
@@ -82,8 +96,6 @@
             return runAttempts(request, attempts, claim);
         } catch (CallerException e) {
             claim.failed(e.run());
-            EventType type = e.run() == RunStatus.NOT_RUN ? EventType.REQUEST_REFUSED : EventType.REQUEST_FAILED;
-            events.record(type, subject(request, ""), e.code().name());
             throw e;
         } catch (RuntimeException e) {
             claim.failed(RunStatus.UNKNOWN);
