--- a/wire/src/main/java/org/dragonflygw/wire/settings/SettingsReader.java
+++ b/wire/src/main/java/org/dragonflygw/wire/settings/SettingsReader.java
@@ -90,7 +90,7 @@
         parser.allowsUnrecognizedOptions();
         try {
             OptionSet options = parser.parse(arguments);
-            options.nonOptionArguments().forEach(other -> problems.add(other + ": is not a known setting"));
+            addUnknown(options.nonOptionArguments(), problems);
             return options;
         } catch (OptionException e) {
             problems.add(e.getMessage());
@@ -98,6 +98,15 @@
         }
     }
 
+    /** Names unknown flags, and loose words only when no unknown flag could own them. */
+    private static void addUnknown(List<?> others, List<String> problems) {
+        List<String> words = others.stream().map(Object::toString).toList();
+        boolean flags = words.stream().anyMatch(word -> word.startsWith("-"));
+        words.stream()
+                .filter(word -> !flags || word.startsWith("-"))
+                .forEach(word -> problems.add(word + ": is not a known setting"));
+    }
+
     private static void readField(
             SettingField field,
             OptionSet options,
@@ -117,7 +126,7 @@
             source = field.variable();
             value = Optional.of(environment.get(field.variable()));
         } else if (field.defaultValue().isPresent()) {
-            return;
+            value = field.defaultValue();
         }
         if (value.isEmpty()) {
             problems.add(source + ": is required (or " + field.variable() + ")");
@@ -141,13 +150,19 @@
     }
 
     private static List<SettingField> schemaFields() {
-        RouterSettings defaults = new RouterSettings();
         List<SettingField> fields = new ArrayList<>();
         for (RouterSettings._Fields id : RouterSettings._Fields.values()) {
-            Optional<String> defaultValue =
-                    defaults.isSet(id) ? Optional.of(defaults.getFieldValue(id).toString()) : Optional.empty();
-            fields.add(SettingField.of(id, RouterSettings.metaDataMap.get(id), defaultValue));
+            fields.add(SettingField.of(id, RouterSettings.metaDataMap.get(id), defaultValue(id)));
         }
         return List.copyOf(fields);
     }
+
+    /** The default in the schema. A new object holds null, or 0 for a whole number, where the schema has none. */
+    private static Optional<String> defaultValue(RouterSettings._Fields id) {
+        Object value = new RouterSettings().getFieldValue(id);
+        if (value == null || value.equals(0)) {
+            return Optional.empty();
+        }
+        return Optional.of(value.toString());
+    }
 }
