--- a/daemon/src/main/java/org/dragonflygw/daemon/RouterApplication.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/RouterApplication.java
@@ -38,6 +38,7 @@
 import org.glassfish.jersey.server.ServerProperties;
 import org.glassfish.jersey.servlet.ServletContainer;
 import org.glassfish.jersey.servlet.ServletProperties;
+import org.slf4j.bridge.SLF4JBridgeHandler;
 
 /** The router daemon: two HTTP servers, for callers and operators, and a Thrift server for other daemons. */
 public final class RouterApplication extends Application<Configuration> {
@@ -141,7 +142,10 @@
     }
 
     @Override
-    protected void bootstrapLogging() {}
+    protected void bootstrapLogging() {
+        SLF4JBridgeHandler.removeHandlersForRootLogger();
+        SLF4JBridgeHandler.install();
+    }
 
     @Override
     protected void onFatalError(Throwable t) {
@@ -170,7 +174,7 @@
         environment
                 .admin()
                 .addFilter("operators", new ServletContainer(resources))
-                .addMappingForUrlPatterns(EnumSet.of(DispatcherType.REQUEST), false, "/v1/*", "/health/*");
+                .addMappingForUrlPatterns(EnumSet.of(DispatcherType.REQUEST), false, "/*");
     }
 
     private void registerHealthChecks(Environment environment) {
--- a/daemon/src/test/java/org/dragonflygw/daemon/caller/ChatRelayTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/caller/ChatRelayTest.java
@@ -4,9 +4,18 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.daemon.RouterFixture;
+import org.dragonflygw.standins.engine.AnswerText;
 import org.dragonflygw.standins.engine.EngineConfig;
+import org.dragonflygw.standins.engine.EngineFaults;
 import org.dragonflygw.standins.engine.EngineServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -15,18 +24,21 @@
 
 final class ChatRelayTest {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int TOKENS = 60;
+
     private EngineServer engine;
     private RouterFixture router;
 
     @BeforeEach
-    void start() throws Exception {
-        engine = new EngineServer(EngineConfig.defaults("engine-1"));
+    void start() {
+        engine = new EngineServer(
+                EngineConfig.builder("engine-1").tokenGapMicros(1_000, 0).build());
         router = new RouterFixture(RouterFixture.settings());
-        router.useEndpoints(RouterFixture.endpoint("engine-1", RouterFixture.MODEL, engine.port()));
+        router.useEndpoints(endpoint(engine));
     }
 
     @AfterEach
-    void stop() throws Exception {
+    void stop() {
         router.close();
         engine.close();
     }
@@ -34,17 +46,15 @@
     @Nested
     final class Whole {
         @Test
-        void streamsAnAnswer() throws Exception {
-            HttpResponse<String> response = router.send(router.chat("read this", true, 40));
+        void streamsEveryToken() throws Exception {
+            assertWhole(router.chat("read this", true, TOKENS), "read this");
 
-            assertThat(response.statusCode()).isEqualTo(200);
-            assertThat(response.body()).endsWith("data: [DONE]\n\n");
             assertThat(engine.executions()).hasSize(1);
         }
 
         @Test
         void givesOneObject() throws Exception {
-            HttpResponse<String> response = router.send(router.chat("read this", false, 40));
+            HttpResponse<String> response = router.send(router.chat("read this", false, TOKENS));
 
             assertThat(response.statusCode()).isEqualTo(200);
             JsonNode answer = JSON.readTree(response.body());
@@ -52,4 +62,167 @@
                     .isEqualTo(response.headers().firstValue("X-Request-Id").orElseThrow());
         }
     }
+
+    @Nested
+    final class BrokenConnections {
+        @Test
+        void silentConnectionIsResumedAtTheNextToken() throws Exception {
+            router.useTokenGap(200);
+            engine.setFaults(EngineFaults.silence(1, 20));
+
+            assertWhole(router.chat("goes silent", true, TOKENS), "goes silent");
+            assertThat(engine.executions()).hasSize(1);
+        }
+
+        @Test
+        void connectionSilentFromTheStartIsResumed() throws Exception {
+            router.useTokenGap(200);
+            engine.setFaults(EngineFaults.silence(1, 0));
+
+            assertWhole(router.chat("silent at once", true, TOKENS), "silent at once");
+            assertThat(engine.executions()).hasSize(1);
+        }
+
+        @Test
+        void duplicatedChunksReachNoCaller() throws Exception {
+            engine.setFaults(EngineFaults.duplicated(3));
+
+            assertWhole(router.chat("sent twice", true, TOKENS), "sent twice");
+        }
+
+        @Test
+        void crossedChunksReachNoCaller() throws Exception {
+            engine.setFaults(EngineFaults.crossed(25));
+            CompletableFuture<Void> other = CompletableFuture.runAsync(() -> assertWholeUnchecked("one"));
+
+            assertWhole(router.chat("two", true, TOKENS), "two");
+            other.get();
+        }
+
+        @Test
+        void crashAfterTheFirstTokenIsATypedError() throws Exception {
+            HttpResponse<InputStream> response = router.http()
+                    .send(
+                            router.chat("crash midway", true, 100_000).build(),
+                            HttpResponse.BodyHandlers.ofInputStream());
+            assertThat(response.body().read()).isEqualTo('i');
+            engine.crash(60_000);
+
+            String rest = new String(response.body().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(rest).contains("event: error\ndata: ");
+            assertThat(rest).doesNotContain("[DONE]");
+            JsonNode error = JSON.readTree(rest.substring(rest.indexOf("event: error\ndata: ") + 19));
+            assertThat(error.path("error").path("code").asText()).isEqualTo("ANSWER_LOST");
+            assertThat(error.path("error").path("run").asText()).isEqualTo("run");
+        }
+    }
+
+    @Nested
+    final class OtherEngines {
+        @Test
+        void crashBeforeTheFirstTokenIsRetriedElsewhere() throws Exception {
+            try (EngineServer second = new EngineServer(EngineConfig.defaults("engine-2"))) {
+                engine.setFaults(EngineFaults.crashOn("poison", 60_000));
+                router.useEndpoints(endpoint(engine), endpoint(second));
+
+                assertWhole(router.chat("poison", true, TOKENS), "poison");
+                assertThat(second.executions()).hasSize(1);
+            }
+        }
+
+        @Test
+        void refusedConnectionIsCertainlyNotRun() throws Exception {
+            int closedPort;
+            try (ServerSocket socket = new ServerSocket(0)) {
+                closedPort = socket.getLocalPort();
+            }
+            router.useEndpoints(RouterFixture.endpoint("gone", RouterFixture.MODEL, closedPort));
+
+            JsonNode error = error(router.chat("hello", true, TOKENS), 503);
+            assertThat(error.path("run").asText()).isEqualTo("not_run");
+        }
+    }
+
+    @Nested
+    final class Callers {
+        @Test
+        void leavingCallerCancelsAtTheEngine() throws Exception {
+            HttpResponse<InputStream> response = router.http()
+                    .send(router.chat("leave", true, 1_000_000).build(), HttpResponse.BodyHandlers.ofInputStream());
+            assertThat(response.body().read()).isEqualTo('i');
+            assertThat(engine.inFlight()).isEqualTo(1);
+            response.body().close();
+
+            await(() -> engine.inFlight() == 0);
+            await(() -> router.application()
+                            .injector()
+                            .getInstance(OpenRequests.class)
+                            .count()
+                    == 0);
+        }
+
+        @Test
+        void slowCallerHoldsNoWholeAnswer() throws Exception {
+            HttpResponse<InputStream> response = router.http()
+                    .send(router.chat("slow", true, 2_000).build(), HttpResponse.BodyHandlers.ofInputStream());
+            byte[] first = response.body().readNBytes(100);
+            String all = new String(first, StandardCharsets.UTF_8)
+                    + new String(response.body().readAllBytes(), StandardCharsets.UTF_8);
+
+            assertThat(text(all))
+                    .isEqualTo(AnswerText.ofBody(body("slow", 2_000)).whole());
+        }
+    }
+
+    private static Endpoint endpoint(EngineServer engine) {
+        return RouterFixture.endpoint(engine.id(), RouterFixture.MODEL, engine.port());
+    }
+
+    private void assertWhole(HttpRequest.Builder request, String content) throws Exception {
+        HttpResponse<String> response = router.send(request);
+
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).endsWith("data: [DONE]\n\n");
+        assertThat(text(response.body()))
+                .isEqualTo(AnswerText.ofBody(body(content, TOKENS)).whole());
+    }
+
+    private void assertWholeUnchecked(String content) {
+        try {
+            assertWhole(router.chat(content, true, TOKENS), content);
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private JsonNode error(HttpRequest.Builder request, int status) throws Exception {
+        HttpResponse<String> response = router.send(request);
+        assertThat(response.statusCode()).isEqualTo(status);
+        return JSON.readTree(response.body()).path("error");
+    }
+
+    private static byte[] body(String content, int tokens) {
+        return ("{\"max_tokens\":" + tokens + ",\"messages\":[{\"role\":\"user\",\"content\":\"" + content + "\"}]}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The tokens in a body of events, joined. */
+    private static String text(String events) throws Exception {
+        StringBuilder text = new StringBuilder();
+        for (String line : events.split("\n", -1)) {
+            if (line.startsWith("data: {")) {
+                JsonNode delta =
+                        JSON.readTree(line.substring(6)).path("choices").path(0).path("delta");
+                text.append(delta.path("content").asText(""));
+            }
+        }
+        return text.toString();
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        for (int i = 0; i < 1_000 && !condition.getAsBoolean(); i++) {
+            Thread.sleep(10);
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
 }
