--- a/standins/src/main/java/org/dragonflygw/standins/StandinsMain.java
+++ b/standins/src/main/java/org/dragonflygw/standins/StandinsMain.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.standins;
 
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.dragonflygw.standins.command.EngineCommand;
 import org.dragonflygw.standins.command.PlainCommand;
 import org.dragonflygw.standins.command.PlatformCommand;
@@ -17,14 +18,16 @@
     private StandinsMain() {}
 
     /** Runs the subcommand of the first argument. */
-    public static void main(String[] arguments) {
+    public static void main(String[] arguments) throws InterruptedException {
         System.setProperty("slf4j.internal.verbosity", "ERROR");
         StandinCommandLine commandLine =
                 new StandinCommandLine(List.of(new PlatformCommand(), new EngineCommand(), new PlainCommand()));
         try {
             RunningStandin standin = commandLine.start(List.of(arguments));
+            CountDownLatch stopped = new CountDownLatch(1);
             Runtime.getRuntime().addShutdownHook(new Thread(standin::stop, "shutdown"));
             System.out.println("listening 127.0.0.1:" + standin.port());
+            stopped.await();
         } catch (StandinException e) {
             System.err.println(e.getMessage());
             System.exit(e.code() == StandinCode.USAGE ? USAGE_EXIT_CODE : FAILED_EXIT_CODE);
