--- a/standins/src/main/java/org/dragonflygw/standins/engine/Ticker.java
+++ b/standins/src/main/java/org/dragonflygw/standins/engine/Ticker.java
@@ -4,8 +4,12 @@
 import java.util.concurrent.locks.LockSupport;
 import org.dragonflygw.standins.time.MonotonicClock;
 
-/** The one thread that makes the tokens of an engine when they are due and hands them to their connections. */
+/**
+ * The one thread that makes the tokens of an engine and hands them to their connections. Tokens that are due within half
+ * a millisecond of one another are made in one round.
+ */
 final class Ticker implements AutoCloseable {
+    private static final long MIN_SLEEP_NANOS = 500_000;
     private static final long MAX_SLEEP_NANOS = 100_000_000;
 
     private final EngineCore core;
@@ -47,6 +51,6 @@
         if (due.isEmpty()) {
             return MAX_SLEEP_NANOS;
         }
-        return Math.max(1, Math.min(MAX_SLEEP_NANOS, due.getAsLong() - MonotonicClock.nanos()));
+        return Math.max(MIN_SLEEP_NANOS, Math.min(MAX_SLEEP_NANOS, due.getAsLong() - MonotonicClock.nanos()));
     }
 }
