--- a/standins/src/test/java/org/dragonflygw/standins/engine/EngineCoreTest.java
+++ b/standins/src/test/java/org/dragonflygw/standins/engine/EngineCoreTest.java
@@ -54,7 +54,7 @@
             assertThat(core.waitingCount()).isEqualTo(2);
 
             core.cancel("a", 0);
-            core.advance(1000 * MILLI);
+            core.advance(3 * MILLI);
 
             assertThat(high.emitted()).isGreaterThan(0);
             assertThat(low.emitted()).isEqualTo(0);
@@ -77,7 +77,6 @@
         @Test
         void endedStreamCanBeFoundForALimitedTime() {
             EngineStream stream = submit("a", 0, "", 0);
-            stream.attach(() -> {});
             core.advance(1000 * MILLI);
 
             assertThat(stream.finished()).isTrue();
@@ -87,7 +86,7 @@
 
         @Test
         void streamWithoutAConnectionIsGivenUp() {
-            EngineStream stream = submit("a", 0, "", 0);
+            EngineStream stream = core.submit(request("a", 0, "", 0), 0);
 
             core.advance(60 * MILLI);
 
@@ -163,7 +162,11 @@
     }
 
     private EngineStream submit(String id, int priority, String prefix, long promptTokens) {
-        return core.submit(request(id, priority, prefix, promptTokens), 0);
+        EngineStream stream = core.submit(request(id, priority, prefix, promptTokens), 0);
+        AnswerSender sender = () -> {};
+        AnswerSender previous = stream.attach(sender);
+        assertThat(previous).isNotSameInstanceAs(sender);
+        return stream;
     }
 
     private static RunRequest request(String id, int priority, String prefix, long promptTokens) {
