--- a/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
@@ -15,7 +15,7 @@
 import org.dragonflygw.wire.settings.RouterSettings;
 
 /** Wires the clients of the platform's service. */
-final class PlatformModule extends AbstractModule {
+public final class PlatformModule extends AbstractModule {
     @Override
     protected void configure() {
         Multibinder.newSetBinder(binder(), Managed.class).addBinding().to(HostListEndpointSource.class);
--- a/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
@@ -2,6 +2,7 @@
 
 import com.google.inject.Module;
 import java.util.List;
+import org.dragonflygw.daemon.ledger.LedgerModule;
 
 /** The modules of the subsystems that a daemon runs with, besides its frame. */
 public final class Subsystems {
@@ -9,6 +10,6 @@
 
     /** All subsystems, in the order of their start. */
     public static List<Module> all() {
-        return List.of(new PlatformModule());
+        return List.of(new PlatformModule(), new LedgerModule());
     }
 }
