--- a/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
@@ -17,7 +17,7 @@
 public final class SlotSearch {
     private final SearchRequest request;
     private final EndpointTable table;
-    private final int[] candidates;
+    private int[] candidates;
     private final Set<String> excluded;
 
     private final Set<String> asked = new HashSet<>();
@@ -33,6 +33,7 @@
     private SlotStatus worst = SlotStatus.UNAVAILABLE;
     private boolean firstUnavailable;
     private int calls;
+    private boolean suspect;
 
     /**
      * Starts a search.
@@ -47,6 +48,7 @@
         this.table = table;
         this.candidates = candidates.clone();
         this.excluded = excluded;
+        this.suspect = request.suspect();
         for (int candidate : candidates) {
             indexes.put(table.endpoint(candidate).id(), candidate);
         }
@@ -114,6 +116,11 @@
         onUnavailable();
     }
 
+    /** Asks the next stewards to run this request alone among suspects. */
+    public void markSuspect() {
+        suspect = true;
+    }
+
     /** The slot; empty while none is held. */
     public Optional<SlotDecision> grant() {
         return Optional.ofNullable(grant);
@@ -154,7 +161,21 @@
         return calls;
     }
 
+    /** Copies of one request stay on two engines, so that one that crashes engines cannot reach more at a time. */
+    private void keepToTwoEngines() {
+        long key = RoutingHash.mix(request.key().chatHash(), request.fingerprint());
+        for (int candidate : table.top(key, 2)) {
+            if (candidate != candidates[0]) {
+                candidates = new int[] {candidates[0], candidate};
+                return;
+            }
+        }
+    }
+
     private void onFull(SlotDecision decision) {
+        if (decision.sameInFlight()) {
+            keepToTwoEngines();
+        }
         if (worst == SlotStatus.UNAVAILABLE || decision.status() == SlotStatus.OVERLOADED) {
             worst = decision.status();
         }
@@ -181,7 +202,7 @@
                 request.fingerprint(),
                 remaining,
                 Math.min(maxWait, remaining),
-                request.suspect(),
+                suspect,
                 mayRedirect);
         return Optional.of(new SlotQuestion(endpoint, slot));
     }
