--- a/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
@@ -17,7 +17,7 @@
 import org.dragonflygw.wire.settings.RouterSettings;
 
 /** Wires the clients of the platform's service. */
-final class PlatformModule extends AbstractModule {
+public final class PlatformModule extends AbstractModule {
     @Override
     protected void configure() {
         OptionalBinder.newOptionalBinder(binder(), EndpointSource.class)
