Give the host list's endpoints a module of their own

Cause: the platform's module bound the endpoint source, so a test that wires its own endpoints beside the platform's clients could not start (10 errors). Change: HostListModule holds that binding. Conclusion: clients and endpoint source can be chosen apart.

--- a/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
@@ -2,6 +2,7 @@
 
 import com.google.inject.Module;
 import java.util.List;
+import org.dragonflygw.daemon.endpoint.HostListModule;
 import org.dragonflygw.daemon.ledger.LedgerModule;
 import org.dragonflygw.daemon.timeline.TimelineModule;
 
@@ -11,6 +12,6 @@
 
     /** All subsystems, in the order of their start. */
     public static List<Module> all() {
-        return List.of(new PlatformModule(), new TimelineModule(), new LedgerModule());
+        return List.of(new PlatformModule(), new HostListModule(), new TimelineModule(), new LedgerModule());
     }
 }
