--- a/core/src/test/java/org/dragonflygw/core/membership/GossipProtocolTest.java
+++ b/core/src/test/java/org/dragonflygw/core/membership/GossipProtocolTest.java
@@ -165,7 +165,7 @@
                 assertThat(node.sheets.newest().number()).isEqualTo(7);
                 assertThat(node.quarantine.isQuarantined(42)).isTrue();
                 if (node != source) {
-                    assertThat(node.heardLoads.get("engine-1").leaving()).isTrue();
+                    assertThat(node.heardLoads.get("engine-1").closed()).isTrue();
                 }
             }
         }
--- a/wire/src/main/java/org/dragonflygw/wire/codec/GossipCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/GossipCodec.java
@@ -127,7 +127,7 @@
                 load.version(),
                 load.inFlight(),
                 load.queued(),
-                load.leaving(),
+                load.closed(),
                 load.waitMillis(),
                 (int) Math.min(Integer.MAX_VALUE, age));
     }
@@ -141,7 +141,7 @@
                 row.getVersion(),
                 row.getInFlight(),
                 row.getQueued(),
-                row.isLeaving(),
+                row.isClosed(),
                 row.getWaitMillis(),
                 now.minusMillis(Math.max(0, row.getAgeMillis())));
     }
