--- a/core/src/main/java/org/dragonflygw/core/membership/EndpointDirectory.java
+++ b/core/src/main/java/org/dragonflygw/core/membership/EndpointDirectory.java
@@ -74,9 +74,7 @@
         boolean first = generation == Long.MIN_VALUE;
         generation = listing.generation();
         next.keySet().stream().filter(id -> !listed.containsKey(id)).forEach(id -> joined(id, first, now));
-        listed.keySet().stream()
-                .filter(id -> !next.containsKey(id))
-                .forEach(id -> events.record(EventType.ENDPOINT_GONE, EventSubject.endpoint(id), "not listed"));
+        listed.keySet().stream().filter(id -> !next.containsKey(id)).forEach(id -> gone(id, now));
         listed = next;
         dampers.entrySet()
                 .removeIf(entry ->
@@ -126,6 +124,11 @@
         dampers.computeIfAbsent(endpointId, id -> new FlapDamper());
     }
 
+    private void gone(String endpointId, Instant now) {
+        events.record(EventType.ENDPOINT_GONE, EventSubject.endpoint(endpointId), "not listed");
+        dampers.get(endpointId).onGone(now);
+    }
+
     private void returned(String endpointId, Instant now) {
         FlapDamper damper = dampers.computeIfAbsent(endpointId, id -> new FlapDamper());
         boolean before = damper.isSuspended(now);
--- a/core/src/main/java/org/dragonflygw/core/membership/FlapDamper.java
+++ b/core/src/main/java/org/dragonflygw/core/membership/FlapDamper.java
@@ -13,10 +13,12 @@
     private static final double SUSPEND_ABOVE = 2500;
     private static final double RESTORE_BELOW = 1000;
     private static final Duration HALF_LIFE = Duration.ofSeconds(15);
+    private static final Duration MEMORY = Duration.ofMinutes(10);
 
     private double penalty;
     private Instant updatedAt = Instant.EPOCH;
     private boolean suspended;
+    private Instant goneAt = Instant.EPOCH;
 
     /** Counts one return of the endpoint. */
     void onReturn(Instant now) {
@@ -39,9 +41,14 @@
         return updatedAt.plusMillis((long) Math.ceil(halvings * HALF_LIFE.toMillis()));
     }
 
-    /** Whether the penalty is so small that it can be forgotten. */
+    /** Notes that the endpoint is gone; it is remembered for a while in case it returns. */
+    void onGone(Instant now) {
+        goneAt = now;
+    }
+
+    /** Whether an endpoint that is gone has been so for long enough to forget it. */
     boolean isForgettable(Instant now) {
-        return penaltyAt(now) < 1;
+        return goneAt.plus(MEMORY).isBefore(now);
     }
 
     private double penaltyAt(Instant now) {
--- a/daemon/src/main/java/org/dragonflygw/daemon/config/SheetUpdater.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/config/SheetUpdater.java
@@ -11,10 +11,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -31,6 +27,7 @@
 import org.dragonflygw.daemon.peer.PeerAddress;
 import org.dragonflygw.daemon.peer.PeerClients;
 import org.dragonflygw.daemon.peer.PeerException;
+import org.dragonflygw.daemon.schedule.BackgroundTimer;
 import org.dragonflygw.wire.codec.SheetCompression;
 import org.dragonflygw.wire.codec.WireException;
 import org.dragonflygw.wire.gossip.SheetReply;
@@ -59,11 +56,7 @@
     private final Counter peerFetches;
     private final Counter storeFetches;
     private final AtomicBoolean fetchQueued = new AtomicBoolean();
-    private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "sheet-updater");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final BackgroundTimer worker = new BackgroundTimer("sheet-updater", 1);
 
     @Inject
     public SheetUpdater(
@@ -92,12 +85,12 @@
     @Override
     public void start() {
         gossip.onExchange(this::onExchange);
-        worker.execute(this::poll);
+        worker.repeat(0, () -> intervals.next(gossip.members().size()), this::poll);
     }
 
     @Override
     public void stop() {
-        worker.shutdownNow();
+        worker.close();
     }
 
     /** Brings a version in force that this daemon has just accepted, and tells the others. */
@@ -125,13 +118,8 @@
     }
 
     private void queueFetch(long delayMillis) {
-        if (!fetchQueued.compareAndSet(false, true)) {
-            return;
-        }
-        try {
-            worker.schedule(this::fetchWanted, delayMillis, TimeUnit.MILLISECONDS);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("no fetch: this daemon stops");
+        if (fetchQueued.compareAndSet(false, true)) {
+            worker.after(delayMillis, this::fetchWanted);
         }
     }
 
@@ -142,19 +130,12 @@
             sheets.wanted().ifPresent(this::fetch);
         } catch (ConfigException e) {
             LOG.warn("version row not read: {}", e.getMessage());
-        } catch (RuntimeException e) {
-            LOG.error("version row not read", e);
         }
-        worker.schedule(this::poll, intervals.next(gossip.members().size()), TimeUnit.MILLISECONDS);
     }
 
     private void fetchWanted() {
         fetchQueued.set(false);
-        try {
-            sheets.wanted().ifPresent(this::fetch);
-        } catch (RuntimeException e) {
-            LOG.error("sheet not fetched", e);
-        }
+        sheets.wanted().ifPresent(this::fetch);
         if (sheets.wanted().isPresent()) {
             queueFetch(RETRY_MILLIS);
         }
--- a/daemon/src/main/java/org/dragonflygw/daemon/membership/GossipNode.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/membership/GossipNode.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.inject.Inject;
+import com.google.inject.Provider;
 import com.google.inject.Singleton;
 import io.dropwizard.lifecycle.Managed;
 import java.time.Clock;
@@ -11,11 +12,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflygw.core.membership.GossipFeeds;
@@ -32,6 +28,7 @@
 import org.dragonflygw.daemon.peer.PeerClients;
 import org.dragonflygw.daemon.peer.PeerException;
 import org.dragonflygw.daemon.peer.PeerServer;
+import org.dragonflygw.daemon.schedule.BackgroundTimer;
 import org.dragonflygw.wire.codec.GossipCodec;
 import org.dragonflygw.wire.codec.WireException;
 import org.dragonflygw.wire.settings.RouterSettings;
@@ -50,7 +47,7 @@
     private final RouterSettings settings;
     private final GossipFeeds feeds;
     private final PeerClients clients;
-    private final PeerServer server;
+    private final Provider<PeerServer> server;
     private final Clock clock;
     private final HybridClock hybridClock;
     private final EventRecorder events;
@@ -58,16 +55,15 @@
     private final Meter receivedBytes;
     private final Meter failures;
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
-    private final ScheduledExecutorService workers;
+    private final BackgroundTimer workers = new BackgroundTimer("gossip", THREADS);
     private volatile GossipProtocol protocol;
-    private ScheduledFuture<?> rounds;
 
     @Inject
     public GossipNode(
             RouterSettings settings,
             GossipFeeds feeds,
             PeerClients clients,
-            PeerServer server,
+            Provider<PeerServer> server,
             Clock clock,
             HybridClock hybridClock,
             EventRecorder events,
@@ -84,11 +80,6 @@
         failures = metrics.meter("dragonflygw.membership.failed.exchanges");
         metrics.register("dragonflygw.membership.known.daemons", (Gauge<Integer>)
                 () -> members().size());
-        workers = Executors.newScheduledThreadPool(THREADS, task -> {
-            Thread thread = new Thread(task, "gossip");
-            thread.setDaemon(true);
-            return thread;
-        });
     }
 
     /** Adds an action that runs after each exchange; it must not block. */
@@ -170,26 +161,25 @@
         Random random = new Random(clock.millis() ^ settings.getDaemonId().hashCode());
         Duration interval = Duration.ofMillis(settings.getGossipIntervalMillis());
         protocol = new GossipProtocol(
-                newSelf(server.port()),
+                newSelf(server.get().port()),
                 GossipSettings.of(interval, settings.getControlBytesPerSecond()),
                 feeds,
                 clock,
                 hybridClock,
                 random,
                 events);
-        long phase = random.nextInt(settings.getGossipIntervalMillis());
-        rounds = workers.scheduleAtFixedRate(this::round, phase, interval.toMillis(), TimeUnit.MILLISECONDS);
+        int phase = random.nextInt(settings.getGossipIntervalMillis());
+        workers.repeat(phase, settings::getGossipIntervalMillis, this::round);
     }
 
     @Override
     public void stop() {
         GossipProtocol running = protocol;
         if (running != null) {
-            rounds.cancel(false);
             running.left();
             running.takeUrgentTargets().forEach(target -> exchange(running, target));
         }
-        workers.shutdownNow();
+        workers.close();
     }
 
     private Member newSelf(int peerPort) {
@@ -206,21 +196,11 @@
 
     private void round() {
         GossipProtocol running = protocol;
-        try {
-            submitAll(running, running.tick());
-        } catch (RuntimeException e) {
-            LOG.error("gossip round failed", e);
-        }
+        submitAll(running, running.tick());
     }
 
     private void submitAll(GossipProtocol running, List<Member> targets) {
-        for (Member target : targets) {
-            try {
-                workers.execute(() -> exchange(running, target));
-            } catch (RejectedExecutionException e) {
-                LOG.debug("no exchange with {}: this daemon stops", target.daemonId());
-            }
-        }
+        targets.forEach(target -> workers.run(() -> exchange(running, target)));
     }
 
     private void exchange(GossipProtocol running, Member target) {
@@ -233,8 +213,6 @@
             failures.mark();
             LOG.debug("exchange with {} failed: {}", target.daemonId(), e.getMessage());
             running.fail(target.daemonId());
-        } catch (RuntimeException e) {
-            LOG.error("exchange with {} failed", target.daemonId(), e);
         }
     }
 
--- a/daemon/src/main/java/org/dragonflygw/daemon/membership/HostListWatch.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/membership/HostListWatch.java
@@ -4,9 +4,6 @@
 import com.google.inject.Singleton;
 import io.dropwizard.lifecycle.Managed;
 import java.util.Random;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflygw.core.config.PollIntervals;
@@ -14,6 +11,7 @@
 import org.dragonflygw.core.storage.HostDirectory;
 import org.dragonflygw.core.storage.HostListing;
 import org.dragonflygw.core.storage.StorageException;
+import org.dragonflygw.daemon.schedule.BackgroundTimer;
 import org.dragonflygw.wire.settings.RouterSettings;
 
 /**
@@ -29,11 +27,7 @@
     private final GossipNode gossip;
     private final EndpointDirectory endpoints;
     private final PollIntervals intervals;
-    private final ScheduledExecutorService poller = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "host-list");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final BackgroundTimer poller = new BackgroundTimer("host-list", 1);
 
     @Inject
     public HostListWatch(
@@ -48,11 +42,12 @@
     @Override
     public void start() {
         poll();
+        poller.repeat(nextMillis(), this::nextMillis, this::poll);
     }
 
     @Override
     public void stop() {
-        poller.shutdownNow();
+        poller.close();
     }
 
     private void poll() {
@@ -62,9 +57,10 @@
             endpoints.accept(listing);
         } catch (StorageException e) {
             LOG.warn("host list not read: {}", e.getMessage());
-        } catch (RuntimeException e) {
-            LOG.error("host list not read", e);
         }
-        poller.schedule(this::poll, intervals.next(gossip.members().size()), TimeUnit.MILLISECONDS);
+    }
+
+    private long nextMillis() {
+        return intervals.next(gossip.members().size());
     }
 }
--- a/daemon/src/test/java/org/dragonflygw/daemon/FleetFixture.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/FleetFixture.java
@@ -73,7 +73,12 @@
 
     /** Number of the sheet in force on a router. */
     public long sheetNumber(String id) {
-        return router(id).injector().getInstance(ActiveSheetHolder.class).current().version().number();
+        return router(id)
+                .injector()
+                .getInstance(ActiveSheetHolder.class)
+                .current()
+                .version()
+                .number();
     }
 
     public boolean allHaveSheet(long number) {
--- a/daemon/src/test/java/org/dragonflygw/daemon/config/ConfigurationFleetTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/config/ConfigurationFleetTest.java
@@ -52,8 +52,10 @@
             assertThat(ready("r1")).isFalse();
             assertThat(fleet.apply("r1", first, 0, "t1").statusCode()).isEqualTo(200);
             assertThat(eventually(() -> fleet.allHaveSheet(1))).isTrue();
-            assertThat(eventually(() -> ready("r1") && ready("r2") && ready("r3"))).isTrue();
-            SheetView shown = FleetFixture.JSON.readValue(fleet.get("r3", "/v1/sheet").body(), SheetView.class);
+            assertThat(eventually(() -> ready("r1") && ready("r2") && ready("r3")))
+                    .isTrue();
+            SheetView shown =
+                    FleetFixture.JSON.readValue(fleet.get("r3", "/v1/sheet").body(), SheetView.class);
             assertThat(shown.content()).isEqualTo(new String(first, StandardCharsets.UTF_8));
         }
 
--- a/daemon/src/test/java/org/dragonflygw/daemon/membership/MembershipFleetTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/membership/MembershipFleetTest.java
@@ -38,8 +38,10 @@
     }
 
     private boolean alive(String seenBy, String... ids) {
-        List<Member> members =
-                fleet.router(seenBy).injector().getInstance(MembershipView.class).members();
+        List<Member> members = fleet.router(seenBy)
+                .injector()
+                .getInstance(MembershipView.class)
+                .members();
         return members.stream()
                 .filter(member -> member.status() == MemberStatus.ALIVE && member.incarnation() > 0)
                 .map(Member::daemonId)
