--- a/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/PlatformModule.java
@@ -12,7 +12,7 @@
 import org.dragonflygw.wire.settings.RouterSettings;
 
 /** Wires the clients of the platform's service. */
-final class PlatformModule extends AbstractModule {
+public final class PlatformModule extends AbstractModule {
     @Provides
     @Singleton
     PlatformClients clients(RouterSettings settings) {
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/StreamAnswer.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/StreamAnswer.java
@@ -66,11 +66,13 @@
     }
 
     @Override
-    public void write(OutputStream out) throws IOException {
+    public void write(OutputStream out) {
         try {
             relay(out);
         } catch (EndpointException e) {
             fail(out, e);
+        } catch (IOException e) {
+            LOG.info("caller left at token {}: {}", tokens.tokens(), e.toString());
         } finally {
             close();
         }
@@ -138,13 +140,12 @@
 
     private void callerLeft(IOException e) throws IOException {
         callerGone = true;
-        LOG.info("caller left at token {}: {}", tokens.tokens(), e.toString());
         if (!claim.claimed()) {
             throw e;
         }
     }
 
-    private void fail(OutputStream out, EndpointException cause) throws IOException {
+    private void fail(OutputStream out, EndpointException cause) {
         failed = true;
         LOG.warn("answer lost after {} tokens: {}", tokens.tokens(), cause.getMessage());
         CallerException e =
@@ -156,12 +157,19 @@
                 e.code().name());
         grant.end(AttemptOutcome.ENDPOINT_LOST);
         claim.failed(RunStatus.RUN);
-        if (callerGone) {
-            return;
+        if (!callerGone) {
+            tell(out, e);
+        }
+    }
+
+    private void tell(OutputStream out, CallerException e) {
+        try {
+            String body = tools.json.writeValueAsString(ErrorBody.of(e, request.requestId()));
+            out.write(("event: error\ndata: " + body + "\n\n").getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        } catch (IOException left) {
+            LOG.info("caller left before the error: {}", left.toString());
         }
-        String body = tools.json.writeValueAsString(ErrorBody.of(e, request.requestId()));
-        out.write(("event: error\ndata: " + body + "\n\n").getBytes(StandardCharsets.UTF_8));
-        out.flush();
     }
 
     private void finish() {
