--- a/bench/src/main/java/org/dragonflygw/bench/policy/RunResult.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/RunResult.java
@@ -25,6 +25,9 @@
     long failed;
     long reusedTokens;
     long reusableTokens;
+    long placements;
+    long placementsAboveBound;
+    double worstPlacement;
     long samples;
     long samplesAboveBound;
     double worstExcess;
@@ -49,6 +52,15 @@
         }
     }
 
+    /** Notes by how many requests a placement went above the bound. */
+    void placed(double excess) {
+        placements++;
+        if (excess > 1e-9) {
+            placementsAboveBound++;
+            worstPlacement = Math.max(worstPlacement, excess);
+        }
+    }
+
     void refused(String reason) {
         refusals.merge(reason, 1L, Long::sum);
     }
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineHealth.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineHealth.java
@@ -11,7 +11,7 @@
     private static final int FAILURES_TO_SUSPEND = 3;
     private static final int LOSSES_TO_SUSPEND = 2;
     private static final Duration MIN_SUSPENSION = Duration.ofSeconds(1);
-    private static final Duration MAX_SUSPENSION = Duration.ofSeconds(30);
+    private static final Duration MAX_SUSPENSION = Duration.ofSeconds(10);
 
     private int failures;
     private int losses;
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,6 +21,7 @@
  * <p>Lock order: the monitor of a steward, then that of its load bound. Answers are delivered without any lock held.
  */
 public final class EngineSteward {
+    private static final int MAX_SUSPECTS = 8;
     private static final int SPILL_MEMORY_CHATS = 4_096;
     private static final Duration SPILL_KEEP = Duration.ofMinutes(30);
     private static final double DURATION_SMOOTHING = 0.05;
@@ -32,6 +34,7 @@
 
     private final Map<Long, Grant> grants = new HashMap<>();
     private final FairQueue<Waiter> queue;
+    private final ArrayDeque<Waiter> waitingSuspects = new ArrayDeque<>();
     private final TeamShares shares = new TeamShares();
     private final ForeignLoad foreign;
     private final EngineHealth health = new EngineHealth();
@@ -260,7 +263,7 @@
             return;
         }
         if (request.suspect() && suspects > 0) {
-            outbox.add(waiter, refusal(SlotStatus.SUSPECT_BUSY, (long) durationMillis, now));
+            awaitSuspect(waiter, now, outbox);
             return;
         }
         shares.touch(request.team(), request.teamWeight(), now);
@@ -288,7 +291,33 @@
         displaced.ifPresent(other -> outbox.add(other, refusal(SlotStatus.OVERLOADED, wait, now)));
     }
 
+    private void awaitSuspect(Waiter waiter, Instant now, Outbox outbox) {
+        boolean waits = waiter.request().maxWaitMillis() >= durationMillis && waitingSuspects.size() < MAX_SUSPECTS;
+        if (waits) {
+            waitingSuspects.addLast(waiter);
+            return;
+        }
+        outbox.add(waiter, refusal(SlotStatus.SUSPECT_BUSY, (long) durationMillis, now));
+    }
+
+    private void pumpSuspects(Instant now, Outbox outbox) {
+        while (suspects == 0 && !waitingSuspects.isEmpty() && !leaving && !closed && !health.isSuspended(now)) {
+            Waiter waiter = waitingSuspects.getFirst();
+            String team = waiter.request().team();
+            shares.touch(team, waiter.request().teamWeight(), now);
+            if (!waiter.isOverdue(now) && !hasSlot(team, now)) {
+                return;
+            }
+            waitingSuspects.removeFirst();
+            SlotDecision decision = waiter.isOverdue(now)
+                    ? refusal(waiter.overdueStatus(now), (long) durationMillis, now)
+                    : grant(waiter.request(), waiter.since(), now);
+            outbox.add(waiter, decision);
+        }
+    }
+
     private void pump(Instant now, Outbox outbox) {
+        pumpSuspects(now, outbox);
         while (queue.size() > 0 && !leaving && !closed && !health.isSuspended(now)) {
             Optional<Waiter> next = queue.poll(team -> hasSlot(team, now));
             if (next.isEmpty()) {
@@ -298,7 +327,7 @@
             if (waiter.isOverdue(now)) {
                 outbox.add(waiter, refusal(waiter.overdueStatus(now), waitMillis(queue.size()), now));
             } else if (waiter.request().suspect() && suspects > 0) {
-                outbox.add(waiter, refusal(SlotStatus.SUSPECT_BUSY, (long) durationMillis, now));
+                awaitSuspect(waiter, now, outbox);
             } else {
                 outbox.add(waiter, grant(waiter.request(), waiter.since(), now));
             }
@@ -343,12 +372,21 @@
 
     private void refuseAll(SlotStatus status, Outbox outbox) {
         Instant now = clock.instant();
+        waitingSuspects.forEach(waiter -> outbox.add(waiter, refusal(status, 0, now)));
+        waitingSuspects.clear();
         for (Optional<Waiter> next = queue.poll(team -> true); next.isPresent(); next = queue.poll(team -> true)) {
             outbox.add(next.get(), refusal(status, 0, now));
         }
     }
 
     private void refuseOverdue(Instant now, Outbox outbox) {
+        waitingSuspects.removeIf(waiter -> {
+            boolean overdue = waiter.isOverdue(now);
+            if (overdue) {
+                outbox.add(waiter, refusal(waiter.overdueStatus(now), (long) durationMillis, now));
+            }
+            return overdue;
+        });
         Optional<Waiter> next = queue.removeFirst(waiter -> waiter.isOverdue(now));
         while (next.isPresent()) {
             outbox.add(next.get(), refusal(next.get().overdueStatus(now), waitMillis(queue.size()), now));
--- a/core/src/main/java/org/dragonflygw/core/routing/LoadAwareOrder.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/LoadAwareOrder.java
@@ -9,6 +9,7 @@
  */
 public final class LoadAwareOrder implements CandidateOrder {
     private static final int MAX_DRAWS = 12;
+    private static final int RANKED = 12;
 
     private final CandidateOrder order;
     private final ServiceLoads loads;
@@ -29,7 +30,7 @@
 
     @Override
     public int[] rank(CandidateKey key, EndpointTable table, int limit) {
-        int[] ranked = order.rank(key, table, limit);
+        int[] ranked = order.rank(key, table, Math.max(limit, RANKED));
         int[] result = new int[Math.min(limit, table.size())];
         int filled = 0;
         for (int i = 0; i < ranked.length && filled < Math.min(kept, result.length); i++) {
--- a/core/src/main/java/org/dragonflygw/core/routing/MeanLoadBound.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/MeanLoadBound.java
@@ -2,12 +2,13 @@
 
 /**
  * Bounds an engine's load to a multiple of the service's mean plus one request. The mean is taken low, so that the
- * bound holds although the sums are stale and the set of engines changes: stated loads are discounted by what may have
- * ended since, and the mean is taken as though one more empty engine had joined. The discount is cut where it would
- * keep a service with even load from taking more.
+ * bound holds although the sums are stale and the set of engines changes: the others' load is taken one standard
+ * deviation below what was stated, and the mean as though one more empty engine had joined. Both are cut where they
+ * would keep a service with even load from taking more.
  */
 public final class MeanLoadBound implements LoadBound {
     private static final double PROGRESS_MARGIN = 1.04;
+    private static final double DEVIATIONS = 1;
 
     private final String endpointId;
     private final double bound;
@@ -38,9 +39,9 @@
         }
         double engines = (double) total / capacity;
         double margin = Math.min(joinMargin, engines * (bound - 1) / 2);
-        double discounted = (ownLoad + loads.othersLoad(endpointId, durationMillis)) / (engines + margin);
-        double stated = (ownLoad + loads.othersLoad(endpointId, Double.MAX_VALUE)) / engines;
-        double mean = Math.max(discounted, stated * PROGRESS_MARGIN / bound);
+        double low = (ownLoad + loads.othersLoad(endpointId, durationMillis, DEVIATIONS)) / (engines + margin);
+        double stated = (ownLoad + loads.othersLoad(endpointId, durationMillis, 0)) / engines;
+        double mean = Math.max(low, stated * PROGRESS_MARGIN / bound);
         return (int) Math.floor(bound * mean + 1);
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/routing/ServiceLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/ServiceLoads.java
@@ -15,6 +15,7 @@
  */
 public final class ServiceLoads implements EndpointLoadSink {
     private static final long SUMS_VALID_MILLIS = 50;
+    private static final long SPREAD_MILLIS = 100;
 
     private final InstantSource clock;
     private final Map<String, EndpointLoad> loads = new HashMap<>();
@@ -72,12 +73,14 @@
     }
 
     /**
-     * A low estimate of the load of all other endpoints: what they last stated, less what may have ended since.
+     * A low estimate of the load of all other endpoints: what they last stated, less so many standard deviations of
+     * the change since. Arrivals and ends are taken as Poisson processes of equal rate.
      *
      * @param endpointId endpoint that is left out
      * @param durationMillis mean duration of a request, in milliseconds
+     * @param deviations number of standard deviations; 0 for what was stated
      */
-    public synchronized double othersLoad(String endpointId, double durationMillis) {
+    public synchronized double othersLoad(String endpointId, double durationMillis, double deviations) {
         Instant now = clock.instant();
         refreshSums(now);
         EndpointLoad own = loads.get(endpointId);
@@ -85,9 +88,10 @@
         double aged = ageWeightedSum;
         if (own != null && !own.closed()) {
             others -= own.inFlight();
-            aged -= own.inFlight() * ageMillis(own, now);
+            aged -= own.inFlight() * (ageMillis(own, now) + SPREAD_MILLIS);
         }
-        return Math.max(0, others - aged / Math.max(1, durationMillis));
+        double variance = Math.max(0, 2 * aged / Math.max(1, durationMillis));
+        return Math.max(0, others - deviations * Math.sqrt(variance));
     }
 
     /**
@@ -124,7 +128,7 @@
                 continue;
             }
             sum += load.inFlight();
-            ageWeightedSum += load.inFlight() * ageMillis(load, now);
+            ageWeightedSum += load.inFlight() * (ageMillis(load, now) + SPREAD_MILLIS);
         }
         sumsAtMillis = millis;
         sumsStale = false;
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
@@ -13,11 +13,14 @@
  * once. Where a steward names the engine that holds the chat's cache, that one is asked next. When no candidate has a
  * slot, the one with the shortest wait is asked to queue the request until its deadline. Each request has its own
  * search; it is not thread safe and does no input or output.
+ *
+ * <p>A copy of a request that is in flight on the asked engine goes nowhere else, so that copies of a request that
+ * crashes engines do not spread before that is known.
  */
 public final class SlotSearch {
     private final SearchRequest request;
     private final EndpointTable table;
-    private int[] candidates;
+    private final int[] candidates;
     private final Set<String> excluded;
 
     private final Set<String> asked = new HashSet<>();
@@ -34,6 +37,7 @@
     private boolean firstUnavailable;
     private int calls;
     private boolean suspect;
+    private boolean copySeen;
 
     /**
      * Starts a search.
@@ -121,6 +125,11 @@
         suspect = true;
     }
 
+    /** Whether a steward told that the same request is in flight; then its fate matters to a request that waited. */
+    public boolean copySeen() {
+        return copySeen;
+    }
+
     /** The slot; empty while none is held. */
     public Optional<SlotDecision> grant() {
         return Optional.ofNullable(grant);
@@ -161,20 +170,11 @@
         return calls;
     }
 
-    /** Copies of one request stay on two engines, so that one that crashes engines cannot reach more at a time. */
-    private void keepToTwoEngines() {
-        long key = RoutingHash.mix(request.key().chatHash(), request.fingerprint());
-        for (int candidate : table.top(key, 2)) {
-            if (candidate != candidates[0]) {
-                candidates = new int[] {candidates[0], candidate};
-                return;
-            }
-        }
-    }
-
     private void onFull(SlotDecision decision) {
         if (decision.sameInFlight()) {
-            keepToTwoEngines();
+            copySeen = true;
+            nextCandidate = candidates.length;
+            shortestWaitMillis = Long.MAX_VALUE;
         }
         if (worst == SlotStatus.UNAVAILABLE || decision.status() == SlotStatus.OVERLOADED) {
             worst = decision.status();
