--- a/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
@@ -114,7 +114,7 @@
             result.attempts++;
         }
         if (engine.isDown(now)) {
-            schedule(now + 1, () -> end(attempt, engine, AttemptOutcome.ENDPOINT_LOST));
+            schedule(now + 1, () -> end(attempt, engine, AttemptOutcome.UNREACHABLE));
             return;
         }
         if (engine.isFailing()) {
--- a/core/src/main/java/org/dragonflygw/core/limits/FairQueue.java
+++ b/core/src/main/java/org/dragonflygw/core/limits/FairQueue.java
@@ -16,7 +16,7 @@
  * @param <T> queued item
  */
 public final class FairQueue<T> {
-    private final int maxItems;
+    private int maxItems;
     private final Map<String, Flow<T>> flows = new HashMap<>();
     private double virtualTime;
     private int size;
@@ -27,6 +27,11 @@
         this.maxItems = maxItems;
     }
 
+    /** Changes the bound; items above it stay until they are served. */
+    public void setMaxItems(int newMaxItems) {
+        maxItems = newMaxItems;
+    }
+
     /** Number of items. */
     public int size() {
         return size;
--- a/core/src/main/java/org/dragonflygw/core/routing/AttemptOutcome.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/AttemptOutcome.java
@@ -8,6 +8,8 @@
     FAILED,
     /** The caller went away or the deadline passed. */
     CANCELLED,
-    /** The connection was lost or refused and could not be resumed; the endpoint may have crashed. */
-    ENDPOINT_LOST
+    /** The connection was lost and could not be resumed; the endpoint may have crashed while it ran the request. */
+    ENDPOINT_LOST,
+    /** The endpoint could not be reached; certainly nothing was sent. */
+    UNREACHABLE
 }
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineHealth.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineHealth.java
@@ -28,7 +28,7 @@
         if (outcome == AttemptOutcome.CANCELLED) {
             return false;
         }
-        if (outcome == AttemptOutcome.ENDPOINT_LOST) {
+        if (outcome == AttemptOutcome.ENDPOINT_LOST || outcome == AttemptOutcome.UNREACHABLE) {
             losses++;
             probing = true;
         } else {
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
@@ -28,8 +28,8 @@
 
     private final String endpointId;
     private final long epoch;
-    private final StewardSettings settings;
-    private final LoadBound bound;
+    private StewardSettings settings;
+    private LoadBound bound;
     private final InstantSource clock;
 
     private final Map<Long, Grant> grants = new HashMap<>();
@@ -86,6 +86,13 @@
         return epoch;
     }
 
+    /** Changes limits and bound; grants above them stay. */
+    public synchronized void reconfigure(StewardSettings newSettings, LoadBound newBound) {
+        settings = newSettings;
+        bound = newBound;
+        queue.setMaxItems(newSettings.maxQueue());
+    }
+
     /** Asks for a slot. The listener is called exactly once, at once or when the request leaves the queue. */
     public void acquire(SlotRequest request, Consumer<SlotDecision> listener) {
         Outbox outbox = new Outbox();
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/routing/PoolSum.java
@@ -0,0 +1,9 @@
+package org.dragonflygw.core.routing;
+
+/**
+ * Load of a part of a pool.
+ *
+ * @param inFlight requests on its endpoints
+ * @param capacity capacity of those that take work
+ */
+public record PoolSum(int inFlight, int capacity) {}
--- a/core/src/main/java/org/dragonflygw/core/routing/ServiceLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/ServiceLoads.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.core.fleet.EndpointState;
 
@@ -16,6 +17,7 @@
 public final class ServiceLoads implements EndpointLoadSink {
     private static final long SUMS_VALID_MILLIS = 50;
     private static final long SPREAD_MILLIS = 100;
+    private static final long ELSEWHERE_VALID_MILLIS = 600;
 
     private final InstantSource clock;
     private final Map<String, EndpointLoad> loads = new HashMap<>();
@@ -25,6 +27,7 @@
     private double ageWeightedSum;
     private long sumsAtMillis;
     private boolean sumsStale = true;
+    private Elsewhere elsewhere = Elsewhere.NONE;
 
     public ServiceLoads(InstantSource clock) {
         this.clock = clock;
@@ -56,6 +59,32 @@
         }
     }
 
+    /**
+     * Takes the sum over the endpoints whose stewards are other daemons. While it is fresh it goes before their single
+     * statements, which are older.
+     *
+     * @param inFlight their load
+     * @param capacity capacity of those that take work
+     * @param ownEndpoints endpoints that the sum leaves out
+     */
+    public synchronized void acceptElsewhere(int inFlight, int capacity, Set<String> ownEndpoints) {
+        elsewhere = new Elsewhere(inFlight, capacity, Set.copyOf(ownEndpoints), clock.instant());
+        sumsStale = true;
+    }
+
+    /** The load of all endpoints but the given ones. */
+    public synchronized PoolSum sumWithout(Set<String> left) {
+        int inFlight = 0;
+        int capacity = 0;
+        for (Map.Entry<String, Integer> entry : capacities.entrySet()) {
+            EndpointLoad load = loads.get(entry.getKey());
+            boolean counts = !left.contains(entry.getKey()) && (load == null || !load.closed());
+            capacity += counts ? entry.getValue() : 0;
+            inFlight += counts && load != null ? load.inFlight() : 0;
+        }
+        return new PoolSum(inFlight, capacity);
+    }
+
     /** Last stated load of an endpoint. */
     public synchronized Optional<EndpointLoad> find(String endpointId) {
         return Optional.ofNullable(loads.get(endpointId));
@@ -121,19 +150,39 @@
         }
         sum = 0;
         ageWeightedSum = 0;
-        openCapacity = capacities.values().stream().mapToInt(Integer::intValue).sum();
-        for (EndpointLoad load : loads.values()) {
-            if (load.closed()) {
-                openCapacity -= capacities.get(load.endpointId());
+        openCapacity = 0;
+        boolean summed = elsewhere.isFresh(now);
+        for (Map.Entry<String, Integer> entry : capacities.entrySet()) {
+            EndpointLoad load = loads.get(entry.getKey());
+            boolean inSum = summed && !elsewhere.ownEndpoints().contains(entry.getKey());
+            if (inSum || (load != null && load.closed())) {
+                continue;
+            }
+            openCapacity += entry.getValue();
+            if (load == null) {
                 continue;
             }
             sum += load.inFlight();
             ageWeightedSum += load.inFlight() * (ageMillis(load, now) + SPREAD_MILLIS);
         }
+        if (summed) {
+            long age = Duration.between(elsewhere.at(), now).toMillis() + SPREAD_MILLIS;
+            sum += elsewhere.inFlight();
+            ageWeightedSum += (double) elsewhere.inFlight() * age;
+            openCapacity += elsewhere.capacity();
+        }
         sumsAtMillis = millis;
         sumsStale = false;
     }
 
+    private record Elsewhere(int inFlight, int capacity, Set<String> ownEndpoints, Instant at) {
+        private static final Elsewhere NONE = new Elsewhere(0, 0, Set.of(), Instant.EPOCH);
+
+        private boolean isFresh(Instant now) {
+            return now.isBefore(at.plusMillis(ELSEWHERE_VALID_MILLIS));
+        }
+    }
+
     private static double ageMillis(EndpointLoad load, Instant now) {
         return Math.max(0, Duration.between(load.receivedAt(), now).toMillis());
     }
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
@@ -129,7 +129,7 @@
         if (e.certainlyNotSent()) {
             return new AttemptException(
                     CallerCode.ENDPOINT_UNREACHABLE,
-                    AttemptOutcome.ENDPOINT_LOST,
+                    AttemptOutcome.UNREACHABLE,
                     RunStatus.NOT_RUN,
                     true,
                     "the engine could not be reached",
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/PlainAttempts.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/PlainAttempts.java
@@ -70,7 +70,7 @@
         if (e.certainlyNotSent()) {
             return new AttemptException(
                     CallerCode.ENDPOINT_UNREACHABLE,
-                    AttemptOutcome.ENDPOINT_LOST,
+                    AttemptOutcome.UNREACHABLE,
                     RunStatus.NOT_RUN,
                     true,
                     "the service could not be reached",
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/Epochs.java
@@ -0,0 +1,34 @@
+package org.dragonflygw.daemon.grant;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.time.Clock;
+import java.util.concurrent.atomic.AtomicLong;
+import org.dragonflygw.core.routing.RoutingHash;
+import org.dragonflygw.wire.settings.RouterSettings;
+
+/**
+ * Makes the epochs of stewards: grow with time, differ between daemons, and are higher than every epoch that this daemon
+ * has seen for the engine. Safe from every thread.
+ */
+@Singleton
+public final class Epochs {
+    private static final int DAEMON_BITS = 10;
+
+    private final Clock clock;
+    private final long daemonBits;
+    private final AtomicLong last = new AtomicLong();
+
+    @Inject
+    public Epochs(Clock clock, RouterSettings settings) {
+        this.clock = clock;
+        this.daemonBits = RoutingHash.of(settings.getDaemonId()) & ((1L << DAEMON_BITS) - 1);
+    }
+
+    /** An epoch above another one. */
+    long next(long seen) {
+        long base = Math.max(clock.millis(), (seen >> DAEMON_BITS) + 1);
+        long tick = last.updateAndGet(before -> Math.max(before + 1, base));
+        return (tick << DAEMON_BITS) | daemonBits;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/GrantLedger.java
@@ -0,0 +1,144 @@
+package org.dragonflygw.daemon.grant;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.dragonflygw.core.membership.Member;
+import org.dragonflygw.core.routing.AttemptOutcome;
+import org.dragonflygw.core.routing.EngineSteward;
+import org.dragonflygw.core.routing.SlotDecision;
+import org.dragonflygw.core.routing.SlotQuestion;
+import org.dragonflygw.wire.codec.GrantCodec;
+import org.dragonflygw.wire.grants.GrantEnd;
+import org.dragonflygw.wire.grants.GrantRenewal;
+
+/**
+ * The grants that requests of this daemon hold: renews them, ends them, and asks a new steward to count those of an
+ * earlier one. Safe from every thread; a grant changes by replacement of its entry.
+ */
+@Singleton
+public final class GrantLedger {
+    private final StewardView view;
+    private final StewardTable stewards;
+    private final UpdateBatches batches;
+    private final CrashReports crashes;
+    private final Map<Long, HeldGrant> held = new ConcurrentHashMap<>();
+    private final AtomicLong nextKey = new AtomicLong();
+
+    @Inject
+    public GrantLedger(
+            StewardView view,
+            StewardTable stewards,
+            UpdateBatches batches,
+            CrashReports crashes,
+            MetricRegistry metrics) {
+        this.view = view;
+        this.stewards = stewards;
+        this.batches = batches;
+        this.crashes = crashes;
+        metrics.registerGauge("dragonflygw.grant.held.grants", held::size);
+    }
+
+    /** Keeps a grant; returns its key. */
+    long add(SlotQuestion question, String serviceName, SlotDecision decision) {
+        long key = nextKey.incrementAndGet();
+        held.put(
+                key,
+                new HeldGrant(
+                        question.endpoint(), serviceName, question.request(), decision.epoch(), decision.grantId()));
+        return key;
+    }
+
+    /** Ends a grant. */
+    void end(long key, AttemptOutcome outcome) {
+        HeldGrant grant = held.remove(key);
+        if (grant == null) {
+            return;
+        }
+        crashes.onEnd(grant.request(), grant.endpoint().id(), outcome);
+        tellEnd(grant, outcome);
+    }
+
+    /** Renews all grants; those of stewards in this process at once, the others with the next batches. */
+    void renewAll() {
+        Map<String, GrantRenewal> renewals = new HashMap<>();
+        Map<String, Member> owners = new HashMap<>();
+        held.forEach((key, grant) -> {
+            Optional<Member> owner =
+                    view.engineSteward(grant.endpoint().id(), grant.endpoint().region());
+            if (owner.isEmpty()) {
+                return;
+            }
+            if (view.isSelf(owner.get())) {
+                renewHere(key, grant);
+                return;
+            }
+            String engineId = grant.endpoint().id();
+            owners.put(engineId, owner.get());
+            renewals.computeIfAbsent(
+                            engineId + " " + grant.epoch(),
+                            name -> new GrantRenewal(engineId, grant.epoch(), new ArrayList<>()))
+                    .addToGrantIds(grant.grantId());
+        });
+        renewals.values().forEach(renewal -> batches.renew(owners.get(renewal.getEngineId()), renewal));
+    }
+
+    /** The grants among renewals that a steward does not know; they are asked for anew. */
+    List<Map.Entry<Long, HeldGrant>> find(List<GrantRenewal> unknown) {
+        List<Map.Entry<Long, HeldGrant>> found = new ArrayList<>();
+        for (GrantRenewal renewal : unknown) {
+            for (Map.Entry<Long, HeldGrant> entry : held.entrySet()) {
+                HeldGrant grant = entry.getValue();
+                boolean named = grant.endpoint().id().equals(renewal.getEngineId())
+                        && grant.epoch() == renewal.getEpoch()
+                        && renewal.getGrantIds().contains(grant.grantId());
+                if (named) {
+                    found.add(entry);
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Notes that a new steward counts a grant. */
+    void replace(long key, HeldGrant before, SlotDecision decision) {
+        HeldGrant after = before.under(decision.epoch(), decision.grantId());
+        if (!held.replace(key, before, after)) {
+            tellEnd(after, AttemptOutcome.CANCELLED);
+        }
+    }
+
+    private void renewHere(long key, HeldGrant grant) {
+        Optional<EngineSteward> steward = stewards.find(grant.endpoint().id());
+        if (steward.isPresent() && !steward.get().renew(grant.grantId(), grant.epoch())) {
+            replace(key, grant, steward.get().adopt(grant.request()));
+        }
+    }
+
+    private void tellEnd(HeldGrant grant, AttemptOutcome outcome) {
+        String engineId = grant.endpoint().id();
+        Optional<Member> owner = view.engineSteward(engineId, grant.endpoint().region());
+        if (owner.isEmpty()) {
+            return;
+        }
+        if (view.isSelf(owner.get())) {
+            stewards.find(engineId).ifPresent(steward -> steward.end(grant.grantId(), grant.epoch(), outcome));
+            return;
+        }
+        batches.end(
+                owner.get(),
+                new GrantEnd(
+                        engineId,
+                        grant.grantId(),
+                        grant.epoch(),
+                        GrantCodec.toWire(outcome),
+                        grant.request().fingerprint()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/GrantNotes.java
@@ -0,0 +1,43 @@
+package org.dragonflygw.daemon.grant;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.Optional;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.membership.Member;
+import org.dragonflygw.wire.grants.ChatSpill;
+
+/** Tells owners what they should remember of a search. Safe from every thread. */
+@Singleton
+public final class GrantNotes {
+    private final StewardView view;
+    private final StewardTable stewards;
+    private final UpdateBatches batches;
+    private final CrashReports crashes;
+
+    @Inject
+    public GrantNotes(StewardView view, StewardTable stewards, UpdateBatches batches, CrashReports crashes) {
+        this.view = view;
+        this.stewards = stewards;
+        this.batches = batches;
+        this.crashes = crashes;
+    }
+
+    /** Tells the steward of a chat's first engine where the chat went. */
+    void spilled(Endpoint first, long chatHash, Endpoint to) {
+        Optional<Member> owner = view.engineSteward(first.id(), first.region());
+        if (owner.isEmpty()) {
+            return;
+        }
+        if (view.isSelf(owner.get())) {
+            stewards.find(first.id()).ifPresent(steward -> steward.noteSpill(chatHash, to.id()));
+            return;
+        }
+        batches.spill(owner.get(), new ChatSpill(first.id(), chatHash, to.id()));
+    }
+
+    /** Tells the owner of a fingerprint that the only allowed attempt was not made. */
+    void soloEnded(long fingerprint, String requestId) {
+        crashes.endSolo(fingerprint, requestId, false);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/GrantWorker.java
@@ -0,0 +1,212 @@
+package org.dragonflygw.daemon.grant;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import io.dropwizard.lifecycle.Managed;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflygw.core.membership.Member;
+import org.dragonflygw.core.retry.Quarantine;
+import org.dragonflygw.core.routing.EndpointLoad;
+import org.dragonflygw.core.routing.SlotDecision;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventSubject;
+import org.dragonflygw.core.timeline.EventType;
+import org.dragonflygw.core.timeline.HybridClock;
+import org.dragonflygw.daemon.peer.PeerClients;
+import org.dragonflygw.daemon.peer.PeerException;
+import org.dragonflygw.wire.codec.GrantCodec;
+import org.dragonflygw.wire.codec.WireException;
+import org.dragonflygw.wire.grants.EngineLoad;
+import org.dragonflygw.wire.grants.GrantRequest;
+import org.dragonflygw.wire.grants.GrantUpdateReply;
+import org.dragonflygw.wire.grants.LoadStatement;
+import org.dragonflygw.wire.grants.LoadSum;
+
+/**
+ * Background work of grants: takes over and gives up engines, expires leases, renews and ends grants in batches, and
+ * exchanges the loads of pools.
+ */
+@Singleton
+public final class GrantWorker implements Managed {
+    private static final Logger LOG = LogManager.getLogger(GrantWorker.class);
+    private static final int THREADS = 4;
+    private static final int CALL_TIMEOUT_MILLIS = 500;
+    private static final long FLUSH_MILLIS = 20;
+    private static final long EXPIRE_MILLIS = 50;
+    private static final long REFRESH_MILLIS = 100;
+    private static final long LOADS_MILLIS = 200;
+    private static final long RENEW_MILLIS = 6_000;
+    private static final long QUARANTINE_MILLIS = 5_000;
+
+    private final StewardTable stewards;
+    private final StewardView view;
+    private final UpdateBatches batches;
+    private final GrantLedger ledger;
+    private final Quarantine quarantine;
+    private final PeerClients peers;
+    private final EventRecorder events;
+    private final GrantMetrics metrics;
+    private final HybridClock hybrid;
+    private final Clock clock;
+    private ScheduledExecutorService threads;
+
+    @Inject
+    GrantWorker(
+            StewardTable stewards,
+            StewardView view,
+            UpdateBatches batches,
+            GrantLedger ledger,
+            Quarantine quarantine,
+            PeerClients peers,
+            EventRecorder events,
+            GrantMetrics metrics,
+            HybridClock hybrid,
+            Clock clock) {
+        this.stewards = stewards;
+        this.view = view;
+        this.batches = batches;
+        this.ledger = ledger;
+        this.quarantine = quarantine;
+        this.peers = peers;
+        this.events = events;
+        this.metrics = metrics;
+        this.hybrid = hybrid;
+        this.clock = clock;
+    }
+
+    @Override
+    public void start() {
+        threads = Executors.newScheduledThreadPool(THREADS, task -> {
+            Thread thread = new Thread(task, "grants");
+            thread.setDaemon(true);
+            return thread;
+        });
+        every(REFRESH_MILLIS, this::refresh);
+        every(EXPIRE_MILLIS, this::expire);
+        every(FLUSH_MILLIS, this::flush);
+        every(LOADS_MILLIS, this::exchangeLoads);
+        every(RENEW_MILLIS, ledger::renewAll);
+        every(QUARANTINE_MILLIS, this::expireQuarantine);
+    }
+
+    @Override
+    public void stop() {
+        threads.shutdownNow();
+        flush();
+    }
+
+    private void refresh() {
+        stewards.refresh();
+        stewards.observe();
+    }
+
+    private void expire() {
+        for (Stewarded each : stewards.all()) {
+            int expired = each.steward().expire();
+            if (expired > 0) {
+                metrics.expired(expired);
+                events.record(
+                        EventType.GRANT_EXPIRED,
+                        EventSubject.endpoint(each.endpoint().id()),
+                        expired + " leases lapsed");
+            }
+        }
+    }
+
+    private void expireQuarantine() {
+        int lifted = quarantine.expire();
+        if (lifted > 0) {
+            events.record(EventType.QUARANTINE_LIFTED, EventSubject.NONE, lifted + " fingerprints");
+        }
+    }
+
+    private void flush() {
+        batches.take().forEach(this::send);
+    }
+
+    private void send(UpdateBatches.Batch batch) {
+        try {
+            GrantUpdateReply reply =
+                    peers.updateGrants(StewardView.address(batch.to()), batch.message(), CALL_TIMEOUT_MILLIS);
+            ledger.find(reply.getUnknown()).forEach(entry -> adopt(batch.to(), entry.getKey(), entry.getValue()));
+        } catch (PeerException e) {
+            LOG.debug("grant update to {} failed: {}", batch.to().daemonId(), e.getMessage());
+            batches.putBack(batch);
+        }
+    }
+
+    private void adopt(Member steward, long key, HeldGrant grant) {
+        GrantRequest request =
+                GrantCodec.toWire(grant.request(), grant.endpoint().id(), grant.serviceName(), 0, hybrid.now());
+        request.setAdopted(true);
+        try {
+            SlotDecision decision =
+                    GrantCodec.fromWire(peers.acquireGrant(StewardView.address(steward), request, CALL_TIMEOUT_MILLIS));
+            if (decision.granted()) {
+                ledger.replace(key, grant, decision);
+            }
+        } catch (PeerException | WireException e) {
+            LOG.debug("grant not counted by {}: {}", steward.daemonId(), e.getMessage());
+        }
+    }
+
+    private void exchangeLoads() {
+        Map<String, List<Stewarded>> byPool = new HashMap<>();
+        for (Stewarded each : stewards.all()) {
+            byPool.computeIfAbsent(each.endpoint().pool(), pool -> new ArrayList<>())
+                    .add(each);
+        }
+        byPool.forEach(this::exchangeLoads);
+    }
+
+    private void exchangeLoads(String pool, List<Stewarded> own) {
+        PoolBoard board = own.get(0).board();
+        Set<String> ids = new HashSet<>();
+        List<EngineLoad> loads = new ArrayList<>();
+        for (Stewarded each : own) {
+            EndpointLoad load = each.steward().load();
+            board.loads().accept(load);
+            ids.add(load.endpointId());
+            loads.add(new EngineLoad(load.endpointId(), load.epoch(), load.version(), load.inFlight(), load.closed()));
+        }
+        Optional<Member> owner = view.poolOwner(pool);
+        if (owner.isEmpty() || view.isSelf(owner.get())) {
+            return;
+        }
+        try {
+            LoadSum sum = peers.stateLoads(
+                    StewardView.address(owner.get()), new LoadStatement(pool, loads), CALL_TIMEOUT_MILLIS);
+            board.loads().acceptElsewhere(sum.getInFlight(), sum.getCapacity(), ids);
+        } catch (PeerException e) {
+            LOG.debug("loads of {} not exchanged at {}: {}", pool, clock.instant(), e.getMessage());
+        }
+    }
+
+    private void every(long millis, Runnable task) {
+        Future<?> scheduled = threads.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        LOG.error("background work of grants failed", e);
+                    }
+                },
+                0,
+                millis,
+                TimeUnit.MILLISECONDS);
+        LOG.trace("scheduled {}", scheduled);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/PoolBoard.java
@@ -0,0 +1,65 @@
+package org.dragonflygw.daemon.grant;
+
+import java.time.InstantSource;
+import java.util.List;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.routing.CandidateKey;
+import org.dragonflygw.core.routing.CandidateOrder;
+import org.dragonflygw.core.routing.EndpointTable;
+import org.dragonflygw.core.routing.HotPrefixTracker;
+import org.dragonflygw.core.routing.LoadAwareOrder;
+import org.dragonflygw.core.routing.PrefixAffinityOrder;
+import org.dragonflygw.core.routing.ServiceLoads;
+
+/**
+ * What this daemon knows of one pool: its endpoints prepared for ranking, their stated loads, and the candidate order.
+ * Safe from every thread; the monitor guards the change of the endpoints and is taken before that of the loads.
+ */
+final class PoolBoard {
+    private static final int TRACKED_PREFIXES = 256;
+    private static final int WINDOW_REQUESTS = 4_096;
+    private static final double SET_SHARE = 0.5;
+    private static final int KEPT_CANDIDATES = 3;
+
+    private final ServiceLoads loads;
+    private final CandidateOrder order;
+    private volatile Endpoints endpoints = new Endpoints(List.of(), EndpointTable.of(List.of()));
+
+    PoolBoard(InstantSource clock) {
+        this.loads = new ServiceLoads(clock);
+        CandidateOrder affinity =
+                new PrefixAffinityOrder(new HotPrefixTracker(TRACKED_PREFIXES, WINDOW_REQUESTS), SET_SHARE);
+        this.order = new LoadAwareOrder(affinity, loads, KEPT_CANDIDATES);
+    }
+
+    /** Takes the endpoints of the pool; does nothing when they are the known ones. */
+    void setEndpoints(List<Endpoint> list) {
+        if (endpoints.list() == list) {
+            return;
+        }
+        synchronized (this) {
+            if (!endpoints.list().equals(list)) {
+                loads.setEndpoints(list);
+            }
+            endpoints = new Endpoints(list, EndpointTable.of(list));
+        }
+    }
+
+    ServiceLoads loads() {
+        return loads;
+    }
+
+    EndpointTable table() {
+        return endpoints.table();
+    }
+
+    List<Endpoint> list() {
+        return endpoints.list();
+    }
+
+    int[] rank(CandidateKey key, EndpointTable table, int limit) {
+        return order.rank(key, table, limit);
+    }
+
+    private record Endpoints(List<Endpoint> list, EndpointTable table) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardCalls.java
@@ -0,0 +1,137 @@
+package org.dragonflygw.daemon.grant;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.dragonflygw.core.config.Service;
+import org.dragonflygw.core.config.Team;
+import org.dragonflygw.core.limits.TeamRateSteward;
+import org.dragonflygw.core.limits.TeamTokenSource;
+import org.dragonflygw.core.limits.TeamTokens;
+import org.dragonflygw.core.membership.Member;
+import org.dragonflygw.core.retry.Quarantine;
+import org.dragonflygw.core.retry.SuspectVerdict;
+import org.dragonflygw.core.routing.EngineSteward;
+import org.dragonflygw.core.routing.SlotDecision;
+import org.dragonflygw.core.routing.SlotQuestion;
+import org.dragonflygw.core.timeline.HybridClock;
+import org.dragonflygw.daemon.peer.PeerClients;
+import org.dragonflygw.daemon.peer.PeerException;
+import org.dragonflygw.wire.codec.GrantCodec;
+import org.dragonflygw.wire.codec.WireException;
+import org.dragonflygw.wire.grants.SuspectRequest;
+import org.dragonflygw.wire.grants.TeamTokenRequest;
+
+/**
+ * Asks the owners of engines, teams and fingerprints: in this process where this daemon is the owner, else over the
+ * network. Safe from every thread.
+ */
+@Singleton
+public final class StewardCalls implements TeamTokenSource {
+    private static final int CALL_TIMEOUT_MILLIS = 500;
+
+    private final StewardView view;
+    private final StewardTable stewards;
+    private final TeamRateSteward rates;
+    private final Quarantine quarantine;
+    private final PeerClients peers;
+    private final HybridClock clock;
+
+    @Inject
+    public StewardCalls(
+            StewardView view,
+            StewardTable stewards,
+            TeamRateSteward rates,
+            Quarantine quarantine,
+            PeerClients peers,
+            HybridClock clock) {
+        this.view = view;
+        this.stewards = stewards;
+        this.rates = rates;
+        this.quarantine = quarantine;
+        this.peers = peers;
+        this.clock = clock;
+    }
+
+    /**
+     * Asks for a slot; blocks while the request waits in the queue.
+     *
+     * @throws GrantException when no answer came; the request was not run, and a slot that may be held expires
+     */
+    SlotDecision acquire(SlotQuestion question, Service service, int priority) {
+        String engineId = question.endpoint().id();
+        Optional<Member> steward =
+                view.engineSteward(engineId, question.endpoint().region());
+        if (steward.isEmpty()) {
+            throw new GrantException(GrantCode.NO_STEWARD, "no steward for " + engineId, null);
+        }
+        int timeoutMillis = (int) Math.min(Integer.MAX_VALUE, question.request().maxWaitMillis() + CALL_TIMEOUT_MILLIS);
+        if (view.isSelf(steward.get())) {
+            return acquireHere(question, timeoutMillis);
+        }
+        try {
+            return GrantCodec.fromWire(peers.acquireGrant(
+                    StewardView.address(steward.get()),
+                    GrantCodec.toWire(question.request(), engineId, service.name(), priority, clock.now()),
+                    timeoutMillis));
+        } catch (PeerException | WireException e) {
+            throw new GrantException(GrantCode.STEWARD_UNREACHABLE, "steward of " + engineId, e);
+        }
+    }
+
+    /** Asks whether a request may be attempted; the own knowledge counts where the owner gives no answer. */
+    SuspectVerdict askSuspect(long fingerprint, String requestId) {
+        Optional<Member> owner = view.fingerprintOwner(fingerprint);
+        if (owner.isEmpty() || view.isSelf(owner.get())) {
+            return quarantine.ask(fingerprint, requestId);
+        }
+        try {
+            return GrantCodec.fromWire(peers.askSuspect(
+                    StewardView.address(owner.get()), new SuspectRequest(fingerprint, requestId), CALL_TIMEOUT_MILLIS));
+        } catch (PeerException | WireException e) {
+            return quarantine.ask(fingerprint, requestId);
+        }
+    }
+
+    @Override
+    public Optional<TeamTokens> take(Team team, int wanted) {
+        Optional<Member> owner = view.teamOwner(team.name());
+        if (owner.isEmpty()) {
+            return Optional.empty();
+        }
+        if (view.isSelf(owner.get())) {
+            return Optional.of(rates.take(team, wanted));
+        }
+        try {
+            return Optional.of(GrantCodec.fromWire(peers.takeTeamTokens(
+                    StewardView.address(owner.get()), new TeamTokenRequest(team.name(), wanted), CALL_TIMEOUT_MILLIS)));
+        } catch (PeerException | WireException e) {
+            return Optional.empty();
+        }
+    }
+
+    private SlotDecision acquireHere(SlotQuestion question, int timeoutMillis) {
+        Optional<EngineSteward> steward = stewards.find(question.endpoint().id());
+        if (steward.isEmpty()) {
+            throw new GrantException(
+                    GrantCode.NO_STEWARD,
+                    "not yet steward of " + question.endpoint().id(),
+                    null);
+        }
+        CompletableFuture<SlotDecision> answer = new CompletableFuture<>();
+        steward.get().acquire(question.request(), answer::complete);
+        try {
+            return answer.get(timeoutMillis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new GrantException(GrantCode.STEWARD_UNREACHABLE, "interrupted", e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new GrantException(
+                    GrantCode.STEWARD_UNREACHABLE, question.endpoint().id(), e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardSelector.java
@@ -0,0 +1,293 @@
+package org.dragonflygw.daemon.grant;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.limits.TeamRateLimiter;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.retry.Quarantine;
+import org.dragonflygw.core.retry.RetryBudgets;
+import org.dragonflygw.core.retry.SuspectVerdict;
+import org.dragonflygw.core.routing.AttemptOutcome;
+import org.dragonflygw.core.routing.CandidateKey;
+import org.dragonflygw.core.routing.EndpointGrant;
+import org.dragonflygw.core.routing.EndpointSelector;
+import org.dragonflygw.core.routing.EndpointTable;
+import org.dragonflygw.core.routing.RoutingCode;
+import org.dragonflygw.core.routing.RoutingException;
+import org.dragonflygw.core.routing.SearchRequest;
+import org.dragonflygw.core.routing.SlotDecision;
+import org.dragonflygw.core.routing.SlotQuestion;
+import org.dragonflygw.core.routing.SlotSearch;
+import org.dragonflygw.core.routing.SlotStatus;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventSubject;
+import org.dragonflygw.core.timeline.EventType;
+
+/**
+ * Takes slots from the stewards of engines. Whatever it refuses was not dispatched. Safe from every thread; a request
+ * that waits holds its own thread only.
+ */
+@Singleton
+public final class StewardSelector implements EndpointSelector {
+    private static final int CANDIDATES = 5;
+    private static final int SUSPECT_CANDIDATES = 10;
+    private static final int PREFILL_TOKENS_PER_SECOND = 10_000;
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private final PoolBoards boards;
+    private final StewardCalls calls;
+    private final GrantLedger ledger;
+    private final GrantNotes notes;
+    private final LocalShare localShare;
+    private final TeamRateLimiter rates;
+    private final Quarantine quarantine;
+    private final RetryBudgets budgets;
+    private final EventRecorder events;
+    private final GrantMetrics metrics;
+    private final Clock clock;
+
+    @Inject
+    StewardSelector(
+            PoolBoards boards,
+            StewardCalls calls,
+            GrantLedger ledger,
+            GrantNotes notes,
+            LocalShare localShare,
+            TeamRateLimiter rates,
+            Quarantine quarantine,
+            RetryBudgets budgets,
+            EventRecorder events,
+            GrantMetrics metrics,
+            Clock clock) {
+        this.boards = boards;
+        this.calls = calls;
+        this.ledger = ledger;
+        this.notes = notes;
+        this.localShare = localShare;
+        this.rates = rates;
+        this.quarantine = quarantine;
+        this.budgets = budgets;
+        this.events = events;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    @Override
+    public EndpointGrant acquire(RequestContext request, Set<String> excludedEndpoints) {
+        if (excludedEndpoints.isEmpty()) {
+            budgets.of(request.service()).onRequest();
+            checkRate(request);
+        }
+        PoolBoard board = boards.of(request.service().pool());
+        EndpointTable table = board.table();
+        if (table.size() == 0) {
+            throw new RoutingException(
+                    RoutingCode.NO_ENDPOINT, "pool " + request.service().pool() + " is empty", RETRY_AFTER_MILLIS);
+        }
+        boolean asked = !excludedEndpoints.isEmpty() || quarantine.crashes(request.fingerprint()) > 0;
+        boolean suspect = asked && checkSuspect(request);
+        CandidateKey key = CandidateKey.of(request);
+        int[] candidates = board.rank(key, table, suspect ? SUSPECT_CANDIDATES : CANDIDATES);
+        SlotSearch search = new SlotSearch(searchRequest(request, key, suspect), table, candidates, excludedEndpoints);
+        return new Walk(request, search, candidates, excludedEndpoints, asked, suspect).run();
+    }
+
+    private void checkRate(RequestContext request) {
+        long waitMillis = rates.acquire(request.team());
+        if (waitMillis > 0) {
+            throw new RoutingException(
+                    RoutingCode.TEAM_RATE_EXCEEDED, "team " + request.team().name() + " is over its rate", waitMillis);
+        }
+    }
+
+    /** Returns whether the request may run only alone. */
+    private boolean checkSuspect(RequestContext request) {
+        SuspectVerdict verdict = calls.askSuspect(request.fingerprint(), request.requestId());
+        return switch (verdict.kind()) {
+            case CLEAR -> false;
+            case SOLO -> true;
+            case BUSY ->
+                throw new RoutingException(
+                        RoutingCode.OVERLOADED,
+                        "the same request was in flight on an engine that was lost, and is being tried alone",
+                        verdict.retryAfterMillis());
+            case QUARANTINED -> throw quarantined(verdict.retryAfterMillis());
+        };
+    }
+
+    private static RoutingException quarantined(long retryAfterMillis) {
+        return new RoutingException(
+                RoutingCode.QUARANTINED, "the request was in flight on engines that were lost", retryAfterMillis);
+    }
+
+    private static SearchRequest searchRequest(RequestContext request, CandidateKey key, boolean suspect) {
+        long coldMillis = TimeUnit.SECONDS.toMillis(request.promptTokens()) / PREFILL_TOKENS_PER_SECOND;
+        return new SearchRequest(
+                request.requestId(),
+                request.team().name(),
+                Math.max(1, request.team().weight()),
+                key,
+                request.fingerprint(),
+                coldMillis,
+                suspect);
+    }
+
+    /** One walk over the candidates. */
+    private final class Walk {
+        private final RequestContext request;
+        private final SlotSearch search;
+        private final int[] candidates;
+        private final Set<String> excluded;
+        private final long startNanos = System.nanoTime();
+        private boolean asked;
+        private boolean suspect;
+        private boolean reachedNone = true;
+
+        private Walk(
+                RequestContext request,
+                SlotSearch search,
+                int[] candidates,
+                Set<String> excluded,
+                boolean asked,
+                boolean suspect) {
+            this.request = request;
+            this.search = search;
+            this.candidates = candidates;
+            this.excluded = excluded;
+            this.asked = asked;
+            this.suspect = suspect;
+        }
+
+        private EndpointGrant run() {
+            try {
+                Optional<EndpointGrant> grant = walk();
+                return grant.orElseThrow(this::refusal);
+            } catch (RoutingException e) {
+                metrics.refused(search.calls());
+                endSolo();
+                record(EventType.GRANT_REFUSED, "", e.code() + " after " + search.calls() + " questions");
+                throw e;
+            }
+        }
+
+        private Optional<EndpointGrant> walk() {
+            Optional<SlotQuestion> question = search.next(remainingMillis());
+            while (question.isPresent()) {
+                Optional<SlotDecision> decision = ask(question.get());
+                if (decision.isPresent() && decision.get().granted()) {
+                    return Optional.of(granted(question.get(), decision.get()));
+                }
+                if (search.firstUnavailable() && !asked) {
+                    asked = true;
+                    suspect = checkSuspect(request);
+                    if (suspect) {
+                        search.markSuspect();
+                    }
+                }
+                question = search.next(remainingMillis());
+            }
+            return reachedNone ? takeLocalShare() : Optional.empty();
+        }
+
+        private Optional<SlotDecision> ask(SlotQuestion question) {
+            try {
+                SlotDecision decision = calls.acquire(question, request.service(), request.priority());
+                reachedNone &= decision.status() == SlotStatus.NOT_STEWARD;
+                search.onDecision(decision);
+                return Optional.of(decision);
+            } catch (GrantException e) {
+                metrics.unreachable();
+                record(EventType.STEWARD_UNREACHABLE, question.endpoint().id(), String.valueOf(e.getMessage()));
+                search.onUnreachable();
+                return Optional.empty();
+            }
+        }
+
+        private EndpointGrant granted(SlotQuestion question, SlotDecision decision) {
+            long key = ledger.add(question, request.service().name(), decision);
+            if (decision.queuedMillis() > 0 && search.copySeen()) {
+                checkAgain(key);
+            }
+            Endpoint endpoint = question.endpoint();
+            if (search.spilled()) {
+                notes.spilled(search.first(), question.request().chatHash(), endpoint);
+            }
+            long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
+            metrics.given(search.calls(), search.spilled(), decision.queuedMillis(), micros);
+            record(
+                    EventType.GRANT_GIVEN,
+                    endpoint.id(),
+                    search.calls() + " questions, queued " + decision.queuedMillis() + " ms, " + decision.inFlight()
+                            + " in flight"
+                            + (search.spilled()
+                                    ? ", first choice " + search.first().id()
+                                    : ""));
+            return new StewardGrant(endpoint, outcome -> ledger.end(key, outcome));
+        }
+
+        /** While the request waited, its copy may have brought an engine down. */
+        private void checkAgain(long key) {
+            try {
+                suspect |= checkSuspect(request);
+            } catch (RoutingException e) {
+                ledger.end(key, AttemptOutcome.CANCELLED);
+                throw e;
+            }
+        }
+
+        private Optional<EndpointGrant> takeLocalShare() {
+            Optional<Endpoint> endpoint = localShare.take(request.service(), candidates, excluded);
+            if (endpoint.isEmpty()) {
+                return Optional.empty();
+            }
+            metrics.local();
+            record(EventType.GRANT_GIVEN, endpoint.get().id(), "local share, no steward answered");
+            return Optional.of(new StewardGrant(endpoint.get(), outcome -> localShare.give(endpoint.get())));
+        }
+
+        private RoutingException refusal() {
+            String service = "service " + request.service().name();
+            long retryAfter = Math.max(1, search.retryAfterMillis());
+            return switch (search.refusal()) {
+                case DEADLINE ->
+                    new RoutingException(
+                            RoutingCode.DEADLINE_UNREACHABLE, service + " cannot answer in time", retryAfter);
+                case QUARANTINED -> quarantined(retryAfter);
+                case TEAM_RATE ->
+                    new RoutingException(RoutingCode.TEAM_RATE_EXCEEDED, service + ": team over its rate", retryAfter);
+                case UNAVAILABLE, NOT_STEWARD ->
+                    new RoutingException(
+                            RoutingCode.NO_ENDPOINT, service + " has no endpoint that takes work", RETRY_AFTER_MILLIS);
+                default -> new RoutingException(RoutingCode.OVERLOADED, service + " is at its bound", retryAfter);
+            };
+        }
+
+        private void endSolo() {
+            if (suspect) {
+                notes.soloEnded(request.fingerprint(), request.requestId());
+            }
+        }
+
+        private long remainingMillis() {
+            return Math.max(
+                    0, Duration.between(clock.instant(), request.deadline()).toMillis());
+        }
+
+        private void record(EventType type, String endpointId, String detail) {
+            events.record(
+                    type,
+                    EventSubject.request(
+                            request.requestId(),
+                            request.chatId(),
+                            endpointId,
+                            request.team().name()),
+                    detail);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardTable.java
@@ -0,0 +1,162 @@
+package org.dragonflygw.daemon.grant;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.dragonflygw.core.config.Service;
+import org.dragonflygw.core.config.SheetSource;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.fleet.EndpointState;
+import org.dragonflygw.core.routing.EndpointLoad;
+import org.dragonflygw.core.routing.EndpointLoadSource;
+import org.dragonflygw.core.routing.EngineSteward;
+import org.dragonflygw.core.routing.MeanLoadBound;
+import org.dragonflygw.core.routing.StewardSettings;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.EventSubject;
+import org.dragonflygw.core.timeline.EventType;
+
+/**
+ * The stewards of the engines that this daemon owns. Safe from every thread. Lock order: the monitor of this table, then
+ * that of a board, then that of a steward.
+ */
+@Singleton
+public final class StewardTable implements EndpointLoadSource {
+    private static final double JOIN_MARGIN = 1;
+
+    private final SheetSource sheets;
+    private final PoolBoards boards;
+    private final StewardView view;
+    private final Epochs epochs;
+    private final EventRecorder events;
+    private final Clock clock;
+    private final Map<String, Stewarded> stewards = new ConcurrentHashMap<>();
+
+    @Inject
+    public StewardTable(
+            SheetSource sheets,
+            PoolBoards boards,
+            StewardView view,
+            Epochs epochs,
+            EventRecorder events,
+            Clock clock,
+            MetricRegistry metrics) {
+        this.sheets = sheets;
+        this.boards = boards;
+        this.view = view;
+        this.epochs = epochs;
+        this.events = events;
+        this.clock = clock;
+        metrics.registerGauge("dragonflygw.grant.stewarded.engines", stewards::size);
+    }
+
+    /** The steward of an engine, when this daemon is it. */
+    Optional<EngineSteward> find(String engineId) {
+        return Optional.ofNullable(stewards.get(engineId)).map(Stewarded::steward);
+    }
+
+    /** The engines that this daemon owns. */
+    List<Stewarded> all() {
+        return List.copyOf(stewards.values());
+    }
+
+    /** Takes over the engines that fell to this daemon and gives up those that fell to others. */
+    synchronized void refresh() {
+        Map<String, Service> services = servicesByPool();
+        Map<String, Stewarded> wanted = new HashMap<>();
+        for (Map.Entry<String, Service> entry : services.entrySet()) {
+            PoolBoard board = boards.of(entry.getKey());
+            for (Endpoint endpoint : board.list()) {
+                boolean own = view.engineSteward(endpoint.id(), endpoint.region())
+                        .filter(view::isSelf)
+                        .isPresent();
+                if (own) {
+                    wanted.put(endpoint.id(), takeOver(entry.getValue(), board, endpoint));
+                }
+            }
+        }
+        Set<String> given = new HashSet<>(stewards.keySet());
+        given.removeAll(wanted.keySet());
+        given.forEach(this::giveUp);
+        stewards.putAll(wanted);
+        boards.retain(services.keySet());
+    }
+
+    /** Notes what others state about engines that this daemon owns. */
+    void observe() {
+        for (Stewarded each : stewards.values()) {
+            each.board().loads().find(each.endpoint().id()).ifPresent(each.steward()::onOtherSteward);
+        }
+    }
+
+    @Override
+    public List<EndpointLoad> ownLoads() {
+        List<EndpointLoad> loads = new ArrayList<>();
+        for (Stewarded each : stewards.values()) {
+            loads.add(each.steward().load());
+        }
+        return loads;
+    }
+
+    private Stewarded takeOver(Service service, PoolBoard board, Endpoint endpoint) {
+        StewardSettings settings = settings(service, endpoint);
+        Stewarded known = stewards.get(endpoint.id());
+        if (known != null) {
+            if (!known.settings().equals(settings) || known.bound() != service.loadBound()) {
+                known.steward().reconfigure(settings, bound(service, board, endpoint));
+            }
+            if (endpoint.state() == EndpointState.LEAVING && known.endpoint().state() != EndpointState.LEAVING) {
+                known.steward().leave();
+                events.record(EventType.ENDPOINT_LEAVING, EventSubject.endpoint(endpoint.id()), "no new grants");
+            }
+            return new Stewarded(endpoint, known.steward(), settings, service.loadBound(), board);
+        }
+        Optional<EndpointLoad> stated = board.loads().find(endpoint.id());
+        long epoch = epochs.next(stated.map(EndpointLoad::epoch).orElse(0L));
+        int inherited = stated.map(EndpointLoad::inFlight).orElse(0);
+        EngineSteward steward =
+                new EngineSteward(endpoint.id(), epoch, settings, bound(service, board, endpoint), inherited, clock);
+        if (endpoint.state() == EndpointState.LEAVING) {
+            steward.leave();
+        }
+        events.record(
+                EventType.STEWARDSHIP_TAKEN,
+                EventSubject.endpoint(endpoint.id()),
+                "epoch " + epoch + ", " + inherited + " requests stated before");
+        return new Stewarded(endpoint, steward, settings, service.loadBound(), board);
+    }
+
+    private static StewardSettings settings(Service service, Endpoint endpoint) {
+        return StewardSettings.of(service.maxInFlight() * Math.max(1, endpoint.capacity()), service.maxQueue());
+    }
+
+    private static MeanLoadBound bound(Service service, PoolBoard board, Endpoint endpoint) {
+        return new MeanLoadBound(endpoint.id(), service.loadBound(), board.loads(), JOIN_MARGIN);
+    }
+
+    private void giveUp(String engineId) {
+        Stewarded stewarded = stewards.remove(engineId);
+        stewarded.steward().close();
+        events.record(
+                EventType.STEWARDSHIP_HANDED_OVER,
+                EventSubject.endpoint(engineId),
+                stewarded.steward().ownGrants() + " requests in flight");
+    }
+
+    private Map<String, Service> servicesByPool() {
+        Map<String, Service> services = new HashMap<>();
+        for (Service service : sheets.current().sheet().services()) {
+            services.putIfAbsent(service.pool(), service);
+        }
+        return services;
+    }
+}
--- a/daemon/src/main/java/org/dragonflygw/daemon/peer/PeerClients.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/peer/PeerClients.java
@@ -19,6 +19,12 @@
 import org.dragonflygw.wire.grants.GrantRequest;
 import org.dragonflygw.wire.grants.GrantUpdate;
 import org.dragonflygw.wire.grants.GrantUpdateReply;
+import org.dragonflygw.wire.grants.LoadStatement;
+import org.dragonflygw.wire.grants.LoadSum;
+import org.dragonflygw.wire.grants.SuspectReply;
+import org.dragonflygw.wire.grants.SuspectRequest;
+import org.dragonflygw.wire.grants.TeamTokenReply;
+import org.dragonflygw.wire.grants.TeamTokenRequest;
 import org.dragonflygw.wire.peer.Peer;
 
 /**
@@ -46,6 +52,21 @@
         return call(peer, timeoutMillis, client -> client.updateGrants(update));
     }
 
+    /** Takes tokens of a team's rate from the daemon that keeps its bucket. */
+    public TeamTokenReply takeTeamTokens(PeerAddress peer, TeamTokenRequest request, int timeoutMillis) {
+        return call(peer, timeoutMillis, client -> client.takeTeamTokens(request));
+    }
+
+    /** Asks the owner of a fingerprint whether the request may be attempted. */
+    public SuspectReply askSuspect(PeerAddress peer, SuspectRequest request, int timeoutMillis) {
+        return call(peer, timeoutMillis, client -> client.askSuspect(request));
+    }
+
+    /** States loads of engines and gets the sum over the others of their pool. */
+    public LoadSum stateLoads(PeerAddress peer, LoadStatement statement, int timeoutMillis) {
+        return call(peer, timeoutMillis, client -> client.stateLoads(statement));
+    }
+
     /** Exchanges shared state with another daemon. */
     public GossipMessage exchange(PeerAddress peer, GossipMessage message, int timeoutMillis) {
         return call(peer, timeoutMillis, client -> client.exchange(message));
--- a/daemon/src/main/java/org/dragonflygw/daemon/peer/PeerDispatcher.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/peer/PeerDispatcher.java
@@ -14,6 +14,12 @@
 import org.dragonflygw.wire.grants.GrantRequest;
 import org.dragonflygw.wire.grants.GrantUpdate;
 import org.dragonflygw.wire.grants.GrantUpdateReply;
+import org.dragonflygw.wire.grants.LoadStatement;
+import org.dragonflygw.wire.grants.LoadSum;
+import org.dragonflygw.wire.grants.SuspectReply;
+import org.dragonflygw.wire.grants.SuspectRequest;
+import org.dragonflygw.wire.grants.TeamTokenReply;
+import org.dragonflygw.wire.grants.TeamTokenRequest;
 import org.dragonflygw.wire.peer.Peer;
 
 /** Hands calls of other daemons to their handlers. Safe from every thread. */
@@ -40,6 +46,21 @@
         handle(callback, reply -> grants.updateGrants(update, reply));
     }
 
+    @Override
+    public void takeTeamTokens(TeamTokenRequest request, AsyncMethodCallback<TeamTokenReply> callback) {
+        handle(callback, reply -> grants.takeTeamTokens(request, reply));
+    }
+
+    @Override
+    public void askSuspect(SuspectRequest request, AsyncMethodCallback<SuspectReply> callback) {
+        handle(callback, reply -> grants.askSuspect(request, reply));
+    }
+
+    @Override
+    public void stateLoads(LoadStatement statement, AsyncMethodCallback<LoadSum> callback) {
+        handle(callback, reply -> grants.stateLoads(statement, reply));
+    }
+
     @Override
     public void exchange(GossipMessage message, AsyncMethodCallback<GossipMessage> callback) {
         handle(callback, reply -> gossip.exchange(message, reply));
--- a/daemon/src/main/java/org/dragonflygw/daemon/peer/RefusingHandlers.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/peer/RefusingHandlers.java
@@ -7,6 +7,12 @@
 import org.dragonflygw.wire.grants.GrantRequest;
 import org.dragonflygw.wire.grants.GrantUpdate;
 import org.dragonflygw.wire.grants.GrantUpdateReply;
+import org.dragonflygw.wire.grants.LoadStatement;
+import org.dragonflygw.wire.grants.LoadSum;
+import org.dragonflygw.wire.grants.SuspectReply;
+import org.dragonflygw.wire.grants.SuspectRequest;
+import org.dragonflygw.wire.grants.TeamTokenReply;
+import org.dragonflygw.wire.grants.TeamTokenRequest;
 
 /** Refuses every call, for a daemon that runs without the subsystem. */
 public final class RefusingHandlers implements GrantHandler, GossipHandler {
@@ -20,6 +26,21 @@
         reply.fail(refusal());
     }
 
+    @Override
+    public void takeTeamTokens(TeamTokenRequest request, PeerReply<TeamTokenReply> reply) {
+        reply.fail(refusal());
+    }
+
+    @Override
+    public void askSuspect(SuspectRequest request, PeerReply<SuspectReply> reply) {
+        reply.fail(refusal());
+    }
+
+    @Override
+    public void stateLoads(LoadStatement statement, PeerReply<LoadSum> reply) {
+        reply.fail(refusal());
+    }
+
     @Override
     public void exchange(GossipMessage message, PeerReply<GossipMessage> reply) {
         reply.fail(refusal());
--- a/wire/src/main/thrift/grants.thrift
+++ b/wire/src/main/thrift/grants.thrift
@@ -1,6 +1,7 @@
 namespace java org.dragonflygw.wire.grants
 
 include "clock.thrift"
+include "gossip.thrift"
 
 /** What the steward of an engine decided about a grant request. */
 enum GrantStatus {
@@ -75,6 +76,8 @@
   CANCELLED = 2
   /** The connection to the engine was lost while the request ran. */
   ENGINE_LOST = 3
+  /** The engine could not be reached; nothing was sent. */
+  UNREACHABLE = 4
 }
 
 struct GrantEnd {
@@ -122,6 +125,30 @@
   4: optional list<ChatSpill> spills
   5: optional list<CrashReport> crashes
   6: optional list<SuspectUpdate> suspects
+  /** Fingerprints that were just quarantined. */
+  7: optional list<gossip.QuarantineRow> quarantined
+}
+
+/** Load of one engine as its steward states it to the others of the pool. */
+struct EngineLoad {
+  1: required string engineId
+  2: required i64 epoch
+  3: required i64 version
+  4: required i32 inFlight
+  5: required bool closed
+}
+
+/** Loads of the engines of one pool that the sender is steward of. */
+struct LoadStatement {
+  1: required string poolName
+  2: required list<EngineLoad> loads
+}
+
+/** Sum over the engines of the pool that the statement did not name. */
+struct LoadSum {
+  1: required i32 inFlight
+  /** Sum of the capacities of those that take work. */
+  2: required i32 capacity
 }
 
 struct GrantUpdateReply {
