Serve a burst on an idle service; keep copies of a lost request together; install grants in the daemon

Cause: with the mean at zero a burst of requests was refused, because each engine could take one and waits were estimated from whole requests; copies of a poison request passed a probed engine by. Change: a request that only the load bound holds back waits and starts its search over; pools exchange loads at once while such requests wait; a probed engine counts as unavailable, so that the owner of the fingerprint is asked.

--- a/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
@@ -168,10 +168,6 @@
     }
 
     private void start(Attempt attempt, FakeEngine engine) {
-        if (Boolean.getBoolean("trace") && attempt.arrival().id() == POISON_ID) {
-            System.out.println(clock.now() + " poison " + attempt.requestId() + " attempt " + attempt.number() + " on "
-                    + engine.id());
-        }
         engine.start(attempt, clock.now());
         int generation = attempt.generation();
         if (attempt.arrival().id() == POISON_ID) {
@@ -200,9 +196,6 @@
             return;
         }
         result.enginesLost++;
-        if (Boolean.getBoolean("trace")) {
-            System.out.println(clock.now() + " crash " + engine.id());
-        }
         List<Attempt> victims = new ArrayList<>(engine.waiting());
         running.stream().filter(each -> each.engine == engine).forEach(each -> victims.add(each.attempt));
         running.removeIf(each -> each.engine == engine);
--- a/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
@@ -39,6 +39,7 @@
     private static final int RETRY_PERCENT = 10;
     private static final long GOSSIP_MILLIS = 1_000;
     private static final long SUMS_MILLIS = 200;
+    private static final long CALL_MILLIS = 5;
     private static final double PREFILL_TOKENS_PER_MILLI = 10;
 
     private final PolicyLoop loop;
@@ -157,7 +158,8 @@
         }
         Attempt attempt = flight.attempt();
         String engineId = flight.search().endpoint().id();
-        if (decision.queuedMillis() > 0 && flight.search().copySeen() && refusedAsSuspect(attempt, ask(attempt))) {
+        boolean waited = decision.queuedMillis() > 0 || flight.search().startedOver();
+        if (waited && flight.search().copySeen() && refusedAsSuspect(attempt, ask(attempt))) {
             steward.end(decision.grantId(), decision.epoch(), AttemptOutcome.CANCELLED);
             return;
         }
@@ -179,8 +181,13 @@
         held.steward().end(held.grantId(), held.steward().epoch(), outcome);
         long fingerprint = attempt.arrival().id();
         if (outcome == AttemptOutcome.ENDPOINT_LOST) {
-            owner(fingerprint).onEngineLost(fingerprint, engine.id(), attempt.requestId());
+            Quarantine owner = owner(fingerprint);
+            owner.onEngineLost(fingerprint, engine.id(), attempt.requestId());
             quarantines[attempt.router()].onEngineLost(fingerprint, engine.id(), attempt.requestId());
+            if (owner.isQuarantined(fingerprint)) {
+                List<QuarantineEntry> entries = owner.entries();
+                loop.schedule(loop.clock().now() + CALL_MILLIS, () -> spread(entries));
+            }
         }
         endSolo(attempt, outcome == AttemptOutcome.COMPLETED);
     }
@@ -223,9 +230,7 @@
         loop.schedule(now + loop.scenario().reportAgeMillis() - 500, () -> {
             loads.forEach(load -> routerLoads.accept(received(load)));
             stewards.forEach((key, steward) -> routerLoads.find(key.engineId()).ifPresent(steward::onOtherSteward));
-            for (Quarantine quarantine : quarantines) {
-                entries.forEach(quarantine::accept);
-            }
+            spread(entries);
         });
     }
 
@@ -320,6 +325,12 @@
         return refused;
     }
 
+    private void spread(List<QuarantineEntry> entries) {
+        for (Quarantine quarantine : quarantines) {
+            entries.forEach(quarantine::accept);
+        }
+    }
+
     private void endSolo(Attempt attempt, boolean completed) {
         owner(attempt.arrival().id()).onSoloEnd(attempt.arrival().id(), attempt.requestId(), completed);
     }
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
@@ -241,6 +241,11 @@
         }
     }
 
+    /** Whether requests wait although the engine has free slots; then a newer mean of the service would help. */
+    public synchronized boolean awaitsMean() {
+        return queue.size() > 0 && isHeldByBound(clock.instant());
+    }
+
     /** Number of own grants. */
     public synchronized int ownGrants() {
         return grants.size();
@@ -266,7 +271,8 @@
         if (spilledTo.isPresent()) {
             outbox.add(
                     waiter,
-                    new SlotDecision(SlotStatus.REDIRECTED, 0, epoch, 0, 0, 0, spilledTo.get(), inFlight(now), false));
+                    new SlotDecision(
+                            SlotStatus.REDIRECTED, 0, epoch, 0, 0, 0, spilledTo.get(), inFlight(now), false, false));
             return;
         }
         if (request.suspect() && suspects > 0) {
@@ -284,14 +290,22 @@
 
     private void enqueue(Waiter waiter, Instant now, Outbox outbox) {
         SlotRequest request = waiter.request();
+        if (health.isProbing()) {
+            outbox.add(waiter, refusal(SlotStatus.UNAVAILABLE, (long) durationMillis, now));
+            return;
+        }
         long wait = waitMillis(queue.position(request.team(), request.teamWeight()));
+        boolean waitsForMean = request.lastResort() && isHeldByBound(now);
         double shortest = shares.expectedMillis(request.team(), 0) / 2;
-        if (wait + shortest > request.remainingMillis()) {
-            outbox.add(waiter, refusal(SlotStatus.DEADLINE, wait, now).withSameInFlight(isInFlight(request)));
+        if (!waitsForMean && wait + shortest > request.remainingMillis()) {
+            outbox.add(
+                    waiter, refusal(SlotStatus.DEADLINE, wait, now).withNotes(isInFlight(request), isHeldByBound(now)));
             return;
         }
-        if (wait > request.maxWaitMillis()) {
-            outbox.add(waiter, refusal(SlotStatus.OVERLOADED, wait, now).withSameInFlight(isInFlight(request)));
+        if (!waitsForMean && wait > request.maxWaitMillis()) {
+            outbox.add(
+                    waiter,
+                    refusal(SlotStatus.OVERLOADED, wait, now).withNotes(isInFlight(request), isHeldByBound(now)));
             return;
         }
         Optional<Waiter> displaced = queue.offer(request.team(), request.teamWeight(), waiter);
@@ -323,6 +337,11 @@
         }
     }
 
+    /** Whether the engine has free slots that only the load bound holds back; they open as soon as the mean rises. */
+    private boolean isHeldByBound(Instant now) {
+        return !health.isProbing() && inFlight(now) < settings.maxInFlight() - settings.reservedSlots();
+    }
+
     private void pump(Instant now, Outbox outbox) {
         pumpSuspects(now, outbox);
         while (queue.size() > 0 && !leaving && !closed && !health.isSuspended(now)) {
@@ -362,7 +381,7 @@
         foreign.onGrant();
         long queued = Duration.between(since, now).toMillis();
         return new SlotDecision(
-                SlotStatus.GRANTED, grantId, epoch, settings.leaseMillis(), queued, 0, "", inFlight(now), false);
+                SlotStatus.GRANTED, grantId, epoch, settings.leaseMillis(), queued, 0, "", inFlight(now), false, false);
     }
 
     private void dropped(Grant grant, Instant now) {
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotDecision.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotDecision.java
@@ -12,6 +12,7 @@
  * @param redirectEndpointId engine that holds the chat's cache; empty unless redirected
  * @param inFlight requests on the engine after the decision
  * @param sameInFlight when refused, whether a request with the same fingerprint runs on the engine
+ * @param heldByBound when refused, whether the engine has slots that only the load bound holds back
  */
 public record SlotDecision(
         SlotStatus status,
@@ -22,14 +23,15 @@
         long retryAfterMillis,
         String redirectEndpointId,
         int inFlight,
-        boolean sameInFlight) {
+        boolean sameInFlight,
+        boolean heldByBound) {
     /** A refusal. */
     public static SlotDecision refused(SlotStatus status, long epoch, long retryAfterMillis, int inFlight) {
-        return new SlotDecision(status, 0, epoch, 0, 0, retryAfterMillis, "", inFlight, false);
+        return new SlotDecision(status, 0, epoch, 0, 0, retryAfterMillis, "", inFlight, false, false);
     }
 
-    /** The same decision with or without the note that the same request is in flight. */
-    public SlotDecision withSameInFlight(boolean same) {
+    /** The same decision with notes on why it was refused. */
+    public SlotDecision withNotes(boolean same, boolean held) {
         return new SlotDecision(
                 status,
                 grantId,
@@ -39,7 +41,8 @@
                 retryAfterMillis,
                 redirectEndpointId,
                 inFlight,
-                same);
+                same,
+                held);
     }
 
     /** Whether a slot is held. */
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotRequest.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotRequest.java
@@ -13,6 +13,7 @@
  * @param maxWaitMillis longest time in the queue, in milliseconds
  * @param suspect whether the request was in flight on an engine that crashed
  * @param followRedirect whether an answer that names another engine is wanted
+ * @param lastResort whether no other engine has a slot
  */
 public record SlotRequest(
         String requestId,
@@ -24,4 +25,5 @@
         long remainingMillis,
         long maxWaitMillis,
         boolean suspect,
-        boolean followRedirect) {}
+        boolean followRedirect,
+        boolean lastResort) {}
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
@@ -11,13 +11,17 @@
  * The search of one request for a slot, as a sequence of questions to stewards. First the candidates in order: the
  * first may keep the request waiting for as long as a cold prefill elsewhere would take, the others must have a slot at
  * once. Where a steward names the engine that holds the chat's cache, that one is asked next. When no candidate has a
- * slot, the one with the shortest wait is asked to queue the request until its deadline. Each request has its own
+ * slot, the one with the shortest wait is asked to queue the request until its deadline; where only the load bound holds
+ * slots back, the search starts over after a short wait instead. Each request has its own
  * search; it is not thread safe and does no input or output.
  *
  * <p>A copy of a request that is in flight on the asked engine goes nowhere else, so that copies of a request that
  * crashes engines do not spread before that is known.
  */
 public final class SlotSearch {
+    private static final long ROUND_MILLIS = 100;
+    private static final int MAX_ROUNDS = 100;
+
     private final SearchRequest request;
     private final EndpointTable table;
     private final int[] candidates;
@@ -36,6 +40,8 @@
     private SlotStatus worst = SlotStatus.UNAVAILABLE;
     private boolean firstUnavailable;
     private int calls;
+    private int rounds;
+    private boolean heldByBound;
     private boolean suspect;
     private boolean copySeen;
 
@@ -87,9 +93,13 @@
                 return ask(endpoint, remainingMillis, warm ? request.coldPrefillMillis() : 0, warm);
             }
         }
-        stage = stage == Stage.CANDIDATES ? Stage.QUEUE : Stage.OVER;
-        if (stage == Stage.QUEUE && shortestWait != null) {
-            return ask(shortestWait, remainingMillis, remainingMillis, false);
+        if (stage == Stage.CANDIDATES && shortestWait != null) {
+            stage = Stage.QUEUE;
+            long wait = heldByBound ? Math.min(ROUND_MILLIS, remainingMillis) : remainingMillis;
+            return ask(shortestWait, remainingMillis, wait, false);
+        }
+        if (stage == Stage.QUEUE && startsOver(remainingMillis)) {
+            return next(remainingMillis);
         }
         stage = Stage.OVER;
         return Optional.empty();
@@ -130,6 +140,11 @@
         return copySeen;
     }
 
+    /** Whether the search started over, so that what was known at its start may be old. */
+    public boolean startedOver() {
+        return rounds > 0;
+    }
+
     /** The slot; empty while none is held. */
     public Optional<SlotDecision> grant() {
         return Optional.ofNullable(grant);
@@ -171,6 +186,7 @@
     }
 
     private void onFull(SlotDecision decision) {
+        heldByBound |= decision.heldByBound();
         if (decision.sameInFlight()) {
             copySeen = true;
             nextCandidate = candidates.length;
@@ -203,7 +219,8 @@
                 remaining,
                 Math.min(maxWait, remaining),
                 suspect,
-                mayRedirect);
+                mayRedirect,
+                stage == Stage.QUEUE);
         return Optional.of(new SlotQuestion(endpoint, slot));
     }
 
@@ -215,6 +232,21 @@
         return index == null ? table.find(endpointId) : Optional.of(table.endpoint(index));
     }
 
+    /** Starts over while requests wait for a newer mean, so that they do not stay bound to one engine. */
+    private boolean startsOver(long remainingMillis) {
+        if (!heldByBound || remainingMillis <= ROUND_MILLIS || ++rounds > MAX_ROUNDS) {
+            return false;
+        }
+        stage = Stage.CANDIDATES;
+        nextCandidate = 0;
+        followRedirect = false;
+        heldByBound = false;
+        asked.clear();
+        shortestWait = null;
+        shortestWaitMillis = Long.MAX_VALUE;
+        return true;
+    }
+
     private enum Stage {
         CANDIDATES,
         QUEUE,
--- a/core/src/test/java/org/dragonflygw/core/routing/EngineStewardStateTest.java
+++ b/core/src/test/java/org/dragonflygw/core/routing/EngineStewardStateTest.java
@@ -73,8 +73,8 @@
             asked++;
             int boundNow = bound;
             int before = open.size();
-            SlotRequest request =
-                    new SlotRequest("r" + asked, "t" + team, team + 1, asked, 1, asked, 30_000, 5_000, false, false);
+            SlotRequest request = new SlotRequest(
+                    "r" + asked, "t" + team, team + 1, asked, 1, asked, 30_000, 5_000, false, false, false);
             steward.acquire(request, decision -> onDecision(decision, team));
             assertWithMessage("grants above the bound")
                     .that(open.size() <= Math.max(before, boundNow))
--- a/core/src/test/java/org/dragonflygw/core/routing/EngineStewardTest.java
+++ b/core/src/test/java/org/dragonflygw/core/routing/EngineStewardTest.java
@@ -74,7 +74,8 @@
         @Test
         void refusesAtOnceWhenTheDeadlineCannotBeMet() {
             fill();
-            steward.acquire(new SlotRequest("late", "a", 1, 1, 1, 1, 500, LONG_MILLIS, false, true), decisions::add);
+            steward.acquire(
+                    new SlotRequest("late", "a", 1, 1, 1, 1, 500, LONG_MILLIS, false, true, false), decisions::add);
             assertThat(decisions.get(4).status()).isEqualTo(SlotStatus.DEADLINE);
         }
 
@@ -290,6 +291,6 @@
     }
 
     private static SlotRequest request(String id, String team, long maxWaitMillis, boolean suspect) {
-        return new SlotRequest(id, team, 1, 1, 1, 1, LONG_MILLIS, maxWaitMillis, suspect, true);
+        return new SlotRequest(id, team, 1, 1, 1, 1, LONG_MILLIS, maxWaitMillis, suspect, true, false);
     }
 }
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/GrantWorker.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/GrantWorker.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
@@ -48,6 +50,7 @@
     private static final long EXPIRE_MILLIS = 50;
     private static final long REFRESH_MILLIS = 100;
     private static final long LOADS_MILLIS = 200;
+    private static final long PRESSED_LOADS_MILLIS = 20;
     private static final long RENEW_MILLIS = 6_000;
     private static final long QUARANTINE_MILLIS = 5_000;
 
@@ -61,7 +64,10 @@
     private final GrantMetrics metrics;
     private final HybridClock hybrid;
     private final Clock clock;
+    private final Map<String, Long> exchangedAt = new ConcurrentHashMap<>();
+    private final Set<String> busy = ConcurrentHashMap.newKeySet();
     private ScheduledExecutorService threads;
+    private ExecutorService senders;
 
     @Inject
     GrantWorker(
@@ -89,15 +95,12 @@
 
     @Override
     public void start() {
-        threads = Executors.newScheduledThreadPool(THREADS, task -> {
-            Thread thread = new Thread(task, "grants");
-            thread.setDaemon(true);
-            return thread;
-        });
+        threads = Executors.newScheduledThreadPool(THREADS, GrantWorker::thread);
+        senders = Executors.newCachedThreadPool(GrantWorker::thread);
         every(REFRESH_MILLIS, this::refresh);
         every(EXPIRE_MILLIS, this::expire);
         every(FLUSH_MILLIS, this::flush);
-        every(LOADS_MILLIS, this::exchangeLoads);
+        every(PRESSED_LOADS_MILLIS, this::exchangeLoads);
         every(RENEW_MILLIS, ledger::renewAll);
         every(QUARANTINE_MILLIS, this::expireQuarantine);
     }
@@ -105,7 +108,8 @@
     @Override
     public void stop() {
         threads.shutdownNow();
-        flush();
+        batches.take(Set.of()).forEach(this::send);
+        senders.shutdownNow();
     }
 
     private void refresh() {
@@ -133,8 +137,18 @@
         }
     }
 
+    /** Sends each batch on a thread of its own, so that a daemon that does not answer delays no other. */
     private void flush() {
-        batches.take().forEach(this::send);
+        for (UpdateBatches.Batch batch : batches.take(Set.copyOf(busy))) {
+            busy.add(batch.to().daemonId());
+            senders.execute(() -> {
+                try {
+                    send(batch);
+                } finally {
+                    busy.remove(batch.to().daemonId());
+                }
+            });
+        }
     }
 
     private void send(UpdateBatches.Batch batch) {
@@ -169,7 +183,15 @@
             byPool.computeIfAbsent(each.endpoint().pool(), pool -> new ArrayList<>())
                     .add(each);
         }
-        byPool.forEach(this::exchangeLoads);
+        long now = clock.millis();
+        byPool.forEach((pool, own) -> {
+            boolean pressed = own.stream().anyMatch(each -> each.steward().awaitsMean());
+            if (pressed || now - exchangedAt.getOrDefault(pool, 0L) >= LOADS_MILLIS) {
+                exchangedAt.put(pool, now);
+                exchangeLoads(pool, own);
+                own.forEach(each -> each.steward().expire());
+            }
+        });
     }
 
     private void exchangeLoads(String pool, List<Stewarded> own) {
@@ -195,6 +217,12 @@
         }
     }
 
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "grants");
+        thread.setDaemon(true);
+        return thread;
+    }
+
     private void every(long millis, Runnable task) {
         Future<?> scheduled = threads.scheduleWithFixedDelay(
                 () -> {
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardSelector.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardSelector.java
@@ -211,7 +211,8 @@
 
         private EndpointGrant granted(SlotQuestion question, SlotDecision decision) {
             long key = ledger.add(question, request.service().name(), decision);
-            if (decision.queuedMillis() > 0 && search.copySeen()) {
+            boolean waited = decision.queuedMillis() > 0 || search.startedOver();
+            if (waited && search.copySeen()) {
                 checkAgain(key);
             }
             Endpoint endpoint = question.endpoint();
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/UpdateBatches.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/UpdateBatches.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.dragonflygw.core.membership.Member;
 import org.dragonflygw.core.timeline.HybridClock;
 import org.dragonflygw.wire.clock.HybridTimestamp;
@@ -67,10 +68,16 @@
         return new GrantUpdate(List.of(), List.of(), new HybridTimestamp(now.physicalMillis(), now.logical()));
     }
 
-    /** Takes all batches. */
-    synchronized List<Batch> take() {
-        List<Batch> taken = new ArrayList<>(batches.values());
-        batches.clear();
+    /** Takes the batches of all daemons but the given ones. */
+    synchronized List<Batch> take(Set<String> leftOut) {
+        List<Batch> taken = new ArrayList<>();
+        batches.entrySet().removeIf(entry -> {
+            boolean due = !leftOut.contains(entry.getKey());
+            if (due) {
+                taken.add(entry.getValue());
+            }
+            return due;
+        });
         return taken;
     }
 
--- a/wire/src/main/java/org/dragonflygw/wire/codec/GrantCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/GrantCodec.java
@@ -46,6 +46,9 @@
         if (request.followRedirect()) {
             wire.setFollowRedirect(true);
         }
+        if (request.lastResort()) {
+            wire.setLastResort(true);
+        }
         return wire;
     }
 
@@ -65,7 +68,8 @@
                 wire.getRemainingMillis(),
                 wire.getMaxWaitMillis(),
                 wire.isSuspect(),
-                wire.isFollowRedirect());
+                wire.isFollowRedirect(),
+                wire.isLastResort());
     }
 
     /** Gives the Thrift form of a decision. */
@@ -85,6 +89,9 @@
         if (decision.sameInFlight()) {
             wire.setSameInFlight(true);
         }
+        if (decision.heldByBound()) {
+            wire.setHeldByBound(true);
+        }
         return wire;
     }
 
@@ -100,7 +107,8 @@
                 Math.max(0, wire.getRetryAfterMillis()),
                 wire.isSetRedirectEngineId() ? wire.getRedirectEngineId() : "",
                 wire.getInFlight(),
-                wire.isSameInFlight());
+                wire.isSameInFlight(),
+                wire.isHeldByBound());
     }
 
     /** Gives the Thrift form of an outcome. */
--- a/wire/src/main/thrift/grants.thrift
+++ b/wire/src/main/thrift/grants.thrift
@@ -49,6 +49,8 @@
   16: optional bool followRedirect = false
   /** The request runs already under a grant of an earlier steward; it is counted and never refused. */
   17: optional bool adopted = false
+  /** No other engine has a slot. */
+  18: optional bool lastResort = false
 }
 
 struct GrantReply {
@@ -68,6 +70,8 @@
   9: optional string redirectEngineId
   /** When refused: a request with the same fingerprint runs on the engine. */
   10: optional bool sameInFlight = false
+  /** When refused: the engine has slots that only the load bound holds back. */
+  11: optional bool heldByBound = false
 }
 
 enum GrantOutcome {
