Mend the fair queue and keep slots for teams within their share

Cause: a refused or displaced item had moved its team's virtual time on, so that equal teams were served between 114 and 928 answers; small teams, whose share is below one slot, could never use the reserved slots; the view of stewards and gossip needed each other at construction. Change: virtual start times are set when an item becomes the head; ties go by arrival; the reserve, now a third of the slots, is barred only to teams that hold more than one and a half times their share; the members are looked up late.

--- a/bench/src/main/java/org/dragonflygw/bench/policy/Scenario.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/Scenario.java
@@ -37,6 +37,24 @@
                 "steady", routers, engines, requestsPerSecond, durationMillis, warmUpMillis, 0, 0, 0, 0, 0, 0, 1_000);
     }
 
+    /** The same under another name. */
+    Scenario named(String newName) {
+        return new Scenario(
+                newName,
+                routers,
+                engines,
+                requestsPerSecond,
+                durationMillis,
+                warmUpMillis,
+                replaceEveryMillis,
+                splitFromMillis,
+                splitUntilMillis,
+                failFromMillis,
+                failUntilMillis,
+                poisonAtMillis,
+                reportAgeMillis);
+    }
+
     /** With one engine replaced each so often. */
     Scenario withReplacement(long everyMillis) {
         return new Scenario(
--- a/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
@@ -285,7 +285,7 @@
         int inherited =
                 routerLoads.find(key.engineId()).map(EndpointLoad::inFlight).orElse(0);
         MeanLoadBound bound = new MeanLoadBound(key.engineId(), PolicyLoop.LOAD_BOUND, stewardLoads, JOIN_MARGIN);
-        StewardSettings settings = new StewardSettings(FakeEngine.MAX_BATCH, 32, 20_000, 12, 5_000, 8_000);
+        StewardSettings settings = new StewardSettings(FakeEngine.MAX_BATCH, 32, 20_000, 33, 5_000, 8_000);
         return new EngineSteward(key.engineId(), nextEpoch++, settings, bound, inherited, loop.clock());
     }
 
--- a/bench/src/main/java/org/dragonflygw/bench/policy/WorkloadShape.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/WorkloadShape.java
@@ -35,6 +35,26 @@
         int meanOutputTokens,
         long deadlineMillis,
         int surgingTeam) {
+    /** The same with all teams asking alike. */
+    WorkloadShape withEvenTraffic() {
+        List<Double> even = java.util.Collections.nCopies(weights.size(), 1.0 / weights.size());
+        return new WorkloadShape(
+                name,
+                weights,
+                even,
+                documents,
+                zipfExponent,
+                minDocumentTokens,
+                maxDocumentTokens,
+                meanTurns,
+                meanThinkMillis,
+                firstTokens,
+                turnTokens,
+                meanOutputTokens,
+                deadlineMillis,
+                surgingTeam);
+    }
+
     /** Whole applications read against long shared ordinances; chats that return. */
     static WorkloadShape peachtree() {
         return new WorkloadShape(
--- a/core/src/main/java/org/dragonflygw/core/limits/FairQueue.java
+++ b/core/src/main/java/org/dragonflygw/core/limits/FairQueue.java
@@ -21,6 +21,7 @@
     private double virtualTime;
     private int size;
     private long queuedWeight;
+    private long nextNumber;
 
     /** Makes an empty queue that holds at most the given number of items. */
     public FairQueue(int maxItems) {
@@ -74,10 +75,9 @@
         if (flow.items.isEmpty()) {
             queuedWeight += weight;
             flow.weight = weight;
+            flow.headStart = Math.max(virtualTime, flow.lastFinish);
         }
-        double start = Math.max(virtualTime, flow.lastFinish);
-        flow.lastFinish = start + 1.0 / Math.max(1, weight);
-        flow.items.addLast(new Tagged<>(item, start));
+        flow.items.addLast(new Numbered<>(item, nextNumber++));
         size++;
         return displaced;
     }
@@ -90,15 +90,17 @@
             if (flow.items.isEmpty() || !eligibleTeam.test(entry.getKey())) {
                 continue;
             }
-            if (next == null || flow.headStart() < next.headStart()) {
+            if (next == null || flow.headGoesBefore(next)) {
                 next = flow;
             }
         }
         if (next == null) {
             return Optional.empty();
         }
-        Tagged<T> head = next.items.removeFirst();
-        virtualTime = Math.max(virtualTime, head.start());
+        Numbered<T> head = next.items.removeFirst();
+        virtualTime = Math.max(virtualTime, next.headStart);
+        next.lastFinish = next.headStart + 1.0 / Math.max(1, next.weight);
+        next.headStart = next.lastFinish;
         removed(next);
         return Optional.of(head.item());
     }
@@ -115,7 +117,7 @@
     /** Removes and returns one item that passes the test; empty when there is none. */
     public Optional<T> removeFirst(Predicate<T> test) {
         for (Flow<T> flow : flows.values()) {
-            Iterator<Tagged<T>> items = flow.items.iterator();
+            Iterator<Numbered<T>> items = flow.items.iterator();
             while (items.hasNext()) {
                 T item = items.next().item();
                 if (test.test(item)) {
@@ -145,7 +147,7 @@
             if (flow.items.isEmpty()) {
                 continue;
             }
-            if (largest == null || fill(flow.items.size(), flow.weight) > fill(largest.items.size(), largest.weight)) {
+            if (largest == null || flow.isFullerThan(largest)) {
                 largest = flow;
             }
         }
@@ -156,15 +158,28 @@
         return (double) items / Math.max(1, weight);
     }
 
-    private record Tagged<T>(T item, double start) {}
+    private record Numbered<T>(T item, long number) {}
 
     private static final class Flow<T> {
-        private final ArrayDeque<Tagged<T>> items = new ArrayDeque<>();
+        private final ArrayDeque<Numbered<T>> items = new ArrayDeque<>();
+        private double headStart;
         private double lastFinish;
         private int weight;
 
-        private double headStart() {
-            return items.getFirst().start();
+        /** Equal start times are served in the order of arrival, so that no team is favoured by its name. */
+        private boolean headGoesBefore(Flow<T> other) {
+            int byStart = Double.compare(headStart, other.headStart);
+            return byStart != 0
+                    ? byStart < 0
+                    : items.getFirst().number() < other.items.getFirst().number();
+        }
+
+        /** Of equally full flows the one with the newest item counts as fuller. */
+        private boolean isFullerThan(Flow<T> other) {
+            int byFill = Double.compare(fill(items.size(), weight), fill(other.items.size(), other.weight));
+            return byFill != 0
+                    ? byFill > 0
+                    : items.getLast().number() > other.items.getLast().number();
         }
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/limits/TeamShares.java
+++ b/core/src/main/java/org/dragonflygw/core/limits/TeamShares.java
@@ -14,6 +14,7 @@
     private static final Duration ACTIVE_FOR = Duration.ofSeconds(30);
 
     private static final double SMOOTHING = 0.1;
+    private static final double TOLERANCE = 1.5;
 
     private final Map<String, Holding> holdings = new HashMap<>();
     private long activeWeight;
@@ -43,13 +44,16 @@
         }
     }
 
-    /** Whether one more slot would put the team above its weighted share among the active teams. */
-    public boolean isAtShare(String team, int slots) {
+    /**
+     * Whether one more slot would put the team well above its weighted share among the active teams. A team without a
+     * slot never is.
+     */
+    public boolean isAboveShare(String team, int slots) {
         Holding holding = holdings.get(team);
-        if (holding == null || holding.weight >= activeWeight) {
+        if (holding == null || holding.slots == 0 || holding.weight >= activeWeight) {
             return false;
         }
-        return (holding.slots + 1) * activeWeight > (long) slots * holding.weight;
+        return (holding.slots + 1) * activeWeight > TOLERANCE * slots * holding.weight;
     }
 
     /** Slots that a team holds. */
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
@@ -367,7 +367,7 @@
             return false;
         }
         boolean inReserve = load >= settings.maxInFlight() - settings.reservedSlots();
-        return !inReserve || !shares.isAtShare(team, settings.maxInFlight());
+        return !inReserve || !shares.isAboveShare(team, settings.maxInFlight());
     }
 
     private SlotDecision grant(SlotRequest request, Instant since, Instant now) {
--- a/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/SlotSearch.java
@@ -20,7 +20,8 @@
  */
 public final class SlotSearch {
     private static final long ROUND_MILLIS = 100;
-    private static final int MAX_ROUNDS = 100;
+    private static final int MAX_ROUNDS = 20;
+    private static final int MAX_DOUBLINGS = 4;
 
     private final SearchRequest request;
     private final EndpointTable table;
@@ -95,7 +96,9 @@
         }
         if (stage == Stage.CANDIDATES && shortestWait != null) {
             stage = Stage.QUEUE;
-            long wait = heldByBound ? Math.min(ROUND_MILLIS, remainingMillis) : remainingMillis;
+            long wait = heldByBound
+                    ? Math.min(ROUND_MILLIS << Math.min(rounds, MAX_DOUBLINGS), remainingMillis)
+                    : remainingMillis;
             return ask(shortestWait, remainingMillis, wait, false);
         }
         if (stage == Stage.QUEUE && startsOver(remainingMillis)) {
--- a/core/src/main/java/org/dragonflygw/core/routing/StewardSettings.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/StewardSettings.java
@@ -19,7 +19,7 @@
         long expectedDurationMillis) {
     /** Settings with the customary times. */
     public static StewardSettings of(int maxInFlight, int maxQueue) {
-        return new StewardSettings(maxInFlight, maxQueue, 20_000, 12, 5_000, 4_000);
+        return new StewardSettings(maxInFlight, maxQueue, 20_000, 33, 5_000, 4_000);
     }
 
     /** Slots that teams above their share may not take. */
--- a/core/src/test/java/org/dragonflygw/core/limits/FairQueueTest.java
+++ b/core/src/test/java/org/dragonflygw/core/limits/FairQueueTest.java
@@ -42,6 +42,27 @@
         }
     }
 
+    @Nested
+    final class Refused {
+        @Test
+        void itemsThatFoundNoRoomCostNoTurn() {
+            for (int round = 0; round < 200; round++) {
+                queue.offer("eager", 1, "e");
+                queue.offer("eager", 1, "e");
+                queue.offer("eager", 1, "e");
+                queue.offer("calm", 1, "c");
+                queue.poll(team -> true);
+            }
+            int eager = 0;
+            for (int i = 0; i < 100; i++) {
+                eager += queue.poll(team -> true).orElseThrow().equals("e") ? 1 : 0;
+                queue.offer("eager", 1, "e");
+                queue.offer("calm", 1, "c");
+            }
+            assertThat(eager).isIn(com.google.common.collect.Range.closed(45, 55));
+        }
+    }
+
     @Nested
     final class Limit {
         @Test
--- a/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
@@ -3,8 +3,8 @@
 import com.google.inject.Module;
 import java.util.List;
 import org.dragonflygw.daemon.config.ConfigModule;
-import org.dragonflygw.daemon.ledger.LedgerModule;
 import org.dragonflygw.daemon.grant.GrantModule;
+import org.dragonflygw.daemon.ledger.LedgerModule;
 import org.dragonflygw.daemon.membership.MembershipModule;
 import org.dragonflygw.daemon.timeline.TimelineModule;
 
@@ -17,7 +17,8 @@
         return List.of(
                 new PlatformModule(),
                 new TimelineModule(),
-                new MembershipModule(), new GrantModule(),
+                new MembershipModule(),
+                new GrantModule(),
                 new ConfigModule(),
                 new LedgerModule());
     }
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardView.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardView.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.daemon.grant;
 
 import com.google.inject.Inject;
+import com.google.inject.Provider;
 import com.google.inject.Singleton;
 import java.util.List;
 import java.util.Map;
@@ -19,32 +20,32 @@
 public final class StewardView {
     private static final int MAX_KEPT = 20_000;
 
-    private final MembershipView members;
+    private final Provider<MembershipView> members;
     private volatile Kept kept = new Kept(List.of());
 
     @Inject
-    public StewardView(MembershipView members) {
+    public StewardView(Provider<MembershipView> members) {
         this.members = members;
     }
 
     /** Id of this daemon. */
     public String selfId() {
-        return members.self().daemonId();
+        return members.get().self().daemonId();
     }
 
     /** Region of this daemon. */
     public String region() {
-        return members.self().region();
+        return members.get().self().region();
     }
 
     /** Number of daemons that work in this region, at least 1. */
     public int daemons() {
-        return Math.max(1, members.workingDaemons(region()).size());
+        return Math.max(1, members.get().workingDaemons(region()).size());
     }
 
     /** All daemons, this one included. */
     public List<Member> members() {
-        return members.members();
+        return members.get().members();
     }
 
     /** The steward of an engine; empty when the region has no daemon. */
@@ -78,7 +79,7 @@
     }
 
     private Optional<Member> owner(String subject, String ownerRegion) {
-        List<Member> now = members.members();
+        List<Member> now = members.get().members();
         Kept current = kept;
         if (!current.members.equals(now)) {
             current = new Kept(now);
@@ -91,7 +92,7 @@
     }
 
     private Optional<Member> find(String subject, String ownerRegion, List<Member> now) {
-        String id = StewardAssignment.steward(subject, members.workingDaemons(ownerRegion));
+        String id = StewardAssignment.steward(subject, members.get().workingDaemons(ownerRegion));
         return now.stream().filter(member -> member.daemonId().equals(id)).findFirst();
     }
 
