--- a/bench/src/main/java/org/dragonflygw/bench/timeline/RequestEvents.java
+++ b/bench/src/main/java/org/dragonflygw/bench/timeline/RequestEvents.java
@@ -1,6 +1,6 @@
 package org.dragonflygw.bench.timeline;
 
-import java.util.Locale;
+import java.util.UUID;
 import org.dragonflygw.core.timeline.EventRecorder;
 import org.dragonflygw.core.timeline.EventSubject;
 import org.dragonflygw.core.timeline.EventType;
@@ -21,7 +21,7 @@
 
     /** Id of the request with a number, as long as the ids that routers make. */
     static String requestId(int number) {
-        return String.format(Locale.ROOT, "%016x", 0x5DEECE66DL * number);
+        return "req-" + new UUID(0x5DEECE66DL * number, number);
     }
 
     void record(int number) {
--- a/cli/src/main/java/org/dragonflygw/cli/Fleet.java
+++ b/cli/src/main/java/org/dragonflygw/cli/Fleet.java
@@ -88,7 +88,7 @@
         FleetView fleet = getFromAny("/v1/fleet", FleetView.class);
         Set<DaemonAddress> daemons = new LinkedHashSet<>(named);
         for (MemberView member : fleet.members()) {
-            if (!member.status().equals(DEAD)) {
+            if (!member.status().equalsIgnoreCase(DEAD)) {
                 daemons.add(new DaemonAddress(member.address(), member.operatorPort()));
             }
         }
--- a/cli/src/test/java/org/dragonflygw/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/dragonflygw/cli/CommandLineTest.java
@@ -21,7 +21,7 @@
                     + "\"members\":[{\"daemonId\":\"a\",\"address\":\"1.1.1.1\",\"operatorPort\":1,"
                     + "\"status\":\"ALIVE\"},{\"daemonId\":\"b\",\"address\":\"1.1.1.2\",\"operatorPort\":2,"
                     + "\"status\":\"ALIVE\"},{\"daemonId\":\"c\",\"address\":\"1.1.1.3\",\"operatorPort\":3,"
-                    + "\"status\":\"DEAD\"}]}";
+                    + "\"status\":\"dead\"}]}";
 
     private final FakeOperatorClient client = new FakeOperatorClient().reply("1.1.1.1:1", "/v1/fleet", 200, FLEET);
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
