--- a/bench/src/main/java/org/dragonflygw/bench/load/LoadMain.java
+++ b/bench/src/main/java/org/dragonflygw/bench/load/LoadMain.java
@@ -60,8 +60,8 @@
         String totals = LoadTables.totals(results);
         System.out.print(latencies);
         System.out.print(totals);
-        if (!options.valueOf(out).isEmpty()) {
-            write(Path.of(options.valueOf(out)), latencies, totals);
+        if (!last(options, out).isEmpty()) {
+            write(Path.of(last(options, out)), latencies, totals);
         }
         long failed = results.stream()
                 .mapToLong(result -> result.record().failedCount())
@@ -72,17 +72,17 @@
     private LoadPlan plan(OptionSet options) {
         return new LoadPlan(
                 options.valuesOf(target).stream().map(LoadTarget::parse).toList(),
-                options.valueOf(rate),
-                options.valueOf(blocks),
-                Duration.ofSeconds(options.valueOf(seconds)),
-                Duration.ofSeconds(options.valueOf(warmUp)),
-                Duration.ofSeconds(options.valueOf(drain)),
-                options.valueOf(tokens),
-                options.valueOf(promptBytes),
-                options.valueOf(prompts),
-                options.valueOf(model),
-                options.valueOf(key),
-                options.valueOf(seed));
+                last(options, rate),
+                last(options, blocks),
+                Duration.ofSeconds(last(options, seconds)),
+                Duration.ofSeconds(last(options, warmUp)),
+                Duration.ofSeconds(last(options, drain)),
+                last(options, tokens),
+                last(options, promptBytes),
+                last(options, prompts),
+                last(options, model),
+                last(options, key),
+                last(options, seed));
     }
 
     private OptionSpec<Integer> number(String name, int fallback, String help) {
@@ -92,6 +92,12 @@
                 .defaultsTo(fallback);
     }
 
+    /** The last value wins, so that a script's defaults can be overridden. */
+    private static <T> T last(OptionSet options, OptionSpec<T> option) {
+        List<T> values = options.valuesOf(option);
+        return values.get(values.size() - 1);
+    }
+
     private static void write(Path directory, String latencies, String totals) {
         try {
             Files.createDirectories(directory);
