--- a/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
@@ -160,6 +160,7 @@
 
     private void arrive(Arrival arrival) {
         Attempt attempt = new Attempt(arrival, random.nextInt(scenario.routers()));
+        result.arrivals++;
         if (measured(attempt)) {
             result.requests++;
             result.askedOfTeam[arrival.team()]++;
--- a/bench/src/main/java/org/dragonflygw/bench/policy/PolicyMain.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/PolicyMain.java
@@ -105,7 +105,8 @@
                 PolicyReport.number("%.3f", r.attemptsPerRequest()),
                 Long.toString(r.failed),
                 Long.toString(r.enginesLost),
-                PolicyReport.number("%.0f", (double) r.grantBytes / Math.max(1, r.requests)))));
+                PolicyReport.number("%.2f", (double) r.grantCalls / Math.max(1, r.arrivals)),
+                PolicyReport.number("%.0f", (double) r.grantBytes / Math.max(1, r.arrivals)))));
         report.table(
                 List.of(
                         "policy",
@@ -122,6 +123,7 @@
                         "attempts/request",
                         "failed",
                         "engines lost",
+                        "steward calls/request",
                         "grant bytes/request"),
                 rows);
     }
--- a/bench/src/main/java/org/dragonflygw/bench/policy/RunResult.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/RunResult.java
@@ -16,6 +16,7 @@
     final Map<String, Long> refusals = new HashMap<>();
     final long[] servedOfTeam;
     final long[] askedOfTeam;
+    long arrivals;
     long requests;
     long completed;
     long late;
--- a/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/StewardPolicy.java
@@ -40,6 +40,7 @@
     private static final long GOSSIP_MILLIS = 1_000;
     private static final long SUMS_MILLIS = 200;
     private static final long CALL_MILLIS = 5;
+    private static final long LEASE_MILLIS = 600_000;
     private static final double PREFILL_TOKENS_PER_MILLI = 10;
 
     private final PolicyLoop loop;
@@ -285,7 +286,7 @@
         int inherited =
                 routerLoads.find(key.engineId()).map(EndpointLoad::inFlight).orElse(0);
         MeanLoadBound bound = new MeanLoadBound(key.engineId(), PolicyLoop.LOAD_BOUND, stewardLoads, JOIN_MARGIN);
-        StewardSettings settings = new StewardSettings(FakeEngine.MAX_BATCH, 32, 20_000, 33, 5_000, 8_000);
+        StewardSettings settings = new StewardSettings(FakeEngine.MAX_BATCH, 32, LEASE_MILLIS, 33, 5_000, 8_000);
         return new EngineSteward(key.engineId(), nextEpoch++, settings, bound, inherited, loop.clock());
     }
 
