Run gossip and configuration in the daemon

Cause: the members and the sheet were decisions without a daemon around them; the host list alone gave endpoints. Change: GossipNode runs the protocol over Peer calls, SheetUpdater learns versions by gossip and slow polls and fetches contents from peers, then from the store; operators' calls for the sheet, fleet and engines; EndpointDirectory replaces the plain host list and damps endpoints that come and go; a lost answer of the object store is tried again, because content is stored under its digest.

--- a/core/src/main/java/org/dragonflygw/core/config/ConfigPublisher.java
+++ b/core/src/main/java/org/dragonflygw/core/config/ConfigPublisher.java
@@ -14,7 +14,7 @@
  * row of its own token, and if the second takes effect the first no longer can. A read may be old and proves neither.
  */
 public final class ConfigPublisher {
-    private static final int MAX_COMMITS = 4;
+    private static final int MAX_TRIES = 4;
 
     private final ConfigStore store;
     private final SheetReader reader;
@@ -54,17 +54,25 @@
     }
 
     private void writeContent(AppliedVersion proposed, byte[] content) {
-        try {
-            store.writeContent(proposed.digest(), content);
-        } catch (StorageException e) {
-            throw new ConfigException(ConfigCode.NOT_APPLIED, "the content could not be stored", e);
+        StorageException last = null;
+        for (int i = 0; i < MAX_TRIES; i++) {
+            try {
+                store.writeContent(proposed.digest(), content);
+                return;
+            } catch (StorageException e) {
+                last = e;
+            }
+            if (!last.outcomeUnknown()) {
+                break;
+            }
         }
+        throw new ConfigException(ConfigCode.NOT_APPLIED, "the content could not be stored", last);
     }
 
     private CommitResult commit(AppliedVersion proposed) {
         boolean mayHaveTakenEffect = false;
         StorageException last = null;
-        for (int i = 0; i < MAX_COMMITS; i++) {
+        for (int i = 0; i < MAX_TRIES; i++) {
             try {
                 return store.commit(proposed);
             } catch (StorageException e) {
--- a/core/src/main/java/org/dragonflygw/core/config/RowChange.java
+++ b/core/src/main/java/org/dragonflygw/core/config/RowChange.java
@@ -1,6 +1,8 @@
 package org.dragonflygw.core.config;
 
 import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
 
 /**
  * One row that differs between two sheets.
@@ -15,4 +17,16 @@
     public RowChange {
         cells = List.copyOf(cells);
     }
+
+    /** One line for operators, for example {@code changed team clerks: weight 3 -> 9}. */
+    @Override
+    public String toString() {
+        String line = type.name().toLowerCase(Locale.ROOT) + " " + kind.columnValue() + " " + row;
+        if (cells.isEmpty()) {
+            return line;
+        }
+        return cells.stream()
+                .map(cell -> cell.column().header() + " " + cell.before() + " -> " + cell.after())
+                .collect(Collectors.joining(", ", line + ": ", ""));
+    }
 }
--- a/core/src/main/java/org/dragonflygw/core/membership/GossipProtocol.java
+++ b/core/src/main/java/org/dragonflygw/core/membership/GossipProtocol.java
@@ -44,7 +44,7 @@
     private final ProbeOrder otherRegions;
     private final ProbeOrder urgentOrder;
     private final ProbeOrder dead;
-    private final Set<String> leavingEndpoints = new HashSet<>();
+    private final Set<String> closedEndpoints = new HashSet<>();
     private Instant lastTick;
     private long round;
     private long spreadNumber;
@@ -272,7 +272,7 @@
         Instant now = clock.instant();
         for (EndpointLoad load : feeds.ownLoads().ownLoads()) {
             if (loads.accept(restated(load, now))) {
-                noteLeaving(load);
+                noteClosed(load);
             }
         }
     }
@@ -292,14 +292,14 @@
     private void acceptLoad(EndpointLoad load) {
         if (loads.accept(load)) {
             feeds.loads().accept(load);
-            noteLeaving(load);
+            noteClosed(load);
         }
     }
 
-    private void noteLeaving(EndpointLoad load) {
+    private void noteClosed(EndpointLoad load) {
         if (!load.closed()) {
-            leavingEndpoints.remove(load.endpointId());
-        } else if (leavingEndpoints.add(load.endpointId())) {
+            closedEndpoints.remove(load.endpointId());
+        } else if (closedEndpoints.add(load.endpointId())) {
             urgent = true;
         }
     }
--- a/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
@@ -2,7 +2,9 @@
 
 import com.google.inject.Module;
 import java.util.List;
+import org.dragonflygw.daemon.config.ConfigModule;
 import org.dragonflygw.daemon.ledger.LedgerModule;
+import org.dragonflygw.daemon.membership.MembershipModule;
 import org.dragonflygw.daemon.timeline.TimelineModule;
 
 /** The modules of the subsystems that a daemon runs with, besides its frame. */
@@ -11,6 +13,11 @@
 
     /** All subsystems, in the order of their start. */
     public static List<Module> all() {
-        return List.of(new PlatformModule(), new TimelineModule(), new LedgerModule());
+        return List.of(
+                new PlatformModule(),
+                new TimelineModule(),
+                new MembershipModule(),
+                new ConfigModule(),
+                new LedgerModule());
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/membership/FleetResource.java
@@ -0,0 +1,98 @@
+package org.dragonflygw.daemon.membership;
+
+import com.google.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import java.time.Clock;
+import java.util.List;
+import java.util.Locale;
+import org.dragonflygw.core.config.ActiveSheet;
+import org.dragonflygw.core.config.Service;
+import org.dragonflygw.core.config.SheetSource;
+import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.core.fleet.EndpointState;
+import org.dragonflygw.core.inspect.FleetView;
+import org.dragonflygw.core.inspect.MemberView;
+import org.dragonflygw.core.inspect.ServiceView;
+import org.dragonflygw.core.membership.EndpointDirectory;
+import org.dragonflygw.core.membership.Member;
+import org.dragonflygw.core.membership.Sighting;
+import org.dragonflygw.wire.settings.RouterSettings;
+
+/** The fleet as this daemon sees it. */
+@Path("/v1/fleet")
+@Produces(MediaType.APPLICATION_JSON)
+public final class FleetResource {
+    private final GossipNode gossip;
+    private final SheetSource sheets;
+    private final EndpointDirectory endpoints;
+    private final KnownLoads loads;
+    private final Clock clock;
+    private final RouterSettings settings;
+
+    @Inject
+    public FleetResource(
+            GossipNode gossip,
+            SheetSource sheets,
+            EndpointDirectory endpoints,
+            KnownLoads loads,
+            Clock clock,
+            RouterSettings settings) {
+        this.gossip = gossip;
+        this.sheets = sheets;
+        this.endpoints = endpoints;
+        this.loads = loads;
+        this.clock = clock;
+        this.settings = settings;
+    }
+
+    /** Members, loads of the services, and the cost of control. */
+    @GET
+    public FleetView fleet() {
+        ActiveSheet active = sheets.current();
+        return new FleetView(
+                settings.getDaemonId(),
+                settings.getDeployment(),
+                active.version().number(),
+                active.version().digest(),
+                0,
+                gossip.sentBytesPerSecond(),
+                gossip.receivedBytesPerSecond(),
+                active.sheet().services().stream().map(this::service).toList(),
+                gossip.members().stream().map(member -> member(member, active)).toList());
+    }
+
+    private ServiceView service(Service service) {
+        List<Endpoint> pool = endpoints.endpoints(service.pool());
+        int live = 0;
+        int sum = 0;
+        int max = 0;
+        for (Endpoint endpoint : pool) {
+            int inFlight = loads.inFlight(endpoint.id());
+            live += endpoint.state() == EndpointState.LIVE ? 1 : 0;
+            sum += inFlight;
+            max = Math.max(max, inFlight);
+        }
+        double mean = pool.isEmpty() ? 0 : (double) sum / pool.size();
+        double skew = sum == 0 ? 0 : max / mean;
+        return new ServiceView(service.name(), live, pool.size(), mean, max, skew, service.loadBound());
+    }
+
+    private MemberView member(Member member, ActiveSheet active) {
+        boolean self = member.daemonId().equals(settings.getDaemonId());
+        Sighting sighting =
+                self ? new Sighting(clock.instant(), active.version().number()) : gossip.sighting(member.daemonId());
+        return new MemberView(
+                member.daemonId(),
+                member.address(),
+                member.operatorPort(),
+                member.availabilityZone(),
+                member.region(),
+                member.incarnation(),
+                member.status().name().toLowerCase(Locale.ROOT),
+                sighting.sheetNumber(),
+                Math.max(0, clock.millis() - sighting.at().toEpochMilli()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/membership/GossipNode.java
@@ -0,0 +1,244 @@
+package org.dragonflygw.daemon.membership;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.inject.Inject;
+import com.google.inject.Provider;
+import com.google.inject.Singleton;
+import io.dropwizard.lifecycle.Managed;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.dragonflygw.core.membership.GossipFeeds;
+import org.dragonflygw.core.membership.GossipProtocol;
+import org.dragonflygw.core.membership.GossipSettings;
+import org.dragonflygw.core.membership.Member;
+import org.dragonflygw.core.membership.MemberStatus;
+import org.dragonflygw.core.membership.MembershipView;
+import org.dragonflygw.core.membership.Sighting;
+import org.dragonflygw.core.storage.HostListing;
+import org.dragonflygw.core.timeline.EventRecorder;
+import org.dragonflygw.core.timeline.HybridClock;
+import org.dragonflygw.daemon.peer.PeerAddress;
+import org.dragonflygw.daemon.peer.PeerClients;
+import org.dragonflygw.daemon.peer.PeerException;
+import org.dragonflygw.daemon.peer.PeerServer;
+import org.dragonflygw.daemon.schedule.BackgroundTimer;
+import org.dragonflygw.wire.codec.GossipCodec;
+import org.dragonflygw.wire.codec.WireException;
+import org.dragonflygw.wire.settings.RouterSettings;
+
+/**
+ * Runs the gossip protocol over calls between daemons: a round each interval, and urgent news at once. A failed exchange
+ * is repeated once on a new connection before the other daemon is suspected, because a pooled connection can have gone
+ * silent. Safe from every thread; all decisions are in {@link GossipProtocol}.
+ */
+@Singleton
+public final class GossipNode implements MembershipView, Managed {
+    private static final Logger LOG = LogManager.getLogger(GossipNode.class);
+    private static final int THREADS = 4;
+    private static final int MIN_TIMEOUT_MILLIS = 500;
+
+    private final RouterSettings settings;
+    private final GossipFeeds feeds;
+    private final PeerClients clients;
+    private final Provider<PeerServer> server;
+    private final Clock clock;
+    private final HybridClock hybridClock;
+    private final EventRecorder events;
+    private final Meter sentBytes;
+    private final Meter receivedBytes;
+    private final Meter failures;
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private final BackgroundTimer workers = new BackgroundTimer("gossip", THREADS);
+    private volatile GossipProtocol protocol;
+
+    @Inject
+    public GossipNode(
+            RouterSettings settings,
+            GossipFeeds feeds,
+            PeerClients clients,
+            Provider<PeerServer> server,
+            Clock clock,
+            HybridClock hybridClock,
+            EventRecorder events,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.feeds = feeds;
+        this.clients = clients;
+        this.server = server;
+        this.clock = clock;
+        this.hybridClock = hybridClock;
+        this.events = events;
+        sentBytes = metrics.meter("dragonflygw.membership.sent.bytes");
+        receivedBytes = metrics.meter("dragonflygw.membership.received.bytes");
+        failures = metrics.meter("dragonflygw.membership.failed.exchanges");
+        metrics.register("dragonflygw.membership.known.daemons", (Gauge<Integer>)
+                () -> members().size());
+    }
+
+    /** Adds an action that runs after each exchange; it must not block. */
+    public void onExchange(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public Member self() {
+        GossipProtocol running = protocol;
+        return running == null ? newSelf(settings.getPeerPort()) : running.self();
+    }
+
+    @Override
+    public List<Member> members() {
+        GossipProtocol running = protocol;
+        return running == null ? List.of(self()) : running.members();
+    }
+
+    /** Last direct exchange with a daemon. */
+    public Sighting sighting(String daemonId) {
+        GossipProtocol running = protocol;
+        return running == null ? Sighting.NONE : running.sighting(daemonId);
+    }
+
+    /** Whether another process runs with this daemon's id. */
+    public boolean superseded() {
+        GossipProtocol running = protocol;
+        return running != null && running.superseded();
+    }
+
+    /** Takes the routers of the host list as members to be found. */
+    public void seed(HostListing listing) {
+        GossipProtocol running = protocol;
+        if (running != null) {
+            running.seed(listing);
+        }
+    }
+
+    /** Bytes of gossip sent in a second, mean of the last minute. */
+    public double sentBytesPerSecond() {
+        return sentBytes.getOneMinuteRate();
+    }
+
+    /** Bytes of gossip received in a second, mean of the last minute. */
+    public double receivedBytesPerSecond() {
+        return receivedBytes.getOneMinuteRate();
+    }
+
+    /** Answers an exchange that another daemon opened. */
+    org.dragonflygw.wire.gossip.GossipMessage answer(org.dragonflygw.wire.gossip.GossipMessage message) {
+        GossipProtocol running = protocol;
+        if (running == null) {
+            throw new MembershipException(MembershipCode.NOT_STARTED, "gossip has not started");
+        }
+        receivedBytes.mark(EncodedSize.of(message));
+        org.dragonflygw.wire.gossip.GossipMessage answer =
+                encode(running.answer(GossipCodec.fromWire(message, clock.instant())));
+        afterExchange(running);
+        return answer;
+    }
+
+    /** Sends urgent news now instead of at the next round. */
+    public void spreadNews() {
+        GossipProtocol running = protocol;
+        if (running != null) {
+            submitAll(running, running.takeUrgentTargets());
+        }
+    }
+
+    /** Tells the others that this daemon leaves. */
+    public void leave() {
+        protocol.leave();
+        spreadNews();
+    }
+
+    @Override
+    public void start() {
+        Random random = new Random(clock.millis() ^ settings.getDaemonId().hashCode());
+        Duration interval = Duration.ofMillis(settings.getGossipIntervalMillis());
+        protocol = new GossipProtocol(
+                newSelf(server.get().port()),
+                GossipSettings.of(interval, settings.getControlBytesPerSecond()),
+                feeds,
+                clock,
+                hybridClock,
+                random,
+                events);
+        int phase = random.nextInt(settings.getGossipIntervalMillis());
+        workers.repeat(phase, settings::getGossipIntervalMillis, this::round);
+    }
+
+    @Override
+    public void stop() {
+        GossipProtocol running = protocol;
+        if (running != null) {
+            running.left();
+            running.takeUrgentTargets().forEach(target -> exchange(running, target));
+        }
+        workers.close();
+    }
+
+    private Member newSelf(int peerPort) {
+        return new Member(
+                settings.getDaemonId(),
+                settings.getHost(),
+                peerPort,
+                settings.getOperatorPort(),
+                settings.getAvailabilityZone(),
+                settings.getRegion(),
+                clock.millis(),
+                MemberStatus.ALIVE);
+    }
+
+    private void round() {
+        GossipProtocol running = protocol;
+        submitAll(running, running.tick());
+    }
+
+    private void submitAll(GossipProtocol running, List<Member> targets) {
+        targets.forEach(target -> workers.run(() -> exchange(running, target)));
+    }
+
+    private void exchange(GossipProtocol running, Member target) {
+        try {
+            org.dragonflygw.wire.gossip.GossipMessage answer = callTwice(target, encode(running.open(target)));
+            receivedBytes.mark(EncodedSize.of(answer));
+            running.finish(GossipCodec.fromWire(answer, clock.instant()));
+            afterExchange(running);
+        } catch (PeerException | WireException e) {
+            failures.mark();
+            LOG.debug("exchange with {} failed: {}", target.daemonId(), e.getMessage());
+            running.fail(target.daemonId());
+        }
+    }
+
+    private org.dragonflygw.wire.gossip.GossipMessage callTwice(
+            Member target, org.dragonflygw.wire.gossip.GossipMessage message) {
+        PeerAddress address = new PeerAddress(target.address(), target.peerPort());
+        int timeout = Math.max(MIN_TIMEOUT_MILLIS, settings.getGossipIntervalMillis() / 2);
+        try {
+            return clients.exchange(address, message, timeout);
+        } catch (PeerException e) {
+            if (!e.outcomeUnknown()) {
+                throw e;
+            }
+            clients.forget(address);
+            return clients.exchange(address, message, timeout);
+        }
+    }
+
+    private org.dragonflygw.wire.gossip.GossipMessage encode(org.dragonflygw.core.membership.GossipMessage message) {
+        org.dragonflygw.wire.gossip.GossipMessage encoded = GossipCodec.toWire(message, clock.instant());
+        sentBytes.mark(EncodedSize.of(encoded));
+        return encoded;
+    }
+
+    private void afterExchange(GossipProtocol running) {
+        listeners.forEach(Runnable::run);
+        submitAll(running, running.takeUrgentTargets());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/membership/KnownLoads.java
@@ -0,0 +1,34 @@
+package org.dragonflygw.daemon.membership;
+
+import com.google.inject.Inject;
+import com.google.inject.Singleton;
+import java.util.Optional;
+import org.dragonflygw.core.membership.EndpointDirectory;
+import org.dragonflygw.core.routing.EndpointLoad;
+import org.dragonflygw.core.routing.EndpointLoadSource;
+
+/** Newest known load of each endpoint: stated by this daemon, or heard from others. */
+@Singleton
+final class KnownLoads {
+    private final EndpointLoadSource own;
+    private final EndpointDirectory heard;
+
+    @Inject
+    KnownLoads(EndpointLoadSource own, EndpointDirectory heard) {
+        this.own = own;
+        this.heard = heard;
+    }
+
+    Optional<EndpointLoad> of(String endpointId) {
+        for (EndpointLoad load : own.ownLoads()) {
+            if (load.endpointId().equals(endpointId)) {
+                return Optional.of(load);
+            }
+        }
+        return heard.load(endpointId);
+    }
+
+    int inFlight(String endpointId) {
+        return of(endpointId).map(EndpointLoad::inFlight).orElse(0);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/dragonflygw/daemon/membership/MembershipException.java
@@ -0,0 +1,14 @@
+package org.dragonflygw.daemon.membership;
+
+import org.dragonflygw.core.error.CodedException;
+
+/** A failure of the membership of this daemon. */
+public final class MembershipException extends CodedException {
+    public MembershipException(MembershipCode code, String message) {
+        super(code, message);
+    }
+
+    public MembershipException(MembershipCode code, String message, Throwable cause) {
+        super(code, message, cause);
+    }
+}
--- a/wire/src/main/java/org/dragonflygw/wire/codec/GossipCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/GossipCodec.java
@@ -141,7 +141,7 @@
                 row.getVersion(),
                 row.getInFlight(),
                 row.getQueued(),
-                row.isLeaving(),
+                row.isClosed(),
                 row.getWaitMillis(),
                 now.minusMillis(Math.max(0, row.getAgeMillis())));
     }
--- a/wire/src/main/thrift/gossip.thrift
+++ b/wire/src/main/thrift/gossip.thrift
@@ -28,7 +28,8 @@
   3: required i64 version
   4: required i32 inFlight
   5: required i32 queued
-  6: required bool leaving
+  /** Whether it takes no new work. */
+  6: required bool closed
   7: required i32 waitMillis
   /** Time since the sender learned it, in milliseconds. */
   8: required i32 ageMillis
