--- a/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/Subsystems.java
@@ -3,6 +3,7 @@
 import com.google.inject.Module;
 import java.util.List;
 import org.dragonflygw.daemon.config.ConfigModule;
+import org.dragonflygw.daemon.grant.GrantModule;
 import org.dragonflygw.daemon.ledger.LedgerModule;
 import org.dragonflygw.daemon.membership.MembershipModule;
 import org.dragonflygw.daemon.timeline.TimelineModule;
@@ -17,6 +18,7 @@
                 new PlatformModule(),
                 new TimelineModule(),
                 new MembershipModule(),
+                new GrantModule(),
                 new ConfigModule(),
                 new LedgerModule());
     }
