Do not dispatch under a grant that grew old

Cause: a router that is paused after it was granted a slot sent the request to an endpoint that had been leaving for longer than 3 s, because nothing looked at the age of the grant. Conclusion: a pause before or after the grant no longer sends work to a leaving endpoint.

--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/RequestRunner.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/RequestRunner.java
@@ -27,6 +27,8 @@
 @Singleton
 public final class RequestRunner {
     private static final Logger LOG = LogManager.getLogger(RequestRunner.class);
+    private static final int MAX_STALE_GRANTS = 3;
+    private static final long STALE_RETRY_AFTER_MILLIS = 1_000;
 
     private final EndpointSelector selector;
     private final RetryPolicy retries;
@@ -107,7 +109,7 @@
         Set<String> excluded = new HashSet<>();
         RunStatus run = RunStatus.NOT_RUN;
         for (int attempt = 1; ; attempt++) {
-            EndpointGrant grant = acquire(request, excluded, run);
+            EndpointGrant grant = acquireFresh(request, excluded, run);
             String endpointId = grant.endpoint().id();
             try {
                 checkClaim(claim, run);
@@ -148,6 +150,19 @@
         return allowed;
     }
 
+    /** Takes a slot; one that grew old on the way, because this process was paused, is given back. */
+    private EndpointGrant acquireFresh(RequestContext request, Set<String> excluded, RunStatus run) {
+        for (int i = 0; i < MAX_STALE_GRANTS; i++) {
+            EndpointGrant grant = acquire(request, excluded, run);
+            if (grant.mayDispatch()) {
+                return grant;
+            }
+            grant.end(AttemptOutcome.CANCELLED);
+        }
+        throw new CallerException(
+                CallerCode.OVERLOADED, run, "no slot came in time to be used", STALE_RETRY_AFTER_MILLIS, null);
+    }
+
     private EndpointGrant acquire(RequestContext request, Set<String> excluded, RunStatus run) {
         try {
             return selector.acquire(request, Set.copyOf(excluded));
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/LocalEndpointSelector.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/LocalEndpointSelector.java
@@ -14,6 +14,7 @@
 import org.dragonflygw.core.routing.AttemptOutcome;
 import org.dragonflygw.core.routing.EndpointGrant;
 import org.dragonflygw.core.routing.EndpointSelector;
+import org.dragonflygw.core.routing.GrantAge;
 import org.dragonflygw.core.routing.RoutingCode;
 import org.dragonflygw.core.routing.RoutingException;
 
@@ -67,6 +68,7 @@
 
     private final class Grant implements EndpointGrant {
         private final Endpoint endpoint;
+        private final GrantAge age = new GrantAge(System.nanoTime(), 0);
         private final AtomicBoolean ended = new AtomicBoolean();
 
         Grant(Endpoint endpoint) {
@@ -78,6 +80,11 @@
             return endpoint;
         }
 
+        @Override
+        public boolean mayDispatch() {
+            return age.mayDispatch(System.nanoTime());
+        }
+
         @Override
         public void end(AttemptOutcome outcome) {
             if (ended.compareAndSet(false, true)) {
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardGrant.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardGrant.java
@@ -5,15 +5,18 @@
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.core.routing.AttemptOutcome;
 import org.dragonflygw.core.routing.EndpointGrant;
+import org.dragonflygw.core.routing.GrantAge;
 
 /** A slot whose end is told once. */
 final class StewardGrant implements EndpointGrant {
     private final Endpoint endpoint;
+    private final GrantAge age;
     private final Consumer<AttemptOutcome> onEnd;
     private final AtomicBoolean ended = new AtomicBoolean();
 
-    StewardGrant(Endpoint endpoint, Consumer<AttemptOutcome> onEnd) {
+    StewardGrant(Endpoint endpoint, GrantAge age, Consumer<AttemptOutcome> onEnd) {
         this.endpoint = endpoint;
+        this.age = age;
         this.onEnd = onEnd;
     }
 
@@ -22,6 +25,11 @@
         return endpoint;
     }
 
+    @Override
+    public boolean mayDispatch() {
+        return age.mayDispatch(System.nanoTime());
+    }
+
     @Override
     public void end(AttemptOutcome outcome) {
         if (ended.compareAndSet(false, true)) {
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardSelector.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardSelector.java
@@ -18,6 +18,7 @@
 import org.dragonflygw.core.routing.EndpointGrant;
 import org.dragonflygw.core.routing.EndpointSelector;
 import org.dragonflygw.core.routing.EndpointTable;
+import org.dragonflygw.core.routing.GrantAge;
 import org.dragonflygw.core.routing.RoutingCode;
 import org.dragonflygw.core.routing.RoutingException;
 import org.dragonflygw.core.routing.SearchRequest;
@@ -148,6 +149,7 @@
         private boolean asked;
         private boolean suspect;
         private boolean reachedNone = true;
+        private long askedNanos;
 
         private Walk(
                 RequestContext request,
@@ -196,6 +198,7 @@
         }
 
         private Optional<SlotDecision> ask(SlotQuestion question) {
+            askedNanos = System.nanoTime();
             try {
                 SlotDecision decision = calls.acquire(question, request.service(), request.priority());
                 reachedNone &= decision.status() == SlotStatus.NOT_STEWARD;
@@ -228,7 +231,8 @@
                             + (search.spilled()
                                     ? ", first choice " + search.first().id()
                                     : ""));
-            return new StewardGrant(endpoint, outcome -> ledger.end(key, outcome));
+            GrantAge age = new GrantAge(askedNanos, decision.queuedMillis());
+            return new StewardGrant(endpoint, age, outcome -> ledger.end(key, outcome));
         }
 
         /** While the request waited, its copy may have brought an engine down. */
@@ -248,7 +252,8 @@
             }
             metrics.local();
             record(EventType.GRANT_GIVEN, endpoint.get().id(), "local share, no steward answered");
-            return Optional.of(new StewardGrant(endpoint.get(), outcome -> localShare.give(endpoint.get())));
+            GrantAge age = new GrantAge(System.nanoTime(), 0);
+            return Optional.of(new StewardGrant(endpoint.get(), age, outcome -> localShare.give(endpoint.get())));
         }
 
         private RoutingException refusal() {
