Check histories of concurrent runs and fuzz the request path

Change: a history recorder and a checker that decides from the history alone, with a broken history for each promise; jqwik runs of the request path with the real ledger, stewards, retry policy and stream check over fakes with faults.

--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/Chunks.java
@@ -0,0 +1,36 @@
+package org.dragonflygw.bench.fuzz;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Server-sent events as engines send them. */
+final class Chunks {
+    private static final String CONTENT = "\"content\":\"";
+
+    private Chunks() {}
+
+    /** The event of one token. */
+    static byte[] token(String request, int index, List<String> tokens) {
+        String finish = index == tokens.size() - 1 ? "\"stop\"" : "null";
+        String event = "id: " + index + "\ndata: {\"id\":\"" + request + "\",\"choices\":[{\"delta\":{" + CONTENT
+                + tokens.get(index) + "\"},\"finish_reason\":" + finish + "}]}\n\n";
+        return event.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The event that ends a stream. */
+    static byte[] done() {
+        return "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The token in the data of an event. */
+    static String content(String data) {
+        int from = data.indexOf(CONTENT) + CONTENT.length();
+        return data.substring(from, data.indexOf('"', from));
+    }
+
+    /** The token in the bytes of one event; empty for the event that ends a stream. */
+    static String text(byte[] event) {
+        String text = new String(event, StandardCharsets.UTF_8);
+        return text.contains(CONTENT) ? content(text) : "";
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzDaemon.java
@@ -0,0 +1,146 @@
+package org.dragonflygw.bench.fuzz;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.dragonflygw.core.ledger.AnswerStore;
+import org.dragonflygw.core.ledger.ClaimOwner;
+import org.dragonflygw.core.ledger.CommitLimits;
+import org.dragonflygw.core.ledger.GroupCommitter;
+import org.dragonflygw.core.ledger.LedgerLimits;
+import org.dragonflygw.core.ledger.LedgerParts;
+import org.dragonflygw.core.ledger.OwnerLiveness;
+import org.dragonflygw.core.ledger.SubmissionLedger;
+import org.dragonflygw.core.retry.BudgetedRetryPolicy;
+import org.dragonflygw.core.retry.RetryBudgets;
+import org.dragonflygw.core.retry.RetryPolicy;
+import org.dragonflygw.core.timeline.EventRecorder;
+
+/** One router process: the real ledger and retry policy on a clock of its own. For one thread. */
+final class FuzzDaemon {
+    private static final String DEPLOYMENT = "peachtree";
+    private static final long FLUSH_MILLIS = 25;
+    private static final int FLUSHES_AT_ONCE = 2;
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final String id;
+    private final VirtualTime time;
+    private final InstantSource clock;
+    private final GroupCommitter committer;
+    private final SubmissionLedger ledger;
+    private final RetryPolicy retries;
+    private final Set<FuzzRequest> open = new LinkedHashSet<>();
+    private final ArrayDeque<Runnable> backlog = new ArrayDeque<>();
+    private boolean alive = true;
+    private long pausedUntilMillis;
+    private boolean flushPlanned;
+    private int flushes;
+
+    FuzzDaemon(String id, long incarnation, long skewMillis, VirtualTime time, FuzzStore store) {
+        this.id = id;
+        this.time = time;
+        this.clock = () -> Instant.ofEpochMilli(time.millis() + skewMillis);
+        this.committer = new GroupCommitter(store, clock, CommitLimits.DEFAULT, this::planFlush);
+        this.retries = new BudgetedRetryPolicy(MAX_ATTEMPTS, new RetryBudgets(clock));
+        this.ledger = new SubmissionLedger(new LedgerParts(
+                DEPLOYMENT,
+                new ClaimOwner(id, incarnation),
+                committer,
+                store,
+                new AnswerStore(store, DEPLOYMENT),
+                this::after,
+                clock,
+                time::nanos,
+                OwnerLiveness.ASSUME_LIVE,
+                EventRecorder.DISCARD,
+                LedgerLimits.DEFAULT));
+    }
+
+    String id() {
+        return id;
+    }
+
+    InstantSource clock() {
+        return clock;
+    }
+
+    SubmissionLedger ledger() {
+        return ledger;
+    }
+
+    RetryPolicy retries() {
+        return retries;
+    }
+
+    void opened(FuzzRequest request) {
+        open.add(request);
+    }
+
+    void ended(FuzzRequest request) {
+        open.remove(request);
+    }
+
+    /** Runs a task of this process: never after its end, and in order after a pause. */
+    void run(Runnable task) {
+        if (!alive) {
+            return;
+        }
+        if (time.millis() < pausedUntilMillis || !backlog.isEmpty()) {
+            backlog.add(task);
+            return;
+        }
+        task.run();
+    }
+
+    void after(long delayMillis, Runnable task) {
+        time.after(delayMillis, () -> run(task));
+    }
+
+    /** Stops the whole process for a while; its clocks go on. */
+    void pause(long millis) {
+        pausedUntilMillis = Math.max(pausedUntilMillis, time.millis() + millis);
+        time.after(millis, this::resume);
+    }
+
+    private void resume() {
+        while (alive && !backlog.isEmpty() && time.millis() >= pausedUntilMillis) {
+            backlog.poll().run();
+        }
+    }
+
+    /** Ends the process without warning. */
+    List<FuzzRequest> crash() {
+        alive = false;
+        List<FuzzRequest> cut = new ArrayList<>(open);
+        open.clear();
+        return cut;
+    }
+
+    /** Whether nothing is left over from requests that ended. */
+    boolean isIdle() {
+        return ledger.openClaims() == 0 && committer.queued() == 0 && open.isEmpty();
+    }
+
+    private void planFlush() {
+        if (!flushPlanned) {
+            flushPlanned = true;
+            after(FLUSH_MILLIS, this::flush);
+        }
+    }
+
+    private void flush() {
+        flushPlanned = false;
+        if (flushes < FLUSHES_AT_ONCE) {
+            flushes++;
+            committer.flush();
+            flushes--;
+        }
+        if (committer.queued() > 0) {
+            planFlush();
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzEndpoint.java
@@ -0,0 +1,124 @@
+package org.dragonflygw.bench.fuzz;
+
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dragonflygw.bench.history.HistoryEvent.Executed;
+import org.dragonflygw.bench.history.HistoryRecorder;
+
+/** A model engine or plain service that answers from what it is asked, with one fault at a time. For one thread. */
+final class FuzzEndpoint {
+    private static final long TOKEN_MILLIS = 20;
+    private static final long SLOW_MILLIS = 3_000;
+    private static final long LATE_MILLIS = 8_000;
+    private static final Set<EndpointFault> CHUNK_FAULTS =
+            EnumSet.of(EndpointFault.CROSSED, EndpointFault.DUPLICATE, EndpointFault.GAP);
+
+    private final String id;
+    private final VirtualTime time;
+    private final HistoryRecorder history;
+    private final FaultCounts counts;
+    private final Map<String, List<String>> streams = new HashMap<>();
+    private EndpointFault fault = EndpointFault.NONE;
+
+    FuzzEndpoint(String id, VirtualTime time, HistoryRecorder history, FaultCounts counts) {
+        this.id = id;
+        this.time = time;
+        this.history = history;
+        this.counts = counts;
+    }
+
+    String id() {
+        return id;
+    }
+
+    void setFault(EndpointFault newFault) {
+        fault = newFault;
+    }
+
+    /** Takes a request; the answer has the given tokens. */
+    void send(String request, String submission, List<String> tokens, AnswerListener listener) {
+        switch (fault) {
+            case REFUSES -> hit(listener::onRefused);
+            case REQUEST_LOST -> hit(() -> time.after(TOKEN_MILLIS, listener::onLost));
+            case LATE_RUN ->
+                hit(() -> {
+                    time.after(TOKEN_MILLIS, listener::onLost);
+                    time.after(LATE_MILLIS, () -> run(request, submission, tokens));
+                });
+            case ANSWER_LOST ->
+                hit(() -> {
+                    run(request, submission, tokens);
+                    time.after(TOKEN_MILLIS, listener::onLost);
+                });
+            case SLOW ->
+                hit(() -> {
+                    run(request, submission, tokens);
+                    time.after(SLOW_MILLIS, () -> stream(request, 0, tokens, listener, EndpointFault.NONE));
+                });
+            default -> {
+                boolean chunkFault = CHUNK_FAULTS.contains(fault);
+                run(request, submission, tokens);
+                stream(request, 0, tokens, listener, chunkFault && !submission.isEmpty() ? EndpointFault.NONE : fault);
+            }
+        }
+    }
+
+    /** Sends the rest of a stream on a new connection; false when the request is unknown here. */
+    boolean resume(String request, long from, AnswerListener listener) {
+        List<String> tokens = streams.get(request);
+        if (tokens == null || fault == EndpointFault.REFUSES) {
+            return false;
+        }
+        stream(request, (int) from, tokens, listener, EndpointFault.NONE);
+        return true;
+    }
+
+    private void hit(Runnable action) {
+        counts.add(fault);
+        action.run();
+    }
+
+    private void run(String request, String submission, List<String> tokens) {
+        streams.put(request, tokens);
+        history.record(new Executed(request, submission, id));
+    }
+
+    private void stream(
+            String request, int from, List<String> tokens, AnswerListener listener, EndpointFault streamFault) {
+        if (streamFault != EndpointFault.NONE) {
+            counts.add(streamFault);
+        }
+        List<String> foreignTokens = tokens.stream().map(t -> "foreign-" + t).toList();
+        int middle = from + (tokens.size() - from) / 2;
+        long at = TOKEN_MILLIS;
+        for (int i = from; i < tokens.size(); i++) {
+            byte[] chunk = Chunks.token(request, i, tokens);
+            boolean inMiddle = i == middle;
+            if (inMiddle && streamFault == EndpointFault.SILENT) {
+                return;
+            }
+            if (inMiddle && streamFault == EndpointFault.CUT) {
+                time.after(at, listener::onLost);
+                return;
+            }
+            if (inMiddle && streamFault == EndpointFault.CROSSED) {
+                byte[] foreign = Chunks.token("other-" + request, i, foreignTokens);
+                time.after(at, () -> listener.onBytes(foreign));
+            }
+            if (!inMiddle || streamFault != EndpointFault.GAP) {
+                time.after(at, () -> listener.onBytes(chunk));
+            }
+            if (inMiddle && streamFault == EndpointFault.DUPLICATE) {
+                time.after(at, () -> listener.onBytes(chunk));
+            }
+            at += TOKEN_MILLIS;
+        }
+        time.after(at, () -> {
+            listener.onBytes(Chunks.done());
+            listener.onEnd();
+        });
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzEndpoints.java
@@ -0,0 +1,115 @@
+package org.dragonflygw.bench.fuzz;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.dragonflygw.bench.history.HistoryEvent.Leaving;
+import org.dragonflygw.bench.history.HistoryRecorder;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.routing.EngineSteward;
+import org.dragonflygw.core.routing.GrantAge;
+import org.dragonflygw.core.routing.LoadBound;
+import org.dragonflygw.core.routing.SlotRequest;
+import org.dragonflygw.core.routing.SlotStatus;
+import org.dragonflygw.core.routing.StewardSettings;
+
+/** The endpoints, each behind its real steward. For one thread. */
+final class FuzzEndpoints {
+    private static final int SLOTS = 4;
+    private static final int QUEUE = 8;
+    private static final long EXPIRE_MILLIS = 500;
+    private static final long LEAVE_LAG_MILLIS = 1_000;
+    private static final long MAX_WAIT_MILLIS = 2_000;
+
+    private final VirtualTime time;
+    private final HistoryRecorder history;
+    private final List<FuzzEndpoint> endpoints = new ArrayList<>();
+    private final Map<String, EngineSteward> stewards = new LinkedHashMap<>();
+    private int turn;
+
+    FuzzEndpoints(int count, VirtualTime time, HistoryRecorder history, FaultCounts counts) {
+        this.time = time;
+        this.history = history;
+        for (int i = 0; i < count; i++) {
+            FuzzEndpoint endpoint = new FuzzEndpoint("e" + i, time, history, counts);
+            endpoints.add(endpoint);
+            stewards.put(
+                    endpoint.id(),
+                    new EngineSteward(endpoint.id(), 1, StewardSettings.of(SLOTS, QUEUE), LoadBound.NONE, 0, time));
+        }
+        time.after(EXPIRE_MILLIS, this::expire);
+    }
+
+    FuzzEndpoint get(int index) {
+        return endpoints.get(index);
+    }
+
+    long nanos() {
+        return time.nanos();
+    }
+
+    /** Takes a slot on some endpoint that is not excluded; gives nothing when there is none. */
+    void acquire(FuzzRequest request, Set<String> excluded, Consumer<Optional<FuzzSlot>> taker) {
+        List<FuzzEndpoint> candidates = new ArrayList<>();
+        for (int i = 0; i < endpoints.size(); i++) {
+            FuzzEndpoint endpoint = endpoints.get((turn + i) % endpoints.size());
+            if (!excluded.contains(endpoint.id())) {
+                candidates.add(endpoint);
+            }
+        }
+        turn++;
+        ask(request, candidates, 0, taker);
+    }
+
+    /** The endpoint begins to leave; its steward hears of it a little later. */
+    void leave(int index) {
+        FuzzEndpoint endpoint = endpoints.get(index);
+        history.record(new Leaving(endpoint.id()));
+        time.after(LEAVE_LAG_MILLIS, stewards.get(endpoint.id())::leave);
+    }
+
+    private void ask(
+            FuzzRequest request, List<FuzzEndpoint> candidates, int index, Consumer<Optional<FuzzSlot>> taker) {
+        if (index == candidates.size()) {
+            taker.accept(Optional.empty());
+            return;
+        }
+        FuzzEndpoint endpoint = candidates.get(index);
+        EngineSteward steward = stewards.get(endpoint.id());
+        long askedNanos = time.nanos();
+        steward.acquire(slotRequest(request), decision -> {
+            if (decision.status() == SlotStatus.GRANTED) {
+                GrantAge age = new GrantAge(askedNanos, decision.queuedMillis());
+                taker.accept(Optional.of(new FuzzSlot(endpoint, steward, decision, age)));
+            } else {
+                ask(request, candidates, index + 1, taker);
+            }
+        });
+    }
+
+    private static SlotRequest slotRequest(FuzzRequest request) {
+        RequestContext context = request.context();
+        long remaining =
+                context.deadline().toEpochMilli() - request.daemon().clock().millis();
+        return new SlotRequest(
+                request.id(),
+                context.team().name(),
+                context.team().weight(),
+                0,
+                context.prefixFingerprint(),
+                context.fingerprint(),
+                remaining,
+                MAX_WAIT_MILLIS,
+                false,
+                false);
+    }
+
+    private void expire() {
+        stewards.values().forEach(EngineSteward::expire);
+        time.after(EXPIRE_MILLIS, this::expire);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzRequest.java
@@ -0,0 +1,188 @@
+package org.dragonflygw.bench.fuzz;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.dragonflygw.bench.history.Ending;
+import org.dragonflygw.bench.history.HistoryEvent.Answered;
+import org.dragonflygw.bench.history.HistoryEvent.Asked;
+import org.dragonflygw.bench.history.HistoryEvent.Dispatched;
+import org.dragonflygw.bench.history.HistoryEvent.TokenReceived;
+import org.dragonflygw.bench.history.HistoryRecorder;
+import org.dragonflygw.core.error.RunStatus;
+import org.dragonflygw.core.ledger.Claim;
+import org.dragonflygw.core.ledger.StoredAnswer;
+import org.dragonflygw.core.ledger.Submission;
+import org.dragonflygw.core.ledger.SubmissionDecision;
+import org.dragonflygw.core.request.RequestContext;
+import org.dragonflygw.core.routing.AttemptOutcome;
+
+/**
+ * One request on its way through a router: claim, slot, dispatch, answer, retry, outcome. Only the calls between the
+ * decisions are made here; every decision is the real one. For one thread.
+ */
+final class FuzzRequest {
+    private static final int MAX_STALE_SLOTS = 3;
+
+    private final String id;
+    private final FuzzCall call;
+    private final FuzzDaemon daemon;
+    private final FuzzEndpoints endpoints;
+    private final HistoryRecorder history;
+    private final RequestContext context;
+    private final Set<String> excluded = new HashSet<>();
+    private Optional<Claim> claim = Optional.empty();
+    private RunStatus run = RunStatus.NOT_RUN;
+    private int attempt;
+    private boolean over;
+
+    FuzzRequest(String id, FuzzCall call, FuzzDaemon daemon, FuzzEndpoints endpoints, HistoryRecorder history) {
+        this.id = id;
+        this.call = call;
+        this.daemon = daemon;
+        this.endpoints = endpoints;
+        this.history = history;
+        this.context = call.context(id, daemon);
+    }
+
+    String id() {
+        return id;
+    }
+
+    FuzzCall call() {
+        return call;
+    }
+
+    FuzzDaemon daemon() {
+        return daemon;
+    }
+
+    RequestContext context() {
+        return context;
+    }
+
+    /** Takes the request in. */
+    void start() {
+        history.record(new Asked(id, daemon.id(), call.submission(), call.answer(id)));
+        daemon.opened(this);
+        if (!call.isBooking()) {
+            daemon.run(this::tryEndpoint);
+            return;
+        }
+        daemon.run(() -> {
+            var unused = daemon.ledger().claim(Submission.of(context)).thenAccept(this::decided);
+        });
+    }
+
+    /** The process ended; the caller's connection broke. */
+    void cut() {
+        end(Ending.BROKEN, RunStatus.UNKNOWN);
+    }
+
+    /** A token for the caller. */
+    void relay(String token) {
+        if (!over) {
+            history.record(new TokenReceived(id, token));
+        }
+    }
+
+    /** A whole answer came. */
+    void succeed(byte[] body) {
+        claim.ifPresent(held -> held.done(new StoredAnswer(200, List.of(), Optional.of(body))));
+        if (call.isBooking()) {
+            relay(new String(body, StandardCharsets.UTF_8));
+        }
+        end(Ending.WHOLE, RunStatus.RUN);
+    }
+
+    /** An attempt ended without an answer; another may follow. */
+    void attemptFailed(String endpoint, AttemptOutcome outcome, boolean certainlyNotRun, boolean retryable) {
+        if (over) {
+            return;
+        }
+        run = certainlyNotRun ? run : RunStatus.UNKNOWN;
+        excluded.add(endpoint);
+        if (retryable && daemon.retries().tryRetry(context, outcome, certainlyNotRun, attempt)) {
+            tryEndpoint();
+        } else {
+            fail();
+        }
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    private void decided(SubmissionDecision decision) {
+        if (decision instanceof SubmissionDecision.Run running) {
+            claim = Optional.of(running.claim());
+            tryEndpoint();
+        } else if (decision instanceof SubmissionDecision.Replay replay) {
+            relay(new String(replay.answer().body().orElseThrow(), StandardCharsets.UTF_8));
+            end(Ending.WHOLE, RunStatus.RUN);
+        } else {
+            end(Ending.ERROR, ((SubmissionDecision.Rejected) decision).run());
+        }
+    }
+
+    private void tryEndpoint() {
+        attempt++;
+        acquire(1);
+    }
+
+    private void acquire(int tries) {
+        endpoints.acquire(this, excluded, slot -> daemon.run(() -> take(slot, tries)));
+    }
+
+    private void take(Optional<FuzzSlot> slot, int tries) {
+        if (slot.isEmpty()) {
+            fail();
+        } else if (slot.get().age().mayDispatch(endpoints.nanos())) {
+            dispatch(slot.get());
+        } else {
+            slot.get().end(AttemptOutcome.CANCELLED);
+            acquireAgain(tries);
+        }
+    }
+
+    private void acquireAgain(int tries) {
+        if (tries < MAX_STALE_SLOTS) {
+            acquire(tries + 1);
+        } else {
+            fail();
+        }
+    }
+
+    private void dispatch(FuzzSlot slot) {
+        if (over || !claim.map(Claim::mayDispatch).orElse(true)) {
+            slot.end(AttemptOutcome.CANCELLED);
+            fail();
+            return;
+        }
+        history.record(new Dispatched(id, slot.endpoint().id()));
+        new FuzzAttempt(this, slot).start();
+    }
+
+    private void fail() {
+        if (over) {
+            return;
+        }
+        if (run == RunStatus.NOT_RUN) {
+            claim.ifPresent(Claim::notRun);
+        } else {
+            claim.ifPresent(Claim::outcomeUnknown);
+        }
+        end(Ending.ERROR, run);
+    }
+
+    private void end(Ending ending, RunStatus told) {
+        if (over) {
+            return;
+        }
+        over = true;
+        daemon.ended(this);
+        history.record(new Answered(id, ending, told));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzStore.java
@@ -0,0 +1,151 @@
+package org.dragonflygw.bench.fuzz;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.dragonflygw.core.storage.CommitResult;
+import org.dragonflygw.core.storage.Mutation;
+import org.dragonflygw.core.storage.ObjectStore;
+import org.dragonflygw.core.storage.StorageCode;
+import org.dragonflygw.core.storage.StorageException;
+import org.dragonflygw.core.storage.TableRow;
+import org.dragonflygw.core.storage.TableStore;
+
+/** The platform's table service and object store in memory, with one fault at a time. For one thread. */
+final class FuzzStore implements TableStore, ObjectStore {
+    private static final long SLOW_MILLIS = 300;
+    private static final long VERY_SLOW_MILLIS = 2_500;
+    private static final long LATE_MILLIS = 4_000;
+    private static final long BURST_WRITES = 4;
+
+    private final VirtualTime time;
+    private final FaultCounts counts;
+    private final NavigableMap<String, TableRow> rows = new TreeMap<>();
+    private final Map<String, byte[]> objects = new HashMap<>();
+    private NavigableMap<String, TableRow> oldRows = new TreeMap<>();
+    private StoreFault fault = StoreFault.NONE;
+    private long writes;
+    private long slowCalls;
+
+    FuzzStore(VirtualTime time, FaultCounts counts) {
+        this.time = time;
+        this.counts = counts;
+    }
+
+    void setFault(StoreFault newFault) {
+        fault = newFault;
+        oldRows = new TreeMap<>(rows);
+    }
+
+    @Override
+    public Optional<TableRow> read(String table, String key) {
+        beforeCall();
+        return Optional.ofNullable(readable().get(name(table, key)));
+    }
+
+    @Override
+    public List<TableRow> scan(String table, String prefix, String afterKey, int limit) {
+        beforeCall();
+        return readable().tailMap(name(table, prefix)).values().stream()
+                .filter(r -> r.table().equals(table) && r.key().startsWith(prefix))
+                .filter(r -> r.key().compareTo(afterKey) > 0)
+                .limit(limit)
+                .toList();
+    }
+
+    @Override
+    public CommitResult commit(List<Mutation> mutations) {
+        beforeCall();
+        if (fault == StoreFault.THROTTLED) {
+            counts.add(fault);
+            throw new StorageException(StorageCode.THROTTLED, "over the rate");
+        }
+        boolean hit = writes++ / BURST_WRITES % 2 == 0;
+        if (hit && fault == StoreFault.REQUEST_LOST) {
+            throw lost();
+        }
+        if (hit && fault == StoreFault.LATE_EFFECT) {
+            time.after(LATE_MILLIS, () -> apply(mutations));
+            throw lost();
+        }
+        CommitResult result = apply(mutations);
+        if (hit && fault == StoreFault.ANSWER_LOST) {
+            throw lost();
+        }
+        return result;
+    }
+
+    @Override
+    public void put(String key, byte[] content) {
+        beforeCall();
+        objects.put(key, content);
+    }
+
+    @Override
+    public byte[] get(String key) {
+        beforeCall();
+        return Optional.ofNullable(objects.get(key))
+                .orElseThrow(() -> new StorageException(StorageCode.NOT_FOUND, key));
+    }
+
+    private void beforeCall() {
+        if (fault == StoreFault.OUTAGE) {
+            counts.add(fault);
+            throw new StorageException(StorageCode.UNAVAILABLE, "outage");
+        }
+        if (fault == StoreFault.SLOW) {
+            counts.add(fault);
+            time.advance(slowCalls++ % 4 == 3 ? VERY_SLOW_MILLIS : SLOW_MILLIS);
+        }
+    }
+
+    private StorageException lost() {
+        counts.add(fault);
+        return new StorageException(StorageCode.OUTCOME_UNKNOWN, fault.name());
+    }
+
+    private NavigableMap<String, TableRow> readable() {
+        if (fault != StoreFault.STALE_READS) {
+            return rows;
+        }
+        counts.add(fault);
+        return oldRows;
+    }
+
+    private CommitResult apply(List<Mutation> mutations) {
+        List<TableRow> conflicts = new ArrayList<>();
+        for (Mutation m : mutations) {
+            TableRow row = current(m);
+            if (m.expectedVersion() != Mutation.ANY && row.version() != m.expectedVersion()) {
+                conflicts.add(row);
+            }
+        }
+        if (!conflicts.isEmpty()) {
+            return CommitResult.conflict(conflicts);
+        }
+        for (Mutation m : mutations) {
+            String name = name(m.table(), m.key());
+            if (m.value().isEmpty()) {
+                rows.remove(name);
+            } else {
+                long version = current(m).version() + 1;
+                rows.put(
+                        name,
+                        new TableRow(m.table(), m.key(), version, m.value().get()));
+            }
+        }
+        return CommitResult.success();
+    }
+
+    private TableRow current(Mutation m) {
+        return rows.getOrDefault(name(m.table(), m.key()), new TableRow(m.table(), m.key(), Mutation.ABSENT, ""));
+    }
+
+    private static String name(String table, String key) {
+        return table + '/' + key;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/history/HistoryChecker.java
@@ -0,0 +1,164 @@
+package org.dragonflygw.bench.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dragonflygw.bench.history.HistoryEvent.Answered;
+import org.dragonflygw.bench.history.HistoryEvent.Asked;
+import org.dragonflygw.bench.history.HistoryEvent.Crashed;
+import org.dragonflygw.bench.history.HistoryEvent.Dispatched;
+import org.dragonflygw.bench.history.HistoryEvent.Executed;
+import org.dragonflygw.bench.history.HistoryEvent.InForce;
+import org.dragonflygw.bench.history.HistoryEvent.Leaving;
+import org.dragonflygw.bench.history.HistoryEvent.TokenReceived;
+import org.dragonflygw.core.error.RunStatus;
+
+/**
+ * Decides from a finished history alone whether a promise was broken. It knows nothing of how the routers work. One
+ * checker reads one history.
+ */
+public final class HistoryChecker {
+    private final long leavingLimitMillis;
+    private final Map<String, RequestRecord> requests = new LinkedHashMap<>();
+    private final Map<String, Integer> submissionRuns = new LinkedHashMap<>();
+    private final Map<String, Long> leavingSince = new HashMap<>();
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Set<String> crashed = new HashSet<>();
+    private final List<Violation> violations = new ArrayList<>();
+
+    private HistoryChecker(long leavingLimitMillis) {
+        this.leavingLimitMillis = leavingLimitMillis;
+    }
+
+    /**
+     * Checks a history in which nothing is open any more.
+     *
+     * @param history the events in order
+     * @param leavingLimitMillis time after which a leaving endpoint must get no new work, in milliseconds
+     * @return the promises broken; empty when all hold
+     */
+    public static List<Violation> check(List<HistoryEntry> history, long leavingLimitMillis) {
+        HistoryChecker checker = new HistoryChecker(leavingLimitMillis);
+        history.forEach(checker::read);
+        checker.submissionRuns.forEach(checker::checkRuns);
+        checker.requests.forEach(checker::checkRequest);
+        return List.copyOf(checker.violations);
+    }
+
+    private void read(HistoryEntry entry) {
+        HistoryEvent event = entry.event();
+        if (event instanceof Asked e) {
+            request(e.request()).asked.add(e);
+        } else if (event instanceof TokenReceived e) {
+            request(e.request()).tokens.add(e.token());
+        } else if (event instanceof Answered e) {
+            request(e.request()).endings.add(e);
+        } else if (event instanceof Executed e) {
+            readExecution(e);
+        } else if (event instanceof Dispatched e) {
+            readDispatch(entry.atMillis(), e);
+        } else if (event instanceof Leaving e) {
+            leavingSince.putIfAbsent(e.endpoint(), entry.atMillis());
+        } else if (event instanceof InForce e) {
+            readVersion(e);
+        } else if (event instanceof Crashed e) {
+            crashed.add(e.daemon());
+        }
+    }
+
+    private RequestRecord request(String id) {
+        return requests.computeIfAbsent(id, key -> new RequestRecord());
+    }
+
+    private void readExecution(Executed e) {
+        request(e.request()).executions++;
+        if (!e.submission().isEmpty()) {
+            submissionRuns.merge(e.submission(), 1, Integer::sum);
+        }
+    }
+
+    private void readDispatch(long atMillis, Dispatched e) {
+        Long since = leavingSince.get(e.endpoint());
+        if (since != null && atMillis - since > leavingLimitMillis) {
+            report(Promise.LEAVING_UNTOUCHED, e.endpoint(), e.request() + " after " + (atMillis - since) + " ms");
+        }
+    }
+
+    private void readVersion(InForce e) {
+        Long before = versions.put(e.daemon(), e.version());
+        if (before != null && e.version() < before) {
+            report(Promise.CONFIGURATION_FORWARD, e.daemon(), before + " before " + e.version());
+        }
+    }
+
+    private void checkRuns(String submission, int runs) {
+        if (runs > 1) {
+            report(Promise.AT_MOST_ONCE, submission, runs + " runs");
+        }
+    }
+
+    private void checkRequest(String id, RequestRecord record) {
+        if (record.asked.isEmpty()) {
+            report(Promise.ANSWER_OWN, id, "never asked");
+            return;
+        }
+        Asked asked = record.asked.get(0);
+        checkEndings(id, asked, record);
+        checkTokens(id, asked, record);
+        for (Answered ending : record.endings) {
+            checkRunStatus(id, asked, record, ending);
+        }
+    }
+
+    private void checkEndings(String id, Asked asked, RequestRecord record) {
+        if (record.endings.size() != record.asked.size()) {
+            report(
+                    Promise.NOTHING_LOST,
+                    id,
+                    record.endings.size() + " endings of " + record.asked.size() + " requests");
+        }
+        if (record.endedWith(Ending.BROKEN) && !crashed.contains(asked.daemon())) {
+            report(Promise.NOTHING_LOST, id, "cut without an error by " + asked.daemon());
+        }
+        if (record.endedWith(Ending.WHOLE) && runs(asked, record) == 0) {
+            report(Promise.NOTHING_LOST, id, "answered without a run");
+        }
+    }
+
+    private void checkTokens(String id, Asked asked, RequestRecord record) {
+        List<String> expected = asked.expected();
+        for (int i = 0; i < record.tokens.size(); i++) {
+            if (i >= expected.size() || !expected.get(i).equals(record.tokens.get(i))) {
+                report(Promise.ANSWER_OWN, id, "token " + i + " is " + record.tokens.get(i));
+                return;
+            }
+        }
+        if (record.endedWith(Ending.WHOLE) && record.tokens.size() < expected.size()) {
+            report(Promise.ANSWER_WHOLE, id, record.tokens.size() + " of " + expected.size() + " tokens");
+        }
+    }
+
+    private void checkRunStatus(String id, Asked asked, RequestRecord record, Answered ending) {
+        if (ending.ending() == Ending.BROKEN) {
+            return;
+        }
+        if (ending.run() == RunStatus.NOT_RUN && record.executions > 0) {
+            report(Promise.RUN_STATUS_HONEST, id, "said not_run and was run");
+        }
+        if (ending.run() == RunStatus.RUN && runs(asked, record) == 0) {
+            report(Promise.RUN_STATUS_HONEST, id, "said run and was not run");
+        }
+    }
+
+    private int runs(Asked asked, RequestRecord record) {
+        return asked.submission().isEmpty() ? record.executions : submissionRuns.getOrDefault(asked.submission(), 0);
+    }
+
+    private void report(Promise promise, String subject, String detail) {
+        violations.add(new Violation(promise, subject, detail));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/history/RequestRecord.java
@@ -0,0 +1,18 @@
+package org.dragonflygw.bench.history;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.dragonflygw.bench.history.HistoryEvent.Answered;
+import org.dragonflygw.bench.history.HistoryEvent.Asked;
+
+/** All that a history says of one request. Filled and read by one thread. */
+final class RequestRecord {
+    final List<Asked> asked = new ArrayList<>();
+    final List<String> tokens = new ArrayList<>();
+    final List<Answered> endings = new ArrayList<>();
+    int executions;
+
+    boolean endedWith(Ending ending) {
+        return endings.stream().anyMatch(e -> e.ending() == ending);
+    }
+}
