--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/ledger/ClaimMemory.java
@@ -0,0 +1,109 @@
+package org.dragonflygw.bench.ledger;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflygw.core.ledger.AnswerStore;
+import org.dragonflygw.core.ledger.ClaimOwner;
+import org.dragonflygw.core.ledger.LedgerLimits;
+import org.dragonflygw.core.ledger.LedgerParts;
+import org.dragonflygw.core.ledger.OwnerLiveness;
+import org.dragonflygw.core.ledger.RowWriter;
+import org.dragonflygw.core.ledger.Submission;
+import org.dragonflygw.core.ledger.SubmissionLedger;
+import org.dragonflygw.core.storage.CommitResult;
+import org.dragonflygw.core.storage.Mutation;
+import org.dragonflygw.core.storage.ObjectStore;
+import org.dragonflygw.core.storage.TableRow;
+import org.dragonflygw.core.storage.TableStore;
+import org.dragonflygw.core.timeline.EventRecorder;
+
+/** Measures the heap that an open claim holds and the bytes of its row. */
+final class ClaimMemory {
+    private static final int CLAIMS = 20_000;
+    private static final int COLLECTIONS = 4;
+    private static final long DEADLINE_SECONDS = 30;
+
+    private long rowBytes;
+
+    private ClaimMemory() {}
+
+    /** Bytes of heap for each open claim, and bytes of its row with the key. */
+    static ClaimSize measure() {
+        ClaimMemory memory = new ClaimMemory();
+        SubmissionLedger ledger = memory.ledger();
+        List<Object> held = new ArrayList<>(CLAIMS);
+        long before = usedBytes();
+        for (int i = 0; i < CLAIMS; i++) {
+            held.add(ledger.claim(new Submission(
+                    "req-" + i, "clerks", "fees", "key-" + i, i, Instant.now().plusSeconds(DEADLINE_SECONDS))));
+        }
+        long heapBytes = (usedBytes() - before) / CLAIMS;
+        return new ClaimSize(heapBytes, memory.rowBytes / CLAIMS, ledger.openClaims() + held.size() - CLAIMS);
+    }
+
+    private SubmissionLedger ledger() {
+        RowWriter writer = (mutation, listener) -> {
+            rowBytes += mutation.key().length() + mutation.value().orElse("").length();
+            listener.onWritten(1);
+        };
+        return new SubmissionLedger(new LedgerParts(
+                "peachtree",
+                new ClaimOwner("router-1", 1),
+                writer,
+                NoStore.INSTANCE,
+                new AnswerStore(NoStore.INSTANCE, "peachtree"),
+                (delay, task) -> {},
+                InstantSource.system(),
+                System::nanoTime,
+                OwnerLiveness.ASSUME_LIVE,
+                EventRecorder.DISCARD,
+                LedgerLimits.DEFAULT));
+    }
+
+    private static long usedBytes() {
+        Runtime runtime = Runtime.getRuntime();
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+        }
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /**
+     * What one open claim takes.
+     *
+     * @param heapBytes heap of the daemon
+     * @param rowBytes key and value in the table service
+     * @param claims claims that were open in the measurement
+     */
+    record ClaimSize(long heapBytes, long rowBytes, int claims) {}
+
+    private enum NoStore implements TableStore, ObjectStore {
+        INSTANCE;
+
+        @Override
+        public Optional<TableRow> read(String table, String key) {
+            return Optional.empty();
+        }
+
+        @Override
+        public List<TableRow> scan(String table, String prefix, String afterKey, int limit) {
+            return List.of();
+        }
+
+        @Override
+        public CommitResult commit(List<Mutation> mutations) {
+            return CommitResult.success();
+        }
+
+        @Override
+        public void put(String key, byte[] content) {}
+
+        @Override
+        public byte[] get(String key) {
+            return new byte[0];
+        }
+    }
+}
