--- a/daemon/src/main/java/org/dragonflygw/daemon/RouterConfiguration.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/RouterConfiguration.java
@@ -32,7 +32,9 @@
         server.setMinThreads(MIN_THREADS);
         server.setAdminMaxThreads(OPERATOR_MAX_THREADS);
         server.setAdminMinThreads(OPERATOR_MIN_THREADS);
-        server.setRequestLogFactory(new ExternalRequestLogFactory());
+        ExternalRequestLogFactory requestLog = new ExternalRequestLogFactory();
+        requestLog.setEnabled(false);
+        server.setRequestLogFactory(requestLog);
         server.setRegisterDefaultExceptionMappers(false);
         server.setEnableThreadNameFilter(false);
         GzipHandlerFactory gzip = new GzipHandlerFactory();
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/CallFilter.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/CallFilter.java
@@ -13,10 +13,12 @@
 import java.io.IOException;
 import java.util.UUID;
 import org.apache.logging.log4j.CloseableThreadContext;
+import org.dragonflygw.daemon.stop.PlannedStop;
+import org.dragonflygw.daemon.stop.StopPhase;
 
 /**
  * Surrounds each request of a caller: gives it an id, counts it as open, and ends what it still holds when it leaves,
- * also after an error.
+ * also after an error. During a planned stop it asks callers to come back on another connection.
  */
 @Singleton
 public final class CallFilter implements Filter {
@@ -25,12 +27,14 @@
 
     private final OpenRequests openRequests;
     private final CallerMetrics metrics;
+    private final PlannedStop stop;
     private final ObjectMapper json;
 
     @Inject
-    public CallFilter(OpenRequests openRequests, CallerMetrics metrics, ObjectMapper json) {
+    public CallFilter(OpenRequests openRequests, CallerMetrics metrics, PlannedStop stop, ObjectMapper json) {
         this.openRequests = openRequests;
         this.metrics = metrics;
+        this.stop = stop;
         this.json = json;
     }
 
@@ -40,6 +44,9 @@
         String requestId = "req-" + UUID.randomUUID();
         ((HttpServletResponse) response).setHeader(REQUEST_ID_HEADER, requestId);
         metrics.received();
+        if (stop.progress().phase() != StopPhase.RUNNING) {
+            ((HttpServletResponse) response).setHeader("Connection", "close");
+        }
         try {
             openRequests.enter();
         } catch (CallerException e) {
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
@@ -70,13 +70,13 @@
         TokenStream tokens = streams.create(engine, request);
         boolean started = false;
         try {
-            connect(tokens, engine, request, body);
+            connect(tokens, engine, request, claim, body);
             SseEvent first = tokens.next();
             started = true;
             return new StreamAnswer(
                     request, grant, claim, tokens, first, new StreamAnswer.Tools(engines, events, metrics, json));
         } catch (EndpointException e) {
-            throw lost(e);
+            throw AttemptException.of(e, true);
         } finally {
             if (!started) {
                 tokens.close();
@@ -84,11 +84,11 @@
         }
     }
 
-    private void connect(TokenStream tokens, Endpoint engine, RequestContext request, byte[] body) {
+    private void connect(TokenStream tokens, Endpoint engine, RequestContext request, ClaimedRun claim, byte[] body) {
         EndpointExchange exchange;
         try {
-            exchange =
-                    engines.run(engine, request, body, SilenceLimits.of(request).firstTokenMillis());
+            exchange = engines.run(
+                    engine, request, body, SilenceLimits.of(request).firstTokenMillis(), claim::mayDispatch);
         } catch (EndpointException e) {
             if (e.certainlyNotSent()) {
                 throw e;
@@ -106,7 +106,7 @@
         Endpoint engine = grant.endpoint();
         long remainingMillis =
                 Math.max(1, request.deadline().toEpochMilli() - clock.instant().toEpochMilli());
-        try (EndpointExchange exchange = engines.run(engine, request, body, remainingMillis)) {
+        try (EndpointExchange exchange = engines.run(engine, request, body, remainingMillis, claim::mayDispatch)) {
             if (exchange.status() != STATUS_OK) {
                 throw refused(engine, exchange);
             }
@@ -121,29 +121,10 @@
                     content.length + " bytes");
             return new WholeAnswer(STATUS_OK, CONTENT_TYPE, content);
         } catch (EndpointException e) {
-            throw lost(e);
+            throw AttemptException.of(e, true);
         }
     }
 
-    private static AttemptException lost(EndpointException e) {
-        if (e.certainlyNotSent()) {
-            return new AttemptException(
-                    CallerCode.ENDPOINT_UNREACHABLE,
-                    AttemptOutcome.UNREACHABLE,
-                    RunStatus.NOT_RUN,
-                    true,
-                    "the engine could not be reached",
-                    e);
-        }
-        return new AttemptException(
-                CallerCode.ANSWER_LOST,
-                AttemptOutcome.ENDPOINT_LOST,
-                RunStatus.UNKNOWN,
-                true,
-                "the answer of the engine was lost",
-                e);
-    }
-
     private static AttemptException refused(Endpoint engine, EndpointExchange exchange) {
         int status = exchange.status();
         String text;
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/PlainAttempts.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/PlainAttempts.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.dragonflygw.core.error.RunStatus;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.core.request.RequestContext;
 import org.dragonflygw.core.routing.AttemptOutcome;
@@ -14,10 +13,10 @@
 import org.dragonflygw.core.timeline.EventRecorder;
 import org.dragonflygw.core.timeline.EventType;
 import org.dragonflygw.daemon.endpoint.EndpointClient;
-import org.dragonflygw.daemon.endpoint.EndpointCode;
 import org.dragonflygw.daemon.endpoint.EndpointException;
 import org.dragonflygw.daemon.endpoint.EndpointExchange;
 import org.dragonflygw.daemon.endpoint.EndpointRequest;
+import org.dragonflygw.daemon.endpoint.SendTerms;
 
 /**
  * Runs calls on plain services. The answer is read whole before any of it is passed on, so that a lost one becomes an
@@ -50,7 +49,8 @@
         long remainingMillis =
                 Math.max(1, request.deadline().toEpochMilli() - clock.instant().toEpochMilli());
         boolean fresh = request.nonIdempotent() || !call.repeatable();
-        try (EndpointExchange exchange = client.send(endpoint, toEndpoint(request, call), remainingMillis, fresh)) {
+        try (EndpointExchange exchange = client.send(
+                endpoint, toEndpoint(request, call), remainingMillis, new SendTerms(fresh, claim::mayDispatch))) {
             byte[] body = exchange.readAll(endpoint.id(), MAX_ANSWER_BYTES);
             String contentType = exchange.header("Content-Type");
             claim.done(exchange.status(), contentType, Optional.of(body));
@@ -62,31 +62,10 @@
                     "status " + exchange.status());
             return new WholeAnswer(exchange.status(), contentType, body);
         } catch (EndpointException e) {
-            throw failed(e, call);
+            throw AttemptException.of(e, call.repeatable());
         }
     }
 
-    private static AttemptException failed(EndpointException e, PlainCall call) {
-        if (e.certainlyNotSent()) {
-            return new AttemptException(
-                    CallerCode.ENDPOINT_UNREACHABLE,
-                    AttemptOutcome.UNREACHABLE,
-                    RunStatus.NOT_RUN,
-                    true,
-                    "the service could not be reached",
-                    e);
-        }
-        CallerCode code =
-                e.code() == EndpointCode.ANSWER_TOO_LARGE ? CallerCode.ANSWER_TOO_LARGE : CallerCode.ANSWER_LOST;
-        return new AttemptException(
-                code,
-                AttemptOutcome.ENDPOINT_LOST,
-                RunStatus.UNKNOWN,
-                call.repeatable() && code == CallerCode.ANSWER_LOST,
-                "the answer of the service was lost",
-                e);
-    }
-
     private static EndpointRequest toEndpoint(RequestContext request, PlainCall call) {
         List<EndpointRequest.Header> headers = new ArrayList<>();
         headers.add(new EndpointRequest.Header("X-Request-Id", request.requestId()));
--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/RequestRunner.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/RequestRunner.java
@@ -110,7 +110,6 @@
             EndpointGrant grant = acquire(request, excluded, run);
             String endpointId = grant.endpoint().id();
             try {
-                checkClaim(claim, run);
                 events.record(EventType.DISPATCHED, subject(request, endpointId), "attempt " + attempt);
                 return attempts.run(request, grant, claim);
             } catch (AttemptException e) {
@@ -128,13 +127,6 @@
         }
     }
 
-    private static void checkClaim(ClaimedRun claim, RunStatus run) {
-        if (!claim.mayDispatch()) {
-            throw new CallerException(
-                    CallerCode.LEDGER_UNAVAILABLE, run, "the claim grew too old before the dispatch", 0, null);
-        }
-    }
-
     private boolean mayRetry(RequestContext request, AttemptException e, int attempt) {
         boolean notRun = e.run() == RunStatus.NOT_RUN;
         boolean allowed = e.retryable() && retries.tryRetry(request, e.outcome(), notRun, attempt);
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
@@ -79,20 +79,21 @@
      * @param endpoint where to send it
      * @param request the request
      * @param silenceMillis how long the connection may stay silent
-     * @param freshConnection whether to use a new connection, so that a connection that the endpoint closed meanwhile
-     *     cannot make the outcome uncertain
+     * @param terms how to send it
      * @throws EndpointException when no answer came
      */
-    public EndpointExchange send(
-            Endpoint endpoint, EndpointRequest request, long silenceMillis, boolean freshConnection) {
+    public EndpointExchange send(Endpoint endpoint, EndpointRequest request, long silenceMillis, SendTerms terms) {
         HttpHost host = new HttpHost(endpoint.address(), endpoint.port());
-        ConnectionEndpoint connection = connect(endpoint, new HttpRoute(host), freshConnection);
+        ConnectionEndpoint connection = connect(endpoint, new HttpRoute(host), terms.freshConnection());
         boolean answered = false;
         try {
             connection.setSocketTimeout(Timeout.ofMilliseconds(silenceMillis));
             HttpCoreContext context = HttpCoreContext.create();
             ClassicHttpRequest message = message(host, request);
             executor.preProcess(message, processor, context);
+            if (!terms.maySend().getAsBoolean()) {
+                throw new EndpointException(EndpointCode.DISPATCH_WITHDRAWN, "withdrawn before it was sent");
+            }
             ClassicHttpResponse response = connection.execute(
                     Long.toHexString(System.identityHashCode(request)), message, executor::execute, context);
             answered = true;
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointCode.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointCode.java
@@ -6,6 +6,8 @@
 public enum EndpointCode implements ErrorCode {
     /** No connection could be made, so nothing was sent. */
     NOT_CONNECTED,
+    /** The sender withdrew the request before anything was sent. */
+    DISPATCH_WITHDRAWN,
     /** The connection was lost after it was made; the endpoint may have taken the request. */
     CONNECTION_LOST,
     /** Nothing came for longer than the limit; the endpoint may have taken the request. */
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointException.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointException.java
@@ -14,6 +14,6 @@
 
     /** Whether it is certain that the endpoint never saw the request. */
     public boolean certainlyNotSent() {
-        return code() == EndpointCode.NOT_CONNECTED;
+        return code() == EndpointCode.NOT_CONNECTED || code() == EndpointCode.DISPATCH_WITHDRAWN;
     }
 }
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EngineClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EngineClient.java
@@ -4,6 +4,7 @@
 import com.google.inject.Singleton;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflygw.core.fleet.Endpoint;
@@ -27,9 +28,11 @@
     /**
      * Dispatches a chat completion.
      *
+     * @param maySend asked once, directly before the first byte is written
      * @throws EndpointException when no answer came
      */
-    public EndpointExchange run(Endpoint engine, RequestContext request, byte[] body, long silenceMillis) {
+    public EndpointExchange run(
+            Endpoint engine, RequestContext request, byte[] body, long silenceMillis, BooleanSupplier maySend) {
         List<EndpointRequest.Header> headers = new ArrayList<>();
         headers.add(new EndpointRequest.Header("X-Request-Id", request.requestId()));
         headers.add(new EndpointRequest.Header("X-Priority", Integer.toString(request.priority())));
@@ -37,7 +40,7 @@
         headers.add(new EndpointRequest.Header("X-Prompt-Tokens", Integer.toString(request.promptTokens())));
         request.idempotencyKey().ifPresent(key -> headers.add(new EndpointRequest.Header("Idempotency-Key", key)));
         EndpointRequest call = new EndpointRequest("POST", "/v1/chat/completions", headers, "application/json", body);
-        return client.send(engine, call, silenceMillis, request.nonIdempotent());
+        return client.send(engine, call, silenceMillis, new SendTerms(request.nonIdempotent(), maySend));
     }
 
     /**
@@ -48,13 +51,13 @@
     public EndpointExchange resume(Endpoint engine, String requestId, long fromToken, long silenceMillis) {
         EndpointRequest call =
                 EndpointRequest.withoutBody("GET", STREAMS + requestId + "?from=" + fromToken, List.of());
-        return client.send(engine, call, silenceMillis, true);
+        return client.send(engine, call, silenceMillis, SendTerms.FRESH);
     }
 
     /** Cancels a stream; a failure is logged, because the engine ends an abandoned stream by itself. */
     public void cancel(Endpoint engine, String requestId) {
         EndpointRequest call = EndpointRequest.withoutBody("DELETE", STREAMS + requestId, List.of());
-        try (EndpointExchange exchange = client.send(engine, call, CANCEL_SILENCE_MILLIS, true)) {
+        try (EndpointExchange exchange = client.send(engine, call, CANCEL_SILENCE_MILLIS, SendTerms.FRESH)) {
             exchange.readAll(engine.id(), MAX_CANCEL_ANSWER_BYTES);
         } catch (EndpointException e) {
             LOG.warn("cancel at {} failed: {}", engine.id(), e.getMessage());
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/TokenStream.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/TokenStream.java
@@ -46,6 +46,7 @@
     private EndpointExchange exchange;
     private SseDecoder decoder = new SseDecoder(MAX_EVENT_BYTES);
     private boolean gapLimitSet;
+    private long counted;
     private long lastTokenNanos = startNanos;
 
     TokenStream(
@@ -133,6 +134,8 @@
 
     @Override
     public void close() {
+        metrics.relayed(tokens() - counted);
+        counted = tokens();
         if (exchange != null) {
             finishBody();
             exchange.close();
