--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/EnginePoller.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/EnginePoller.java
@@ -85,8 +85,8 @@
 
     private void poll(Stewarded stewarded) {
         Endpoint engine = stewarded.endpoint();
-        try (EndpointExchange exchange =
-                client.send(engine, EndpointRequest.withoutBody("GET", "/load", List.of()), SILENCE_MILLIS, SendTerms.REUSE)) {
+        try (EndpointExchange exchange = client.send(
+                engine, EndpointRequest.withoutBody("GET", "/load", List.of()), SILENCE_MILLIS, SendTerms.REUSE)) {
             byte[] body = exchange.readAll(engine.id(), MAX_REPORT_BYTES);
             if (exchange.status() == STATUS_OK) {
                 JsonNode report = json.readTree(body);
