Follow an answer in one piece on a new connection when its own goes silent

Cause: a chat completion with stream false whose connection went silent was found at the deadline only.

--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
@@ -4,7 +4,6 @@
 import com.google.inject.Inject;
 import com.google.inject.Singleton;
 import java.nio.charset.StandardCharsets;
-import java.time.Clock;
 import java.util.Optional;
 import org.dragonflygw.core.error.RunStatus;
 import org.dragonflygw.core.fleet.Endpoint;
@@ -15,6 +14,7 @@
 import org.dragonflygw.core.stream.SseEvent;
 import org.dragonflygw.core.timeline.EventRecorder;
 import org.dragonflygw.core.timeline.EventType;
+import org.dragonflygw.daemon.endpoint.EndpointCode;
 import org.dragonflygw.daemon.endpoint.EndpointException;
 import org.dragonflygw.daemon.endpoint.EndpointExchange;
 import org.dragonflygw.daemon.endpoint.EngineClient;
@@ -37,7 +37,6 @@
     private final EventRecorder events;
     private final CallerMetrics metrics;
     private final ObjectMapper json;
-    private final Clock clock;
 
     @Inject
     public ChatAttempts(
@@ -45,14 +44,12 @@
             TokenStreams streams,
             EventRecorder events,
             CallerMetrics metrics,
-            ObjectMapper json,
-            Clock clock) {
+            ObjectMapper json) {
         this.engines = engines;
         this.streams = streams;
         this.events = events;
         this.metrics = metrics;
         this.json = json;
-        this.clock = clock;
     }
 
     /** Runs a request whose answer comes as events. */
@@ -104,13 +101,8 @@
 
     private Answer whole(RequestContext request, EndpointGrant grant, ClaimedRun claim, byte[] body) {
         Endpoint engine = grant.endpoint();
-        long remainingMillis =
-                Math.max(1, request.deadline().toEpochMilli() - clock.instant().toEpochMilli());
-        try (EndpointExchange exchange = engines.run(engine, request, body, remainingMillis, claim::mayDispatch)) {
-            if (exchange.status() != STATUS_OK) {
-                throw refused(engine, exchange);
-            }
-            byte[] content = exchange.readAll(engine.id(), MAX_ANSWER_BYTES);
+        try {
+            byte[] content = fetch(engine, request, claim, body);
             AnswerCheck.check(engine, request, content, json);
             claim.done(STATUS_OK, CONTENT_TYPE, Optional.of(content));
             grant.end(AttemptOutcome.COMPLETED);
@@ -125,6 +117,39 @@
         }
     }
 
+    /** Fetches an answer in one piece; when its connection is lost or silent, follows its stream on a new one. */
+    private byte[] fetch(Endpoint engine, RequestContext request, ClaimedRun claim, byte[] body) {
+        long silenceMillis = SilenceLimits.of(request).firstTokenMillis();
+        try (EndpointExchange exchange = engines.run(engine, request, body, silenceMillis, claim::mayDispatch)) {
+            if (exchange.status() != STATUS_OK) {
+                throw refused(engine, exchange);
+            }
+            return exchange.readAll(engine.id(), MAX_ANSWER_BYTES);
+        } catch (EndpointException e) {
+            if (e.certainlyNotSent() || e.code() == EndpointCode.ANSWER_TOO_LARGE) {
+                throw e;
+            }
+            return follow(engine, request, e);
+        }
+    }
+
+    private byte[] follow(Endpoint engine, RequestContext request, EndpointException cause) {
+        AnswerAssembler assembler = new AnswerAssembler(json);
+        try (TokenStream tokens = streams.create(engine, request)) {
+            tokens.startLost(cause);
+            while (true) {
+                SseEvent event = tokens.next();
+                if (tokens.whole()) {
+                    return assembler.toBytes();
+                }
+                assembler.add(event);
+                if (assembler.contentChars() > MAX_ANSWER_BYTES) {
+                    throw new EndpointException(EndpointCode.ANSWER_TOO_LARGE, engine.id() + " sent too much");
+                }
+            }
+        }
+    }
+
     private static AttemptException refused(Endpoint engine, EndpointExchange exchange) {
         int status = exchange.status();
         String text;
--- a/daemon/src/test/java/org/dragonflygw/daemon/caller/ChatRelayTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/caller/ChatRelayTest.java
@@ -83,6 +83,22 @@
             assertThat(engine.executions()).hasSize(1);
         }
 
+        @Test
+        void silentConnectionOfAnAnswerInOnePieceIsFollowedOnANewOne() throws Exception {
+            router.useTokenGap(200);
+            var waiting = router.http()
+                    .sendAsync(router.chat("one piece", false, 4_000).build(), HttpResponse.BodyHandlers.ofString());
+            await(() -> engine.inFlight() == 1);
+            engine.silenceOpenConnections();
+
+            JsonNode choice =
+                    JSON.readTree(waiting.get().body()).path("choices").path(0);
+            assertThat(choice.path("message").path("content").asText())
+                    .isEqualTo(AnswerText.ofBody(body("one piece", 4_000)).whole());
+            assertThat(choice.path("finish_reason").isTextual()).isTrue();
+            assertThat(engine.executions()).hasSize(1);
+        }
+
         @Test
         void duplicatedChunksReachNoCaller() throws Exception {
             engine.setFaults(EngineFaults.duplicated(3));
