--- a/bench/src/main/java/org/dragonflygw/bench/jmh/DecisionBenchmark.java
+++ b/bench/src/main/java/org/dragonflygw/bench/jmh/DecisionBenchmark.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.core.fleet.EndpointState;
 import org.dragonflygw.core.routing.AttemptOutcome;
@@ -50,7 +49,6 @@
 public class DecisionBenchmark {
     private static final int CANDIDATES = 5;
     private static final int PREFIXES = 5_000;
-    private static final Consumer<SlotDecision> IGNORE = decision -> {};
 
     /** Engines of the service. */
     @Param({"20", "600"})
@@ -94,7 +92,11 @@
     public boolean grantAndEnd() {
         long request = next++;
         SlotRequest slot = new SlotRequest("r", "team", 1, request, request, request, 30_000, 0, false, true, false);
-        steward.acquire(slot, IGNORE);
-        return steward.end(++lastGrant, 1, AttemptOutcome.COMPLETED) == null;
+        steward.acquire(slot, this::noteDecision);
+        return steward.end(lastGrant, 1, AttemptOutcome.COMPLETED) == null;
+    }
+
+    private void noteDecision(SlotDecision decision) {
+        lastGrant = decision.grantId();
     }
 }
