--- a/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/PolicyLoop.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.core.routing.AttemptOutcome;
 
@@ -29,6 +31,7 @@
     private final RunResult result;
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final List<FakeEngine> engines = new ArrayList<>();
+    private final Set<Running> running = new LinkedHashSet<>();
     private final Map<String, FakeEngine> byId = new HashMap<>();
     private final Random random;
     private Policy policy;
@@ -184,8 +187,6 @@
         });
     }
 
-    private final java.util.Set<Running> running = new java.util.LinkedHashSet<>();
-
     private void startWaiting(FakeEngine engine) {
         while (engine.hasRoom() && !engine.waiting().isEmpty()) {
             start(engine.waiting().removeFirst(), engine);
--- a/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
@@ -3,11 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.dragonflygw.core.limits.FairQueue;
@@ -21,7 +16,6 @@
  * <p>Lock order: the monitor of a steward, then that of its load bound. Answers are delivered without any lock held.
  */
 public final class EngineSteward {
-    private static final int MAX_SUSPECTS = 8;
     private static final int SPILL_MEMORY_CHATS = 4_096;
     private static final Duration SPILL_KEEP = Duration.ofMinutes(30);
     private static final double DURATION_SMOOTHING = 0.05;
@@ -32,10 +26,10 @@
     private LoadBound bound;
     private final InstantSource clock;
 
-    private final Map<Long, Grant> grants = new HashMap<>();
-    private final FairQueue<Waiter> queue;
-    private final ArrayDeque<Waiter> waitingSuspects = new ArrayDeque<>();
+    private final FairQueue<WaitingRequest> queue;
+    private final SuspectQueue suspectQueue = new SuspectQueue();
     private final TeamShares shares = new TeamShares();
+    private final OpenGrants grants = new OpenGrants(shares);
     private final ForeignLoad foreign;
     private final EngineHealth health = new EngineHealth();
     private final SpillMemory spills = new SpillMemory(SPILL_MEMORY_CHATS, SPILL_KEEP);
@@ -43,20 +37,12 @@
     private long statementEpoch;
     private long version;
     private double durationMillis;
-    private final Map<Long, Integer> fingerprints = new HashMap<>();
-    private int suspects;
     private boolean leaving;
     private boolean closed;
 
     /**
-     * Takes over an engine.
-     *
-     * @param endpointId engine
-     * @param epoch epoch of this steward, higher than that of every earlier one
-     * @param settings limits and times
-     * @param bound load bound of the service
-     * @param inheritedLoad load that an earlier steward last stated
-     * @param clock time
+     * Takes over an engine. The epoch must be higher than that of every earlier steward; the inherited load is what the
+     * last one stated.
      */
     public EngineSteward(
             String endpointId,
@@ -95,11 +81,11 @@
 
     /** Asks for a slot. The listener is called exactly once, at once or when the request leaves the queue. */
     public void acquire(SlotRequest request, Consumer<SlotDecision> listener) {
-        Outbox outbox = new Outbox();
+        SlotAnswers answers = new SlotAnswers();
         synchronized (this) {
-            admit(new Waiter(request, listener, clock.instant()), outbox);
+            admit(new WaitingRequest(request, listener, clock.instant()), answers);
         }
-        outbox.deliver();
+        answers.deliver();
     }
 
     /**
@@ -119,12 +105,7 @@
      * @return false when the grant is unknown or of another epoch
      */
     public synchronized boolean renew(long grantId, long grantEpoch) {
-        Grant grant = grantEpoch == epoch ? grants.get(grantId) : null;
-        if (grant == null) {
-            return false;
-        }
-        grants.put(grantId, grant.renewed(clock.instant().plusMillis(settings.leaseMillis())));
-        return true;
+        return grantEpoch == epoch && grants.renew(grantId, clock.instant().plusMillis(settings.leaseMillis()));
     }
 
     /**
@@ -133,27 +114,25 @@
      * @return what became of the grant and the engine
      */
     public EndResult end(long grantId, long grantEpoch, AttemptOutcome outcome) {
-        Outbox outbox = new Outbox();
+        SlotAnswers answers = new SlotAnswers();
         EndResult result;
         synchronized (this) {
-            Grant grant = grantEpoch == epoch ? grants.remove(grantId) : null;
-            if (grant == null) {
+            Optional<OpenGrant> grant = grantEpoch == epoch ? grants.remove(grantId) : Optional.empty();
+            if (grant.isEmpty()) {
                 return EndResult.UNKNOWN;
             }
             Instant now = clock.instant();
-            dropped(grant, now);
+            foreign.onOwnChange(grants.size(), now);
             if (outcome == AttemptOutcome.COMPLETED) {
-                double millis = Duration.between(grant.since(), now).toMillis();
-                durationMillis += DURATION_SMOOTHING * (millis - durationMillis);
-                shares.completed(grant.team(), millis);
+                noteDuration(grant.get(), now);
             }
             result = health.onEnd(outcome, now) ? EndResult.ENDED_AND_SUSPENDED : EndResult.ENDED;
             if (result == EndResult.ENDED_AND_SUSPENDED) {
-                refuseAll(SlotStatus.UNAVAILABLE, outbox);
+                refuseAll(SlotStatus.UNAVAILABLE, answers);
             }
-            pump(now, outbox);
+            pump(now, answers);
         }
-        outbox.deliver();
+        answers.deliver();
         return result;
     }
 
@@ -161,63 +140,57 @@
     public synchronized void noteSpill(long chatHash, String toEndpointId) {
         if (toEndpointId.equals(endpointId)) {
             spills.remove(chatHash);
-            return;
+        } else {
+            spills.put(chatHash, toEndpointId, clock.instant());
         }
-        spills.put(chatHash, toEndpointId, clock.instant());
     }
 
     /** Takes a lagging load report of the engine. */
     public void onReport(int inFlight, boolean engineLeaving) {
-        Outbox outbox = new Outbox();
+        SlotAnswers answers = new SlotAnswers();
         synchronized (this) {
             Instant now = clock.instant();
             foreign.onReport(inFlight, grants.size(), now);
             if (engineLeaving && !leaving) {
-                startLeaving(outbox);
+                startLeaving(answers);
             }
-            pump(now, outbox);
+            pump(now, answers);
         }
-        outbox.deliver();
+        answers.deliver();
     }
 
     /** Stops granting for good; waiting requests are refused at once. */
     public void leave() {
-        Outbox outbox = new Outbox();
+        SlotAnswers answers = new SlotAnswers();
         synchronized (this) {
-            startLeaving(outbox);
+            startLeaving(answers);
         }
-        outbox.deliver();
+        answers.deliver();
     }
 
     /** Ends the stewardship; waiting requests are told to ask the new steward. */
     public void close() {
-        Outbox outbox = new Outbox();
+        SlotAnswers answers = new SlotAnswers();
         synchronized (this) {
             closed = true;
-            refuseAll(SlotStatus.NOT_STEWARD, outbox);
+            refuseAll(SlotStatus.NOT_STEWARD, answers);
         }
-        outbox.deliver();
+        answers.deliver();
     }
 
     /** Expires leases and waits that are over, and serves the queue with the current bound. */
     public int expire() {
-        Outbox outbox = new Outbox();
+        SlotAnswers answers = new SlotAnswers();
         int expired;
         synchronized (this) {
             Instant now = clock.instant();
-            List<Long> lapsed = new ArrayList<>();
-            grants.forEach((id, grant) -> {
-                if (!grant.expiry().isAfter(now)) {
-                    lapsed.add(id);
-                }
-            });
-            lapsed.forEach(id -> dropped(grants.remove(id), now));
-            expired = lapsed.size();
-            pump(now, outbox);
-            refuseOverdue(now, outbox);
+            expired = grants.expire(now);
+            foreign.onOwnChange(grants.size(), now);
+            pump(now, answers);
+            refuseOverdue(now, answers);
             shares.forgetIdle(now);
         }
-        outbox.deliver();
+        answers.deliver();
         return expired;
     }
 
@@ -256,84 +229,80 @@
         return shares.slots(team);
     }
 
-    private void admit(Waiter waiter, Outbox outbox) {
+    private void admit(WaitingRequest waiter, SlotAnswers answers) {
         SlotRequest request = waiter.request();
         Instant now = waiter.since();
         if (closed) {
-            outbox.add(waiter, refusal(SlotStatus.NOT_STEWARD, 0, now));
+            answers.add(waiter, refusal(SlotStatus.NOT_STEWARD, 0, now));
             return;
         }
         if (leaving || health.isSuspended(now)) {
-            outbox.add(waiter, refusal(SlotStatus.UNAVAILABLE, health.suspendedMillis(now), now));
+            answers.add(waiter, refusal(SlotStatus.UNAVAILABLE, health.suspendedMillis(now), now));
             return;
         }
         Optional<String> spilledTo = request.followRedirect() ? spills.find(request.chatHash(), now) : Optional.empty();
         if (spilledTo.isPresent()) {
-            outbox.add(
+            answers.add(
                     waiter,
                     new SlotDecision(
                             SlotStatus.REDIRECTED, 0, epoch, 0, 0, 0, spilledTo.get(), inFlight(now), false, false));
             return;
         }
-        if (request.suspect() && suspects > 0) {
-            awaitSuspect(waiter, now, outbox);
+        if (request.suspect() && grants.hasSuspect()) {
+            awaitSuspect(waiter, now, answers);
             return;
         }
         shares.touch(request.team(), request.teamWeight(), now);
         if (queue.size(request.team()) == 0 && hasSlot(request.team(), now)) {
             queue.servedAtOnce(request.team(), request.teamWeight());
-            outbox.add(waiter, grant(request, now, now));
+            answers.add(waiter, grant(request, now, now));
             return;
         }
-        enqueue(waiter, now, outbox);
+        enqueue(waiter, now, answers);
     }
 
-    private void enqueue(Waiter waiter, Instant now, Outbox outbox) {
+    private void enqueue(WaitingRequest waiter, Instant now, SlotAnswers answers) {
         SlotRequest request = waiter.request();
         if (health.isProbing()) {
-            outbox.add(waiter, refusal(SlotStatus.UNAVAILABLE, (long) durationMillis, now));
+            answers.add(waiter, refusal(SlotStatus.UNAVAILABLE, (long) durationMillis, now));
             return;
         }
         long wait = waitMillis(queue.position(request.team(), request.teamWeight()));
+        boolean same = grants.hasFingerprint(request.fingerprint());
         boolean waitsForMean = request.lastResort() && isHeldByBound(now);
         double shortest = shares.expectedMillis(request.team(), 0) / 2;
         if (!waitsForMean && wait + shortest > request.remainingMillis()) {
-            outbox.add(
-                    waiter, refusal(SlotStatus.DEADLINE, wait, now).withNotes(isInFlight(request), isHeldByBound(now)));
+            answers.add(waiter, refusal(SlotStatus.DEADLINE, wait, now).withNotes(same, isHeldByBound(now)));
             return;
         }
         if (!waitsForMean && wait > request.maxWaitMillis()) {
-            outbox.add(
-                    waiter,
-                    refusal(SlotStatus.OVERLOADED, wait, now).withNotes(isInFlight(request), isHeldByBound(now)));
+            answers.add(waiter, refusal(SlotStatus.OVERLOADED, wait, now).withNotes(same, isHeldByBound(now)));
             return;
         }
-        Optional<Waiter> displaced = queue.offer(request.team(), request.teamWeight(), waiter);
-        displaced.ifPresent(other -> outbox.add(other, refusal(SlotStatus.OVERLOADED, wait, now)));
+        Optional<WaitingRequest> displaced = queue.offer(request.team(), request.teamWeight(), waiter);
+        displaced.ifPresent(other -> answers.add(other, refusal(SlotStatus.OVERLOADED, wait, now)));
     }
 
-    private void awaitSuspect(Waiter waiter, Instant now, Outbox outbox) {
-        boolean waits = waiter.request().maxWaitMillis() >= durationMillis && waitingSuspects.size() < MAX_SUSPECTS;
-        if (waits) {
-            waitingSuspects.addLast(waiter);
-            return;
+    private void awaitSuspect(WaitingRequest waiter, Instant now, SlotAnswers answers) {
+        boolean mayWait = waiter.request().maxWaitMillis() >= durationMillis;
+        if (!mayWait || !suspectQueue.offer(waiter)) {
+            answers.add(waiter, refusal(SlotStatus.SUSPECT_BUSY, (long) durationMillis, now));
         }
-        outbox.add(waiter, refusal(SlotStatus.SUSPECT_BUSY, (long) durationMillis, now));
     }
 
-    private void pumpSuspects(Instant now, Outbox outbox) {
-        while (suspects == 0 && !waitingSuspects.isEmpty() && !leaving && !closed && !health.isSuspended(now)) {
-            Waiter waiter = waitingSuspects.getFirst();
+    private void pumpSuspects(Instant now, SlotAnswers answers) {
+        while (!grants.hasSuspect() && suspectQueue.peek().isPresent() && takesWork(now)) {
+            WaitingRequest waiter = suspectQueue.peek().get();
             String team = waiter.request().team();
             shares.touch(team, waiter.request().teamWeight(), now);
             if (!waiter.isOverdue(now) && !hasSlot(team, now)) {
                 return;
             }
-            waitingSuspects.removeFirst();
+            suspectQueue.removeFirst();
             SlotDecision decision = waiter.isOverdue(now)
                     ? refusal(waiter.overdueStatus(now), (long) durationMillis, now)
                     : grant(waiter.request(), waiter.since(), now);
-            outbox.add(waiter, decision);
+            answers.add(waiter, decision);
         }
     }
 
@@ -342,24 +311,28 @@
         return !health.isProbing() && inFlight(now) < settings.maxInFlight() - settings.reservedSlots();
     }
 
-    private void pump(Instant now, Outbox outbox) {
-        pumpSuspects(now, outbox);
-        while (queue.size() > 0 && !leaving && !closed && !health.isSuspended(now)) {
-            Optional<Waiter> next = queue.poll(team -> hasSlot(team, now));
+    private void pump(Instant now, SlotAnswers answers) {
+        pumpSuspects(now, answers);
+        while (queue.size() > 0 && takesWork(now)) {
+            Optional<WaitingRequest> next = queue.poll(team -> hasSlot(team, now));
             if (next.isEmpty()) {
                 return;
             }
-            Waiter waiter = next.get();
+            WaitingRequest waiter = next.get();
             if (waiter.isOverdue(now)) {
-                outbox.add(waiter, refusal(waiter.overdueStatus(now), waitMillis(queue.size()), now));
-            } else if (waiter.request().suspect() && suspects > 0) {
-                awaitSuspect(waiter, now, outbox);
+                answers.add(waiter, refusal(waiter.overdueStatus(now), waitMillis(queue.size()), now));
+            } else if (waiter.request().suspect() && grants.hasSuspect()) {
+                awaitSuspect(waiter, now, answers);
             } else {
-                outbox.add(waiter, grant(waiter.request(), waiter.since(), now));
+                answers.add(waiter, grant(waiter.request(), waiter.since(), now));
             }
         }
     }
 
+    private boolean takesWork(Instant now) {
+        return !leaving && !closed && !health.isSuspended(now);
+    }
+
     private boolean hasSlot(String team, Instant now) {
         int load = inFlight(now);
         int limit = health.isProbing() ? 1 : Math.min(settings.maxInFlight(), bound.maxLoad(load, durationMillis));
@@ -373,10 +346,7 @@
     private SlotDecision grant(SlotRequest request, Instant since, Instant now) {
         long grantId = nextGrantId++;
         Instant expiry = now.plusMillis(settings.leaseMillis());
-        grants.put(grantId, new Grant(request.team(), request.fingerprint(), request.suspect(), now, expiry));
-        fingerprints.merge(request.fingerprint(), 1, Integer::sum);
-        shares.take(request.team());
-        suspects += request.suspect() ? 1 : 0;
+        grants.add(grantId, new OpenGrant(request.team(), request.fingerprint(), request.suspect(), now, expiry));
         foreign.onOwnChange(grants.size(), now);
         foreign.onGrant();
         long queued = Duration.between(since, now).toMillis();
@@ -384,38 +354,34 @@
                 SlotStatus.GRANTED, grantId, epoch, settings.leaseMillis(), queued, 0, "", inFlight(now), false, false);
     }
 
-    private void dropped(Grant grant, Instant now) {
-        shares.give(grant.team());
-        fingerprints.computeIfPresent(grant.fingerprint(), (key, count) -> count > 1 ? count - 1 : null);
-        suspects -= grant.suspect() ? 1 : 0;
-        foreign.onOwnChange(grants.size(), now);
+    private void noteDuration(OpenGrant grant, Instant now) {
+        double millis = Duration.between(grant.since(), now).toMillis();
+        durationMillis += DURATION_SMOOTHING * (millis - durationMillis);
+        shares.completed(grant.team(), millis);
     }
 
-    private void startLeaving(Outbox outbox) {
+    private void startLeaving(SlotAnswers answers) {
         leaving = true;
-        refuseAll(SlotStatus.UNAVAILABLE, outbox);
+        refuseAll(SlotStatus.UNAVAILABLE, answers);
     }
 
-    private void refuseAll(SlotStatus status, Outbox outbox) {
+    private void refuseAll(SlotStatus status, SlotAnswers answers) {
         Instant now = clock.instant();
-        waitingSuspects.forEach(waiter -> outbox.add(waiter, refusal(status, 0, now)));
-        waitingSuspects.clear();
-        for (Optional<Waiter> next = queue.poll(team -> true); next.isPresent(); next = queue.poll(team -> true)) {
-            outbox.add(next.get(), refusal(status, 0, now));
+        suspectQueue.takeAll().forEach(waiter -> answers.add(waiter, refusal(status, 0, now)));
+        for (Optional<WaitingRequest> next = queue.poll(team -> true);
+                next.isPresent();
+                next = queue.poll(team -> true)) {
+            answers.add(next.get(), refusal(status, 0, now));
         }
     }
 
-    private void refuseOverdue(Instant now, Outbox outbox) {
-        waitingSuspects.removeIf(waiter -> {
-            boolean overdue = waiter.isOverdue(now);
-            if (overdue) {
-                outbox.add(waiter, refusal(waiter.overdueStatus(now), (long) durationMillis, now));
-            }
-            return overdue;
-        });
-        Optional<Waiter> next = queue.removeFirst(waiter -> waiter.isOverdue(now));
+    private void refuseOverdue(Instant now, SlotAnswers answers) {
+        for (WaitingRequest waiter : suspectQueue.takeOverdue(now)) {
+            answers.add(waiter, refusal(waiter.overdueStatus(now), (long) durationMillis, now));
+        }
+        Optional<WaitingRequest> next = queue.removeFirst(waiter -> waiter.isOverdue(now));
         while (next.isPresent()) {
-            outbox.add(next.get(), refusal(next.get().overdueStatus(now), waitMillis(queue.size()), now));
+            answers.add(next.get(), refusal(next.get().overdueStatus(now), waitMillis(queue.size()), now));
             next = queue.removeFirst(waiter -> waiter.isOverdue(now));
         }
     }
@@ -424,10 +390,6 @@
         return SlotDecision.refused(status, epoch, retryAfterMillis, inFlight(now));
     }
 
-    private boolean isInFlight(SlotRequest request) {
-        return fingerprints.containsKey(request.fingerprint());
-    }
-
     private int inFlight(Instant now) {
         return grants.size() + foreign.current(now);
     }
@@ -436,34 +398,4 @@
         int slots = Math.max(1, Math.min(settings.maxInFlight(), grants.size()));
         return (long) (position * durationMillis / slots);
     }
-
-    private record Grant(String team, long fingerprint, boolean suspect, Instant since, Instant expiry) {
-        private Grant renewed(Instant newExpiry) {
-            return new Grant(team, fingerprint, suspect, since, newExpiry);
-        }
-    }
-
-    private record Waiter(SlotRequest request, Consumer<SlotDecision> listener, Instant since) {
-        private boolean isOverdue(Instant now) {
-            long waited = Duration.between(since, now).toMillis();
-            return waited >= Math.min(request.maxWaitMillis(), request.remainingMillis());
-        }
-
-        private SlotStatus overdueStatus(Instant now) {
-            long waited = Duration.between(since, now).toMillis();
-            return waited >= request.remainingMillis() ? SlotStatus.DEADLINE : SlotStatus.OVERLOADED;
-        }
-    }
-
-    private static final class Outbox {
-        private final List<Runnable> answers = new ArrayList<>(1);
-
-        private void add(Waiter waiter, SlotDecision decision) {
-            answers.add(() -> waiter.listener().accept(decision));
-        }
-
-        private void deliver() {
-            answers.forEach(Runnable::run);
-        }
-    }
 }
