--- a/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzEndpoints.java
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzEndpoints.java
@@ -105,6 +105,7 @@
                 remaining,
                 MAX_WAIT_MILLIS,
                 false,
+                false,
                 false);
     }
 
--- a/bench/src/main/java/org/dragonflygw/bench/load/LoadRecord.java
+++ b/bench/src/main/java/org/dragonflygw/bench/load/LoadRecord.java
@@ -24,8 +24,8 @@
     }
 
     void ended(boolean wholeAnswer) {
-        open.decrementAndGet();
         (wholeAnswer ? whole : failed).increment();
+        open.decrementAndGet();
     }
 
     void firstToken(long nanos) {
