Spread urgent rows first and keep room in the budget for them

Cause: at 400 daemons and 600 engines a closed engine was not known everywhere after 120 rounds, a new sheet version was sent in no urgent exchange and a death took 85 rounds: rows that changed each second lost their place in the queue, each row was sent 27 times, and rows used up the whole budget.

--- a/core/src/main/java/org/dragonflygw/core/membership/GossipProtocol.java
+++ b/core/src/main/java/org/dragonflygw/core/membership/GossipProtocol.java
@@ -30,7 +30,8 @@
     private static final int DEAD_PROBE_ROUNDS = 5;
     private static final int URGENT_TARGETS = 3;
     private static final int MAX_QUARANTINED = 16;
-    private static final int SEND_FACTOR = 3;
+    private static final int MIN_SENDS = 2;
+    private static final int URGENT_RESERVE_PARTS = 4;
     private static final int PAUSE_INTERVALS = 2;
 
     private final GossipSettings settings;
@@ -100,7 +101,7 @@
     public synchronized void seed(HostListing listing) {
         for (HostEntry host : listing.hosts()) {
             if (host.role() == HostRole.ROUTER) {
-                members.list(listed(host), clock.instant());
+                members.list(host, clock.instant());
             }
         }
         publish();
@@ -134,7 +135,11 @@
         urgent = false;
         List<Member> targets = new ArrayList<>();
         for (int i = 0; i < URGENT_TARGETS; i++) {
-            addTarget(targets, urgentOrder, id -> isLive(id) && !containsId(targets, id));
+            boolean anyRegion = i == 0;
+            addTarget(
+                    targets,
+                    urgentOrder,
+                    id -> isLive(id) && (anyRegion || inOwnRegion(id)) && !containsId(targets, id));
         }
         return targets;
     }
@@ -181,11 +186,17 @@
 
     private GossipMessage compose(Member target, boolean digestsDiffer) {
         int header = MessageSizes.header(members.self());
-        int left = Math.min(settings.maxMessageBytes(), budget.available()) - header;
+        boolean sameRegion = target.region().equals(self.region());
+        List<EndpointLoad> rowsOfLoads = new ArrayList<>();
+        if (sameRegion) {
+            rowsOfLoads.addAll(loads.takeUrgent(Math.min(settings.maxMessageBytes(), budget.available()) - header));
+        }
+        int urgentBytes = bytes(rowsOfLoads);
+        int room = Math.min(settings.maxMessageBytes(), budget.available() - urgentReserve());
+        int left = room - header - urgentBytes;
         List<Member> rows = new ArrayList<>();
         left -= addRowAboutTarget(rows, target, left);
-        int maxSends = maxSends();
-        List<Member> changed = members.queue().take(left, maxSends, row -> true);
+        List<Member> changed = members.queue().take(left, maxSends());
         changed.stream().filter(row -> !containsId(rows, row.daemonId())).forEach(rows::add);
         left -= changed.stream().mapToInt(MessageSizes::member).sum();
         List<QuarantineEntry> quarantined = quarantined(left);
@@ -193,10 +204,12 @@
         if (digestsDiffer) {
             left -= addSweep(rows, left / 2);
         }
-        List<EndpointLoad> rowsOfLoads = target.region().equals(self.region()) ? loads.take(left, maxSends) : List.of();
-        left -= rowsOfLoads.stream().mapToInt(MessageSizes::load).sum();
-        int size = Math.min(settings.maxMessageBytes(), budget.available()) - left;
-        budget.spend(Math.max(header, size));
+        if (sameRegion) {
+            List<EndpointLoad> rotated = loads.take(left);
+            rowsOfLoads.addAll(rotated);
+            left -= bytes(rotated);
+        }
+        budget.spend(Math.max(header + urgentBytes, room - left));
         SheetVersion newest = feeds.sheets().newest();
         return new GossipMessage(
                 members.self(),
@@ -360,19 +373,16 @@
     }
 
     private int maxSends() {
-        return SEND_FACTOR * (32 - Integer.numberOfLeadingZeros(members.fleetSize()));
-    }
-
-    private static Member listed(HostEntry host) {
-        return new Member(
-                host.id(),
-                host.address(),
-                host.port(),
-                0,
-                host.availabilityZone(),
-                host.region(),
-                Member.LISTED,
-                MemberStatus.ALIVE);
+        return MIN_SENDS + Integer.SIZE - Integer.numberOfLeadingZeros(members.fleetSize());
+    }
+
+    private static int bytes(List<EndpointLoad> rows) {
+        return rows.stream().mapToInt(MessageSizes::load).sum();
+    }
+
+    /** Bytes that rows leave in the budget, so that urgent news never waits for it. */
+    private int urgentReserve() {
+        return settings.bytesPerSecond() / URGENT_RESERVE_PARTS;
     }
 
     private void publish() {
--- a/core/src/main/java/org/dragonflygw/core/membership/LoadTable.java
+++ b/core/src/main/java/org/dragonflygw/core/membership/LoadTable.java
@@ -10,6 +10,7 @@
 
 /** Newest load statement of each endpoint and the queue to spread them. Not thread-safe. */
 final class LoadTable {
+    private static final int MAX_SENDS = 5;
     private static final Duration RETENTION = Duration.ofSeconds(60);
 
     private final Map<String, EndpointLoad> rows = new HashMap<>();
@@ -22,12 +23,21 @@
             return false;
         }
         rows.put(row.endpointId(), row);
-        queue.changed(row.endpointId());
+        boolean closes = row.closed() && (known == null || !known.closed());
+        if (closes) {
+            queue.changedUrgently(row.endpointId());
+        } else {
+            queue.changed(row.endpointId());
+        }
         return true;
     }
 
-    List<EndpointLoad> take(int maxBytes, int maxSends) {
-        return queue.take(maxBytes, maxSends, row -> true);
+    List<EndpointLoad> takeUrgent(int maxBytes) {
+        return queue.takeUrgent(maxBytes, MAX_SENDS);
+    }
+
+    List<EndpointLoad> take(int maxBytes) {
+        return queue.take(maxBytes, MAX_SENDS);
     }
 
     /** Drops endpoints that nobody stated for a long time. */
--- a/core/src/main/java/org/dragonflygw/core/membership/Members.java
+++ b/core/src/main/java/org/dragonflygw/core/membership/Members.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.dragonflygw.core.fleet.HostEntry;
 import org.dragonflygw.core.timeline.EventRecorder;
 import org.dragonflygw.core.timeline.EventSubject;
 import org.dragonflygw.core.timeline.EventType;
@@ -88,7 +89,16 @@
     }
 
     /** Notes a daemon that the host list names; has no effect when anything is known of it. */
-    void list(Member listed, Instant now) {
+    void list(HostEntry host, Instant now) {
+        Member listed = new Member(
+                host.id(),
+                host.address(),
+                host.port(),
+                0,
+                host.availabilityZone(),
+                host.region(),
+                Member.LISTED,
+                MemberStatus.ALIVE);
         if (!listed.daemonId().equals(self.daemonId())
                 && table.get(listed.daemonId()).isEmpty()) {
             table.put(listed, now);
