--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/placement/OrderAction.java
@@ -0,0 +1,7 @@
+package org.dragonflygw.core.placement;
+
+/** What an order tells an engine to do. */
+public enum OrderAction {
+    LOAD,
+    UNLOAD
+}
