Close idle connections when one goes silent or a peer is lost

Cause: pooled connections go silent together, and each cost a call of its own. Change: idle connections are closed after a silence, and those to a daemon after a lost call; test with a restarted peer. Conclusion: a restarted peer costs one call, whatever the size of the pool.

--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
@@ -99,6 +99,7 @@
             answered = true;
             return new EndpointExchange(connections, connection, response, TimeValue.ofMilliseconds(IDLE_KEEP_MILLIS));
         } catch (SocketTimeoutException e) {
+            closeIdle();
             throw new EndpointException(
                     EndpointCode.CONNECTION_SILENT, endpoint.id() + " sent nothing for " + silenceMillis + " ms", e);
         } catch (IOException e) {
@@ -112,6 +113,11 @@
         }
     }
 
+    /** Closes all idle connections, because connections often go silent together. */
+    public void closeIdle() {
+        connections.closeIdle(TimeValue.ZERO_MILLISECONDS);
+    }
+
     @Override
     public void close() {
         connections.close(CloseMode.IMMEDIATE);
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EngineClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EngineClient.java
@@ -54,6 +54,11 @@
         return client.send(engine, call, silenceMillis, SendTerms.FRESH);
     }
 
+    /** Closes all idle connections, because connections often go silent together. */
+    void closeIdle() {
+        client.closeIdle();
+    }
+
     /** Cancels a stream; a failure is logged, because the engine ends an abandoned stream by itself. */
     public void cancel(Endpoint engine, String requestId) {
         EndpointRequest call = EndpointRequest.withoutBody("DELETE", STREAMS + requestId, List.of());
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/TokenStream.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/TokenStream.java
@@ -233,6 +233,7 @@
     private void noteLoss(RuntimeException cause) {
         boolean silent = cause instanceof EndpointException lost && lost.code() == EndpointCode.CONNECTION_SILENT;
         if (silent) {
+            client.closeIdle();
             events.record(EventType.CONNECTION_SILENT, subject(), "at token " + tokens());
         }
     }
--- a/daemon/src/main/java/org/dragonflygw/daemon/peer/PeerClients.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/peer/PeerClients.java
@@ -28,8 +28,8 @@
 import org.dragonflygw.wire.peer.Peer;
 
 /**
- * Calls other daemons over pooled connections. Nothing is sent twice: a failed call closes its connection and is told as
- * {@link PeerException}. Safe from every thread; a connection belongs to one call at a time.
+ * Calls other daemons over pooled connections. Nothing is sent twice: a failed call is told as {@link PeerException} and
+ * closes its connection and the idle ones to the same daemon, which may have gone silent together. Safe from every thread; a connection belongs to one call at a time.
  */
 @Singleton
 public final class PeerClients implements Managed {
@@ -102,6 +102,7 @@
         } catch (TApplicationException e) {
             throw new PeerException(PeerCode.REFUSED, peer + ": " + e.getMessage(), e);
         } catch (TException e) {
+            forget(peer);
             throw new PeerException(PeerCode.OUTCOME_UNKNOWN, peer + ": " + e.getMessage(), e);
         } finally {
             if (usable) {
--- a/daemon/src/test/java/org/dragonflygw/daemon/peer/PeerCallsTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/peer/PeerCallsTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import org.apache.thrift.transport.TTransportException;
 import org.dragonflygw.daemon.RouterFixture;
 import org.dragonflygw.wire.gossip.GossipMessage;
 import org.dragonflygw.wire.gossip.SheetReply;
@@ -82,6 +83,24 @@
         assertThat(e.code()).isEqualTo(PeerCode.OUTCOME_UNKNOWN);
     }
 
+    @Test
+    void restartedPeerCostsOneCall() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            fetch(address, "now", TIMEOUT_MILLIS);
+        }
+        int port = server.port();
+        server.stop();
+        PeerServer next = new PeerServer(
+                RouterFixture.settings().setWorkerThreads(2).setPeerPort(port),
+                new PeerDispatcher(new RefusingHandlers(), gossip));
+        awaitStart(next);
+
+        PeerException e = assertThrows(PeerException.class, () -> fetch(address, "now", TIMEOUT_MILLIS));
+        assertThat(e.code()).isEqualTo(PeerCode.OUTCOME_UNKNOWN);
+        assertThat(fetch(address, "now", TIMEOUT_MILLIS).isFound()).isFalse();
+        next.stop();
+    }
+
     @Test
     void refusalOfTheHandlerIsTold() {
         PeerException e = assertThrows(PeerException.class, () -> fetch(address, "broken", TIMEOUT_MILLIS));
@@ -100,6 +119,19 @@
         assertThat(fetch(address, "now", TIMEOUT_MILLIS).isFound()).isFalse();
     }
 
+    /** Starts a server on a port that its predecessor may still hold for a moment. */
+    private static void awaitStart(PeerServer next) throws InterruptedException {
+        for (int i = 0; i < 500; i++) {
+            try {
+                next.start();
+                return;
+            } catch (TTransportException e) {
+                Thread.sleep(10);
+            }
+        }
+        throw new AssertionError("port stays in use");
+    }
+
     private SheetReply fetch(PeerAddress peer, String digest, int timeoutMillis) {
         return clients.fetchSheet(peer, new SheetRequest(digest), timeoutMillis);
     }
