--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/ChatAttempts.java
@@ -4,7 +4,6 @@
 import com.google.inject.Inject;
 import com.google.inject.Singleton;
 import java.nio.charset.StandardCharsets;
-import java.time.Clock;
 import java.util.Optional;
 import org.dragonflygw.core.error.RunStatus;
 import org.dragonflygw.core.fleet.Endpoint;
@@ -15,6 +14,7 @@
 import org.dragonflygw.core.stream.SseEvent;
 import org.dragonflygw.core.timeline.EventRecorder;
 import org.dragonflygw.core.timeline.EventType;
+import org.dragonflygw.daemon.endpoint.EndpointCode;
 import org.dragonflygw.daemon.endpoint.EndpointException;
 import org.dragonflygw.daemon.endpoint.EndpointExchange;
 import org.dragonflygw.daemon.endpoint.EngineClient;
@@ -37,7 +37,6 @@
     private final EventRecorder events;
     private final CallerMetrics metrics;
     private final ObjectMapper json;
-    private final Clock clock;
 
     @Inject
     public ChatAttempts(
@@ -45,14 +44,12 @@
             TokenStreams streams,
             EventRecorder events,
             CallerMetrics metrics,
-            ObjectMapper json,
-            Clock clock) {
+            ObjectMapper json) {
         this.engines = engines;
         this.streams = streams;
         this.events = events;
         this.metrics = metrics;
         this.json = json;
-        this.clock = clock;
     }
 
     /** Runs a request whose answer comes as events. */
@@ -70,13 +67,13 @@
         TokenStream tokens = streams.create(engine, request);
         boolean started = false;
         try {
-            connect(tokens, engine, request, body);
+            connect(tokens, engine, request, claim, body);
             SseEvent first = tokens.next();
             started = true;
             return new StreamAnswer(
                     request, grant, claim, tokens, first, new StreamAnswer.Tools(engines, events, metrics, json));
         } catch (EndpointException e) {
-            throw lost(e);
+            throw AttemptException.of(e, true);
         } finally {
             if (!started) {
                 tokens.close();
@@ -84,11 +81,11 @@
         }
     }
 
-    private void connect(TokenStream tokens, Endpoint engine, RequestContext request, byte[] body) {
+    private void connect(TokenStream tokens, Endpoint engine, RequestContext request, ClaimedRun claim, byte[] body) {
         EndpointExchange exchange;
         try {
-            exchange =
-                    engines.run(engine, request, body, SilenceLimits.of(request).firstTokenMillis());
+            exchange = engines.run(
+                    engine, request, body, SilenceLimits.of(request).firstTokenMillis(), claim::mayDispatch);
         } catch (EndpointException e) {
             if (e.certainlyNotSent()) {
                 throw e;
@@ -104,13 +101,8 @@
 
     private Answer whole(RequestContext request, EndpointGrant grant, ClaimedRun claim, byte[] body) {
         Endpoint engine = grant.endpoint();
-        long remainingMillis =
-                Math.max(1, request.deadline().toEpochMilli() - clock.instant().toEpochMilli());
-        try (EndpointExchange exchange = engines.run(engine, request, body, remainingMillis)) {
-            if (exchange.status() != STATUS_OK) {
-                throw refused(engine, exchange);
-            }
-            byte[] content = exchange.readAll(engine.id(), MAX_ANSWER_BYTES);
+        try {
+            byte[] content = fetch(engine, request, claim, body);
             AnswerCheck.check(engine, request, content, json);
             claim.done(STATUS_OK, CONTENT_TYPE, Optional.of(content));
             grant.end(AttemptOutcome.COMPLETED);
@@ -121,27 +113,41 @@
                     content.length + " bytes");
             return new WholeAnswer(STATUS_OK, CONTENT_TYPE, content);
         } catch (EndpointException e) {
-            throw lost(e);
+            throw AttemptException.of(e, true);
+        }
+    }
+
+    /** Fetches an answer in one piece; when its connection is lost or silent, follows its stream on a new one. */
+    private byte[] fetch(Endpoint engine, RequestContext request, ClaimedRun claim, byte[] body) {
+        long silenceMillis = SilenceLimits.of(request).firstTokenMillis();
+        try (EndpointExchange exchange = engines.run(engine, request, body, silenceMillis, claim::mayDispatch)) {
+            if (exchange.status() != STATUS_OK) {
+                throw refused(engine, exchange);
+            }
+            return exchange.readAll(engine.id(), MAX_ANSWER_BYTES);
+        } catch (EndpointException e) {
+            if (e.certainlyNotSent() || e.code() == EndpointCode.ANSWER_TOO_LARGE) {
+                throw e;
+            }
+            return follow(engine, request, e);
         }
     }
 
-    private static AttemptException lost(EndpointException e) {
-        if (e.certainlyNotSent()) {
-            return new AttemptException(
-                    CallerCode.ENDPOINT_UNREACHABLE,
-                    AttemptOutcome.UNREACHABLE,
-                    RunStatus.NOT_RUN,
-                    true,
-                    "the engine could not be reached",
-                    e);
+    private byte[] follow(Endpoint engine, RequestContext request, EndpointException cause) {
+        AnswerAssembler assembler = new AnswerAssembler(json);
+        try (TokenStream tokens = streams.create(engine, request)) {
+            tokens.startLost(cause);
+            while (true) {
+                SseEvent event = tokens.next();
+                if (tokens.whole()) {
+                    return assembler.toBytes();
+                }
+                assembler.add(event);
+                if (assembler.contentChars() > MAX_ANSWER_BYTES) {
+                    throw new EndpointException(EndpointCode.ANSWER_TOO_LARGE, engine.id() + " sent too much");
+                }
+            }
         }
-        return new AttemptException(
-                CallerCode.ANSWER_LOST,
-                AttemptOutcome.ENDPOINT_LOST,
-                RunStatus.UNKNOWN,
-                true,
-                "the answer of the engine was lost",
-                e);
     }
 
     private static AttemptException refused(Endpoint engine, EndpointExchange exchange) {
