--- a/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/EngineSteward.java
@@ -25,7 +25,6 @@
     private StewardSettings settings;
     private LoadBound bound;
     private final InstantSource clock;
-
     private final FairQueue<WaitingRequest> queue;
     private final SuspectQueue suspectQueue = new SuspectQueue();
     private final TeamShares shares = new TeamShares();
@@ -108,11 +107,7 @@
         return grantEpoch == epoch && grants.renew(grantId, clock.instant().plusMillis(settings.leaseMillis()));
     }
 
-    /**
-     * Ends a grant. Repeated ends change nothing.
-     *
-     * @return what became of the grant and the engine
-     */
+    /** Ends a grant and tells what became of it and of the engine. Repeated ends change nothing. */
     public EndResult end(long grantId, long grantEpoch, AttemptOutcome outcome) {
         SlotAnswers answers = new SlotAnswers();
         EndResult result;
