--- /dev/null
+++ b/bench/src/main/java/org/dragonflygw/bench/capacity/Role.java
@@ -0,0 +1,16 @@
+package org.dragonflygw.bench.capacity;
+
+import java.util.List;
+
+/**
+ * One role that daemons carry.
+ *
+ * @param name name of the role
+ * @param mechanism mechanism that carries it at the target's size
+ * @param lines its state, messages, processor time and memory
+ */
+record Role(String name, String mechanism, List<Line> lines) {
+    Role {
+        lines = List.copyOf(lines);
+    }
+}
