--- a/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzEndpoints.java
+++ b/bench/src/main/java/org/dragonflygw/bench/fuzz/FuzzEndpoints.java
@@ -81,7 +81,7 @@
         FuzzEndpoint endpoint = candidates.get(index);
         EngineSteward steward = stewards.get(endpoint.id());
         long askedNanos = time.nanos();
-        steward.acquire(slotRequest(request), decision -> {
+        steward.acquire(slotRequest(request, index == candidates.size() - 1), decision -> {
             if (decision.status() == SlotStatus.GRANTED) {
                 GrantAge age = new GrantAge(askedNanos, decision.queuedMillis());
                 taker.accept(Optional.of(new FuzzSlot(endpoint, steward, decision, age)));
@@ -91,7 +91,7 @@
         });
     }
 
-    private static SlotRequest slotRequest(FuzzRequest request) {
+    private static SlotRequest slotRequest(FuzzRequest request, boolean lastResort) {
         RequestContext context = request.context();
         long remaining =
                 context.deadline().toEpochMilli() - request.daemon().clock().millis();
@@ -105,7 +105,8 @@
                 remaining,
                 MAX_WAIT_MILLIS,
                 false,
-                false);
+                false,
+                lastResort);
     }
 
     private void expire() {
