Make request ids without a lock

Cause: a flight recording at 500 requests/s showed 1,382 waits of over 10 ms on the lock of SecureRandom. Change: ids are a random part drawn once for each process and a counter. Figures: before, 1,382 waits in one recording; after, not measured. RefusalTest and PlannedStopTest green. Conclusion: ids cost no lock; other waits in the same recording are on EngineSteward (13,429).

--- a/daemon/src/main/java/org/dragonflygw/daemon/caller/CallFilter.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/caller/CallFilter.java
@@ -11,7 +11,6 @@
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
 import java.io.IOException;
-import java.util.UUID;
 import org.apache.logging.log4j.CloseableThreadContext;
 import org.dragonflygw.daemon.stop.PlannedStop;
 import org.dragonflygw.daemon.stop.StopPhase;
@@ -25,13 +24,16 @@
     private static final String REQUEST_ID_HEADER = "X-Request-Id";
     private static final int MAX_LOGGED_CHAT_ID_CHARS = 200;
 
+    private final RequestIds ids;
     private final OpenRequests openRequests;
     private final CallerMetrics metrics;
     private final PlannedStop stop;
     private final ObjectMapper json;
 
     @Inject
-    public CallFilter(OpenRequests openRequests, CallerMetrics metrics, PlannedStop stop, ObjectMapper json) {
+    public CallFilter(
+            RequestIds ids, OpenRequests openRequests, CallerMetrics metrics, PlannedStop stop, ObjectMapper json) {
+        this.ids = ids;
         this.openRequests = openRequests;
         this.metrics = metrics;
         this.stop = stop;
@@ -41,7 +43,7 @@
     @Override
     public void doFilter(ServletRequest request, ServletResponse response, FilterChain chain)
             throws IOException, ServletException {
-        String requestId = "req-" + UUID.randomUUID();
+        String requestId = ids.next();
         ((HttpServletResponse) response).setHeader(REQUEST_ID_HEADER, requestId);
         metrics.received();
         if (stop.progress().phase() != StopPhase.RUNNING) {
