--- a/bench/src/main/java/org/dragonflygw/bench/capacity/CapacityModel.java
+++ b/bench/src/main/java/org/dragonflygw/bench/capacity/CapacityModel.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 
 /** What each role costs at a size, from the measured slopes. */
 final class CapacityModel {
@@ -19,6 +20,7 @@
     private static final double PERCENT = 100;
     private static final double KILOBYTE = 1_000;
     private static final double MEGABYTE = 1_000_000;
+    private static final double BYTES_PER_KIB = 1_024;
     private static final double CLAIM_LIFE_SECONDS = 20;
     private static final double TIMELINE_MEGABYTES = 8.4;
     private static final double SECONDS_PER_MINUTE = 60;
@@ -98,9 +100,9 @@
                 "Membership",
                 "push-pull gossip of deltas once a second within a byte budget",
                 List.of(
-                        measured("gossip sent", "KB/s", "gossip.sent.bytes.at.400", this::gossipKilobytes),
-                        measured("processor without sockets", "% of a core", "gossip.cpu.at.400", this::gossipPercent),
-                        measured("heap of the tables", "MB", "gossip.heap.at.400", this::gossipMegabytes)));
+                        measured("gossip sent", "KB/s", "gossip.sent.bytes.400", this::gossipKilobytes),
+                        measured("processor without sockets", "% of a core", "gossip.cpu.400", this::gossipPercent),
+                        measured("heap of the tables", "MB", "gossip.heap.400", this::gossipMegabytes)));
     }
 
     private Role configuration() {
@@ -111,8 +113,8 @@
                         measured(
                                 "time until all know a version",
                                 "s",
-                                "sheet.known.rounds.at.400 x 1 s",
-                                scenario -> slopes.value("sheet.known.rounds.at.400")),
+                                "gossip.version.rounds.400 x 1 s",
+                                scenario -> slopes.value("gossip.version.rounds.400")),
                         assumed(
                                 "reads of the version row, whole fleet",
                                 "1/s",
@@ -155,7 +157,7 @@
     private Role leases() {
         return new Role(
                 "Leases and orders",
-                "one row for each pool, compare-and-swap with fencing numbers; one outstanding order for each engine",
+                "one row for each pool, compare-and-swap with fencing numbers; decided in core, not yet run by the daemon",
                 List.of(assumed(
                         "writes of leases, whole fleet",
                         "1/s",
@@ -209,15 +211,15 @@
     }
 
     private double gossipKilobytes(Scenario scenario) {
-        return slopes.value("gossip.sent.bytes.at.400") / KILOBYTE;
+        return slopes.value("gossip.sent.bytes.400") / KILOBYTE;
     }
 
     private double gossipPercent(Scenario scenario) {
-        return percentOfMicros(slopes.value("gossip.cpu.at.400"));
+        return percentOfMicros(slopes.value("gossip.cpu.400"));
     }
 
     private double gossipMegabytes(Scenario scenario) {
-        return slopes.value("gossip.heap.at.400") / MEGABYTE;
+        return slopes.value("gossip.heap.400") * BYTES_PER_KIB / MEGABYTE;
     }
 
     private static double submissions(Scenario scenario) {
@@ -245,13 +247,11 @@
         return micros / MICROS_PER_SECOND * PERCENT;
     }
 
-    private static Line measured(
-            String quantity, String unit, String formula, java.util.function.ToDoubleFunction<Scenario> value) {
+    private static Line measured(String quantity, String unit, String formula, ToDoubleFunction<Scenario> value) {
         return new Line(quantity, unit, Basis.MEASURED, formula, value);
     }
 
-    private static Line assumed(
-            String quantity, String unit, String formula, java.util.function.ToDoubleFunction<Scenario> value) {
+    private static Line assumed(String quantity, String unit, String formula, ToDoubleFunction<Scenario> value) {
         return new Line(quantity, unit, Basis.ASSUMED, formula, value);
     }
 }
--- a/bench/src/main/java/org/dragonflygw/bench/capacity/CapacityPage.java
+++ b/bench/src/main/java/org/dragonflygw/bench/capacity/CapacityPage.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.bench.capacity;
 
 import java.util.Locale;
+import java.util.function.ToDoubleFunction;
 
 /** Renders the tables of {@code docs/CAPACITY.md}; the text around them is written by hand. */
 final class CapacityPage {
@@ -35,8 +36,7 @@
         return text.toString();
     }
 
-    private static void budget(
-            StringBuilder text, String name, java.util.function.ToDoubleFunction<Scenario> value, double limit) {
+    private static void budget(StringBuilder text, String name, ToDoubleFunction<Scenario> value, double limit) {
         text.append(String.format(
                 Locale.ROOT,
                 "| %s | %s | %s | %s |%n",
