Show the ranking of candidates; say plainly what is not reported

Cause: explain had no event for the choice of the endpoint; the fleet's view showed 0% cache reuse although nothing reports it, and called gossip all control traffic.

--- a/cli/src/main/java/org/dragonflygw/cli/command/FleetCommand.java
+++ b/cli/src/main/java/org/dragonflygw/cli/command/FleetCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalDouble;
 import org.dragonflygw.cli.Columns;
 import org.dragonflygw.cli.Command;
 import org.dragonflygw.cli.ExitCode;
@@ -47,10 +48,6 @@
     }
 
     private static void measures(Output output, List<FleetView> views) {
-        double reuse = views.stream()
-                .mapToDouble(FleetView::cacheReusePercent)
-                .average()
-                .orElse(0);
         double skew = views.stream()
                 .flatMap(view -> view.services().stream())
                 .mapToDouble(ServiceView::skew)
@@ -60,12 +57,22 @@
                 .mapToDouble(FleetView::controlBytesSentPerSecond)
                 .max()
                 .orElse(0);
-        output.line(String.format(Locale.ROOT, "cache reuse      %.1f %% of prompt tokens (mean of daemons)", reuse));
+        output.line("cache reuse      " + reuse(views));
         output.line(String.format(Locale.ROOT, "load skew        %.2f x mean (worst service)", skew));
-        output.line(String.format(Locale.ROOT, "control traffic  %.0f bytes/s sent (busiest daemon)", sent));
+        output.line(String.format(Locale.ROOT, "control traffic  %.0f bytes/s of gossip sent (busiest daemon)", sent));
         output.line("");
     }
 
+    private static String reuse(List<FleetView> views) {
+        OptionalDouble mean = views.stream()
+                .mapToDouble(FleetView::cacheReusePercent)
+                .filter(percent -> percent != FleetView.UNKNOWN_REUSE)
+                .average();
+        return mean.isPresent()
+                ? String.format(Locale.ROOT, "%.1f %% of prompt tokens (mean of daemons)", mean.getAsDouble())
+                : "not reported by the engines";
+    }
+
     private static void daemons(Output output, List<FleetView> views) {
         output.table(
                 views,
@@ -73,7 +80,6 @@
                         Columns.text("ANSWERED", FleetView::daemonId),
                         Columns.number("SHEET", FleetView::sheetNumber),
                         Columns.text("DIGEST", view -> abbreviate(view.sheetDigest())),
-                        Columns.decimal("REUSE %", FleetView::cacheReusePercent),
                         Columns.decimal("SENT B/S", FleetView::controlBytesSentPerSecond),
                         Columns.decimal("RECEIVED B/S", FleetView::controlBytesReceivedPerSecond)));
         output.line("");
--- a/core/src/main/java/org/dragonflygw/core/inspect/FleetView.java
+++ b/core/src/main/java/org/dragonflygw/core/inspect/FleetView.java
@@ -10,9 +10,9 @@
  * @param sheetNumber version of the sheet in force; 0 for none
  * @param sheetDigest digest of the sheet in force
  * @param cacheReusePercent prompt tokens that the engines' prefix caches held, of all prompt tokens routed by this
- *     daemon, in percent
- * @param controlBytesSentPerSecond control traffic sent by this daemon, in bytes per second, mean of the last minute
- * @param controlBytesReceivedPerSecond control traffic received, in bytes per second, mean of the last minute
+ *     daemon, in percent; {@link #UNKNOWN_REUSE} while the engines do not report it
+ * @param controlBytesSentPerSecond gossip sent by this daemon, in bytes per second, mean of the last minute
+ * @param controlBytesReceivedPerSecond gossip received, in bytes per second, mean of the last minute
  * @param services load of each service
  * @param members daemons
  */
@@ -26,6 +26,9 @@
         double controlBytesReceivedPerSecond,
         List<ServiceView> services,
         List<MemberView> members) {
+    /** Cache reuse that no engine reported. */
+    public static final double UNKNOWN_REUSE = -1;
+
     public FleetView {
         services = List.copyOf(services);
         members = List.copyOf(members);
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/PoolBoard.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/PoolBoard.java
@@ -61,5 +61,21 @@
         return order.rank(key, table, limit);
     }
 
+    /** The candidates in order, each with its stated load, for the time line. */
+    String describe(int[] candidates, EndpointTable table) {
+        StringBuilder text = new StringBuilder();
+        for (int index : candidates) {
+            String id = table.endpoint(index).id();
+            text.append(text.length() == 0 ? "" : ", ").append(id);
+            loads.find(id)
+                    .ifPresent(load -> text.append(' ')
+                            .append(load.inFlight())
+                            .append(" in flight ")
+                            .append(load.waitMillis())
+                            .append(" ms"));
+        }
+        return text.append(" of ").append(table.size()).toString();
+    }
+
     private record Endpoints(List<Endpoint> list, EndpointTable table) {}
 }
--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardSelector.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardSelector.java
@@ -95,10 +95,22 @@
         boolean suspect = asked && checkSuspect(request);
         CandidateKey key = CandidateKey.of(request);
         int[] candidates = board.rank(key, table, suspect ? SUSPECT_CANDIDATES : CANDIDATES);
+        record(request, EventType.CANDIDATES_RANKED, "", board.describe(candidates, table));
         SlotSearch search = new SlotSearch(searchRequest(request, key, suspect), table, candidates, excludedEndpoints);
         return new Walk(request, search, candidates, excludedEndpoints, asked, suspect).run();
     }
 
+    private void record(RequestContext request, EventType type, String endpointId, String detail) {
+        events.record(
+                type,
+                EventSubject.request(
+                        request.requestId(),
+                        request.chatId(),
+                        endpointId,
+                        request.team().name()),
+                detail);
+    }
+
     private void checkRate(RequestContext request) {
         long waitMillis = rates.acquire(request.team());
         if (waitMillis > 0) {
@@ -286,14 +298,7 @@
         }
 
         private void record(EventType type, String endpointId, String detail) {
-            events.record(
-                    type,
-                    EventSubject.request(
-                            request.requestId(),
-                            request.chatId(),
-                            endpointId,
-                            request.team().name()),
-                    detail);
+            StewardSelector.this.record(request, type, endpointId, detail);
         }
     }
 }
--- a/daemon/src/main/java/org/dragonflygw/daemon/membership/FleetResource.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/membership/FleetResource.java
@@ -57,7 +57,7 @@
                 settings.getDeployment(),
                 active.version().number(),
                 active.version().digest(),
-                0,
+                FleetView.UNKNOWN_REUSE,
                 gossip.sentBytesPerSecond(),
                 gossip.receivedBytesPerSecond(),
                 active.sheet().services().stream().map(this::service).toList(),
