Keep the causes of failed streams in the load tool

Cause: LoadRunnerTest failed once with one failed stream of about 30, on a busy machine, and the tool threw the cause away. Conclusion: cause not found; the next failure will name it.

--- a/bench/src/main/java/org/dragonflygw/bench/load/LoadRecord.java
+++ b/bench/src/main/java/org/dragonflygw/bench/load/LoadRecord.java
@@ -1,5 +1,8 @@
 package org.dragonflygw.bench.load;
 
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import org.HdrHistogram.ConcurrentHistogram;
@@ -9,6 +12,7 @@
 final class LoadRecord {
     private static final long MAX_MICROS = 600_000_000;
     private static final int DIGITS = 3;
+    private static final int MAX_CAUSES = 10;
     private static final int NANOS_PER_MICRO = 1000;
 
     private final Histogram firstTokenMicros = new ConcurrentHistogram(MAX_MICROS, DIGITS);
@@ -16,6 +20,7 @@
     private final LongAdder tokens = new LongAdder();
     private final LongAdder whole = new LongAdder();
     private final LongAdder failed = new LongAdder();
+    private final Queue<String> causes = new ConcurrentLinkedQueue<>();
     private final AtomicInteger open = new AtomicInteger();
     private final AtomicInteger mostOpen = new AtomicInteger();
 
@@ -28,6 +33,14 @@
         open.decrementAndGet();
     }
 
+    /** A request ended without an answer; the first causes are kept for the reader of a result. */
+    void failed(Exception cause) {
+        if (causes.size() < MAX_CAUSES) {
+            causes.add(cause.toString());
+        }
+        ended(false);
+    }
+
     void firstToken(long nanos) {
         firstTokenMicros.recordValue(clamp(nanos));
     }
@@ -60,6 +73,11 @@
         return failed.sum();
     }
 
+    /** Causes of the first failed requests. */
+    List<String> causes() {
+        return List.copyOf(causes);
+    }
+
     int openCount() {
         return open.get();
     }
--- a/bench/src/main/java/org/dragonflygw/bench/load/StreamClient.java
+++ b/bench/src/main/java/org/dragonflygw/bench/load/StreamClient.java
@@ -79,7 +79,7 @@
 
         @Override
         public void failed(Exception failure) {
-            record.ended(false);
+            record.failed(failure);
         }
 
         @Override
--- a/bench/src/test/java/org/dragonflygw/bench/load/LoadRunnerTest.java
+++ b/bench/src/test/java/org/dragonflygw/bench/load/LoadRunnerTest.java
@@ -25,6 +25,7 @@
         LoadResult result = run().get(0);
 
         assertThat(result.record().wholeCount()).isGreaterThan(0);
+        assertThat(result.record().causes()).isEmpty();
         assertThat(result.record().failedCount()).isEqualTo(0);
         assertThat(result.record().tokenCount()).isEqualTo(5 * result.record().wholeCount());
         assertThat(result.record().firstTokenMicros().getTotalCount())
