--- a/bench/src/main/java/org/dragonflygw/bench/timeline/RequestEvents.java
+++ b/bench/src/main/java/org/dragonflygw/bench/timeline/RequestEvents.java
@@ -1,6 +1,6 @@
 package org.dragonflygw.bench.timeline;
 
-import java.util.UUID;
+import java.util.Locale;
 import org.dragonflygw.core.timeline.EventRecorder;
 import org.dragonflygw.core.timeline.EventSubject;
 import org.dragonflygw.core.timeline.EventType;
@@ -21,7 +21,7 @@
 
     /** Id of the request with a number, as long as the ids that routers make. */
     static String requestId(int number) {
-        return "req-" + new UUID(0x5DEECE66DL * number, number);
+        return String.format(Locale.ROOT, "req-%016x-%d", 0x5DEECE66DL, number);
     }
 
     void record(int number) {
