Use one grant that ages and ends once for both selectors

Cause: LocalEndpointSelector had an inner copy of StewardGrant: the same age check before a dispatch and the same guard that only the first end counts. Change: StewardGrant becomes daemon.endpoint.AgingGrant, and the local selector gives it what to do at the end. Behaviour is the same. Conclusion: a later change to the age of grants is made in one place.

--- a/daemon/src/main/java/org/dragonflygw/daemon/grant/StewardGrant.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/AgingGrant.java
@@ -1,4 +1,4 @@
-package org.dragonflygw.daemon.grant;
+package org.dragonflygw.daemon.endpoint;
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -7,14 +7,21 @@
 import org.dragonflygw.core.routing.EndpointGrant;
 import org.dragonflygw.core.routing.GrantAge;
 
-/** A slot whose end is told once. */
-final class StewardGrant implements EndpointGrant {
+/** A slot that grows too old for a dispatch, and whose end is told once. Safe from every thread. */
+public final class AgingGrant implements EndpointGrant {
     private final Endpoint endpoint;
     private final GrantAge age;
     private final Consumer<AttemptOutcome> onEnd;
     private final AtomicBoolean ended = new AtomicBoolean();
 
-    StewardGrant(Endpoint endpoint, GrantAge age, Consumer<AttemptOutcome> onEnd) {
+    /**
+     * Makes a slot.
+     *
+     * @param endpoint endpoint that holds it
+     * @param age age of the slot since it was asked for
+     * @param onEnd told the outcome of the first end
+     */
+    public AgingGrant(Endpoint endpoint, GrantAge age, Consumer<AttemptOutcome> onEnd) {
         this.endpoint = endpoint;
         this.age = age;
         this.onEnd = onEnd;
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/LocalEndpointSelector.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/LocalEndpointSelector.java
@@ -6,12 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.core.fleet.EndpointSource;
 import org.dragonflygw.core.fleet.EndpointState;
 import org.dragonflygw.core.request.RequestContext;
-import org.dragonflygw.core.routing.AttemptOutcome;
 import org.dragonflygw.core.routing.EndpointGrant;
 import org.dragonflygw.core.routing.EndpointSelector;
 import org.dragonflygw.core.routing.GrantAge;
@@ -54,7 +52,7 @@
                         RETRY_AFTER_MILLIS);
             }
             inFlight.merge(best.id(), 1, Integer::sum);
-            return new Grant(best);
+            return grant(best);
         }
     }
 
@@ -66,32 +64,13 @@
         return inFlight.getOrDefault(endpoint.id(), 0);
     }
 
-    private final class Grant implements EndpointGrant {
-        private final Endpoint endpoint;
-        private final GrantAge age = new GrantAge(System.nanoTime(), 0);
-        private final AtomicBoolean ended = new AtomicBoolean();
-
-        Grant(Endpoint endpoint) {
-            this.endpoint = endpoint;
-        }
-
-        @Override
-        public Endpoint endpoint() {
-            return endpoint;
-        }
-
-        @Override
-        public boolean mayDispatch() {
-            return age.mayDispatch(System.nanoTime());
-        }
+    private EndpointGrant grant(Endpoint endpoint) {
+        return new AgingGrant(endpoint, new GrantAge(System.nanoTime(), 0), outcome -> release(endpoint));
+    }
 
-        @Override
-        public void end(AttemptOutcome outcome) {
-            if (ended.compareAndSet(false, true)) {
-                synchronized (lock) {
-                    inFlight.computeIfPresent(endpoint.id(), (id, count) -> count == 1 ? null : count - 1);
-                }
-            }
+    private void release(Endpoint endpoint) {
+        synchronized (lock) {
+            inFlight.computeIfPresent(endpoint.id(), (id, count) -> count == 1 ? null : count - 1);
         }
     }
 }
