--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
@@ -0,0 +1,17 @@
+package org.dragonflygw.core.dispatch;
+
+import java.util.Optional;
+
+/**
+ * The outcome of a choice.
+ *
+ * @param endpoint the endpoint, empty if the request cannot be served now
+ * @param expectedMs time until the answer begins, in milliseconds
+ * @param uncachedTokens prompt tokens that the endpoint has to read
+ * @param reason why the request cannot be served; {@link Unserved#NONE} if it can
+ */
+public record Choice(Optional<EndpointLoadState> endpoint, long expectedMs, int uncachedTokens, Unserved reason) {
+    static Choice none(Unserved reason, long expectedMs) {
+        return new Choice(Optional.empty(), expectedMs, 0, reason);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -0,0 +1,165 @@
+package org.dragonflygw.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflygw.core.routing.RoutingHash;
+
+/**
+ * Chooses the endpoint at which a request's answer is expected to begin first. The expected time is made of the prompt
+ * tokens the engine has still to read, those of this prompt that it does not cache, and its load; failures and distance
+ * add to it. All hosts rank engines for a shared prompt part in the same order, so that the part stays on one engine
+ * until waiting there would cost more than reading it elsewhere. Used by one thread.
+ */
+public final class EndpointChooser {
+    /** Speed at which an engine reads prompts, in tokens a millisecond: typical of the engines in use. */
+    private static final double READ_TOKENS_PER_MS = 50;
+
+    /** How much each running request delays the first token, in milliseconds. */
+    private static final double RUNNING_MS = 2.5;
+
+    /** How long a place of a plain service is taken by a request, in milliseconds. */
+    private static final double PLAIN_WORK_MS = 25;
+
+    /** Cost of a recent failure, in milliseconds: more than reading a long prompt anew. */
+    private static final double FAILURE_MS = 400;
+
+    /** Cost of another availability zone, in milliseconds: its latency, and its bytes are charged. */
+    private static final double OTHER_ZONE_MS = 6;
+
+    /** Cost of each place that an endpoint stands lower in the order of a shared part, in milliseconds. */
+    private static final double RANK_MS = 8;
+
+    /** Share of the reading time that is charged at the first engine of the order although this host sent it nothing. */
+    private static final double FIRST_RANK_UNCACHED = 0.4;
+
+    /** Load that is allowed beside the multiple of the mean. */
+    private static final double BOUND_SLACK = 3;
+
+    /** Share of the load bound that is used, as loads are known late. */
+    private static final double BOUND_SHARE = 0.8;
+
+    /** Cost of an endpoint over the load bound, in milliseconds: taken only if all others are worse. */
+    private static final double OVER_BOUND_MS = 3_000;
+
+    /** Cost of an endpoint to which connections failed just now, in milliseconds. */
+    private static final double BLOCKED_MS = 20_000;
+
+    /** Requests a plain endpoint takes beyond its slots, as a multiple of the slots. */
+    private static final double PLAIN_QUEUE = 1.5;
+
+    private final EndpointLoads loads;
+    private final DispatchSettings settings;
+
+    /** Makes a chooser over the known endpoints. */
+    public EndpointChooser(EndpointLoads loads, DispatchSettings settings) {
+        this.loads = loads;
+        this.settings = settings;
+    }
+
+    /** Chooses an endpoint or says why there is none. */
+    public Choice choose(ChoiceRequest request, long nowNanos) {
+        List<EndpointLoadState> candidates = candidates(request);
+        if (candidates.isEmpty()) {
+            return Choice.none(Unserved.NO_ENDPOINT, 0);
+        }
+        double bound = loadBound(candidates, nowNanos);
+        long key = request.prompt().sharedKey();
+        Scored best = null;
+        for (EndpointLoadState e : candidates) {
+            if (full(request, e, nowNanos)) {
+                continue;
+            }
+            Scored s = score(request, e, rank(candidates, e, key), bound, nowNanos);
+            if (best == null || s.cost < best.cost) {
+                best = s;
+            }
+        }
+        if (best == null) {
+            return Choice.none(Unserved.BUSY, 0);
+        }
+        if (best.expectedMs > request.remainingMs()) {
+            return Choice.none(Unserved.TOO_LATE, (long) best.expectedMs);
+        }
+        return new Choice(Optional.of(best.endpoint), (long) best.expectedMs, best.uncached, Unserved.NONE);
+    }
+
+    private List<EndpointLoadState> candidates(ChoiceRequest request) {
+        List<EndpointLoadState> usable = new ArrayList<>();
+        for (EndpointLoadState e : loads.ofService(request.service().name())) {
+            if (!e.entry().draining() && !request.excluded().contains(e.entry().id())) {
+                usable.add(e);
+            }
+        }
+        return usable;
+    }
+
+    private double loadBound(List<EndpointLoadState> candidates, long nowNanos) {
+        double sum = 0;
+        for (EndpointLoadState e : candidates) {
+            sum += e.load(nowNanos);
+        }
+        return BOUND_SHARE * (settings.capFactor() * sum / candidates.size() + BOUND_SLACK);
+    }
+
+    private boolean full(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
+        int slots = e.entry().slots();
+        if (slots <= 0) {
+            return false;
+        }
+        double places = request.service().modelEngines() ? slots : slots * (1 + PLAIN_QUEUE);
+        return e.load(nowNanos) >= places;
+    }
+
+    private static int rank(List<EndpointLoadState> candidates, EndpointLoadState e, long key) {
+        if (key == 0) {
+            return 0;
+        }
+        long own = RoutingHash.mix(key, RoutingHash.of(e.entry().id()));
+        int above = 0;
+        for (EndpointLoadState c : candidates) {
+            if (RoutingHash.mix(key, RoutingHash.of(c.entry().id())) > own) {
+                above++;
+            }
+        }
+        return above;
+    }
+
+    private Scored score(ChoiceRequest request, EndpointLoadState e, int rank, double bound, long nowNanos) {
+        double load = e.load(nowNanos);
+        boolean engine = request.service().modelEngines();
+        int uncached = engine ? uncachedTokens(request.prompt(), e) : 0;
+        double expected = engine ? engineMs(e, load, uncached, nowNanos) : plainMs(e, load);
+        double cost = expected + e.failures(nowNanos) * FAILURE_MS;
+        if (engine && rank == 0 && uncached > 0) {
+            cost -= (1 - FIRST_RANK_UNCACHED) * uncached / READ_TOKENS_PER_MS;
+        }
+        cost += rank * RANK_MS;
+        if (!settings.zone().equals(e.entry().zone())) {
+            cost += OTHER_ZONE_MS;
+        }
+        if (load + 1 > bound) {
+            cost += OVER_BOUND_MS;
+        }
+        if (e.blocked(nowNanos)) {
+            cost += BLOCKED_MS;
+        }
+        return new Scored(e, cost, expected, uncached);
+    }
+
+    private static int uncachedTokens(Prompt prompt, EndpointLoadState e) {
+        return Math.max(0, prompt.inputTokens() - e.cached().cachedTokens(prompt));
+    }
+
+    private static double engineMs(EndpointLoadState e, double load, int uncached, long nowNanos) {
+        return (e.unread(nowNanos) + uncached) / READ_TOKENS_PER_MS + load * RUNNING_MS;
+    }
+
+    private static double plainMs(EndpointLoadState e, double load) {
+        int slots = Math.max(1, e.entry().slots());
+        double queued = Math.max(0, load - slots + 1);
+        return PLAIN_WORK_MS * (queued / slots + load / slots);
+    }
+
+    private record Scored(EndpointLoadState endpoint, double cost, double expectedMs, int uncached) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -0,0 +1,129 @@
+package org.dragonflygw.core.dispatch;
+
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+
+/** What this host knows of one endpoint beside its entry: its load, its failures, and what it caches. */
+public final class EndpointLoadState {
+    /** Half-life of the failure score, in nanoseconds: a few seconds, as faults of endpoints last some seconds. */
+    private static final double FAILURE_HALF_LIFE_NANOS = 2.5e9;
+
+    private static final double MAX_FAILURE_SCORE = 8;
+
+    /** How long a report of others' load is used, in nanoseconds: about the length of a stream. */
+    private static final long REPORT_LIFE_NANOS = 2_500_000_000L;
+
+    private final CachedParts cached;
+    private DiscoveredEndpoint entry;
+    private int inFlight;
+    private long unreadTokens;
+    private int othersAtReport;
+    private long reportNanos = Long.MIN_VALUE;
+    private int peersInFlight;
+    private long peersUnreadTokens;
+    private long peersNanos = Long.MIN_VALUE;
+    private double failures;
+    private long failuresNanos;
+    private long blockedUntilNanos = Long.MIN_VALUE;
+
+    EndpointLoadState(DiscoveredEndpoint entry, long cacheTokens) {
+        this.entry = entry;
+        this.cached = new CachedParts(cacheTokens);
+    }
+
+    /** The endpoint's entry. */
+    public DiscoveredEndpoint entry() {
+        return entry;
+    }
+
+    void entry(DiscoveredEndpoint e) {
+        this.entry = e;
+    }
+
+    /** Requests of this host that it works on. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Prompt tokens of this host's requests that it has still to read. */
+    public long unreadTokens() {
+        return unreadTokens;
+    }
+
+    CachedParts cached() {
+        return cached;
+    }
+
+    /** Notes a request that is sent, and the prompt tokens that the endpoint has to read for it. */
+    public void onSent(Prompt prompt, long uncachedTokens) {
+        inFlight++;
+        unreadTokens += uncachedTokens;
+        cached.remember(prompt);
+    }
+
+    /** Notes that a request's prompt was read, or that the request ended before. */
+    public void onRead(long uncachedTokens) {
+        unreadTokens -= uncachedTokens;
+    }
+
+    /** Notes that a request ended. */
+    public void onEnded() {
+        inFlight--;
+    }
+
+    /** Notes the load that the endpoint reports. */
+    public void onReport(LoadReport report, long nowNanos) {
+        othersAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
+        reportNanos = nowNanos;
+    }
+
+    /** Notes the sum of what other hosts have at this endpoint. */
+    public void onPeers(int othersInFlight, long othersUnreadTokens, long nowNanos) {
+        peersInFlight = othersInFlight;
+        peersUnreadTokens = othersUnreadTokens;
+        peersNanos = nowNanos;
+    }
+
+    /** Estimated requests of all hosts at the endpoint. */
+    public double load(long nowNanos) {
+        if (fresh(peersNanos, nowNanos)) {
+            return inFlight + peersInFlight;
+        }
+        return inFlight + (fresh(reportNanos, nowNanos) ? othersAtReport : 0);
+    }
+
+    /** Estimated prompt tokens that the endpoint has still to read. */
+    public double unread(long nowNanos) {
+        return unreadTokens + (fresh(peersNanos, nowNanos) ? peersUnreadTokens : 0);
+    }
+
+    private static boolean fresh(long atNanos, long nowNanos) {
+        return atNanos != Long.MIN_VALUE && nowNanos - atNanos < REPORT_LIFE_NANOS;
+    }
+
+    /** Notes a failed attempt. */
+    public void onFailure(double weight, long nowNanos) {
+        failures = Math.min(MAX_FAILURE_SCORE, failures(nowNanos) + weight);
+        failuresNanos = nowNanos;
+    }
+
+    /** Notes a good answer. */
+    public void onSuccess(long nowNanos) {
+        failures = failures(nowNanos) * 0.7;
+        failuresNanos = nowNanos;
+        blockedUntilNanos = Long.MIN_VALUE;
+    }
+
+    /** Failure score, which halves every few seconds. */
+    public double failures(long nowNanos) {
+        return failures == 0 ? 0 : failures * Math.pow(0.5, (nowNanos - failuresNanos) / FAILURE_HALF_LIFE_NANOS);
+    }
+
+    /** Notes that no connection can be made; the endpoint is left alone until then. */
+    public void block(long untilNanos) {
+        blockedUntilNanos = untilNanos;
+    }
+
+    boolean blocked(long nowNanos) {
+        return blockedUntilNanos != Long.MIN_VALUE && nowNanos < blockedUntilNanos;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/settings/HostSettings.java
@@ -0,0 +1,28 @@
+package org.dragonflygw.core.settings;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/**
+ * What a process is told at its start about its host and the bounds that hold there.
+ *
+ * @param hostName name of the host
+ * @param ip its address
+ * @param zone its availability zone
+ * @param callers address for callers
+ * @param readiness address of the readiness check
+ * @param control address under which other hosts are told of this one, if the process has one
+ * @param firstInternalPort first port for messages between hosts
+ * @param store address of the platform's store
+ * @param bounds bounds of the deployment
+ */
+public record HostSettings(
+        String hostName,
+        String ip,
+        String zone,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        Optional<InetSocketAddress> control,
+        int firstInternalPort,
+        InetSocketAddress store,
+        HostBounds bounds) {}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -0,0 +1,76 @@
+package org.dragonflygw.edge;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.InstantSource;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.dragonflygw.core.error.CodedException;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.edge.log.JsonLog;
+import org.dragonflygw.platform.adapter.SettingsDecoder;
+
+/** Starts the router process of one host. */
+public final class EdgeMain {
+    private static final int EXIT_BAD_SETTINGS = 2;
+
+    private EdgeMain() {}
+
+    /** Runs until it is told to stop. */
+    public static void main(String[] args) throws IOException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<String> file = parser.accepts("settings", "settings file of the host")
+                .withRequiredArg()
+                .defaultsTo(System.getenv().getOrDefault("DRAGONFLYGW_SETTINGS", ""));
+        OptionSpec<Integer> metricsPort = parser.accepts("metrics-port", "port of the metrics")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(9464);
+        OptionSet options = parser.parse(args);
+        Path path = Path.of(options.valueOf(file));
+        HostSettings settings;
+        try {
+            settings = new SettingsDecoder(new ObjectMapper()).decode(Files.readAllBytes(path));
+        } catch (CodedException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_BAD_SETTINGS);
+            return;
+        }
+        JsonLog log =
+                new JsonLog(new FileOutputStream(FileDescriptor.out), InstantSource.system(), settings.hostName());
+        EdgeNode node = new EdgeNode(settings, log);
+        node.start(options.valueOf(metricsPort));
+        Signals.onTerminate(() -> stop(node, log));
+        Signals.onHangUp(() -> reload(path, settings, log));
+    }
+
+    private static void stop(EdgeNode node, JsonLog log) {
+        try {
+            node.stop();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        log.close();
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void reload(Path path, HostSettings current, JsonLog log) {
+        try {
+            HostSettings next = new SettingsDecoder(new ObjectMapper()).decode(Files.readAllBytes(path));
+            log.line(LogTopic.RELOAD)
+                    .with("outcome", next.equals(current) ? "unchanged" : "changed, in force at the next start")
+                    .end();
+        } catch (CodedException | IOException e) {
+            log.line(LogTopic.RELOAD)
+                    .with("outcome", "rejected")
+                    .with("reason", e.getMessage())
+                    .end();
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -0,0 +1,146 @@
+package org.dragonflygw.edge;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.catalog.CatalogHolder;
+import org.dragonflygw.core.contact.StoreContact;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.discovery.EndpointListener;
+import org.dragonflygw.core.discovery.EndpointRegistry;
+import org.dragonflygw.core.dispatch.DispatchSettings;
+import org.dragonflygw.core.dispatch.EndpointChooser;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.exchange.ExchangeParts;
+import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.core.limits.ReturnTimes;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.retry.FleetRetryShare;
+import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.edge.front.FrontGate;
+import org.dragonflygw.edge.front.FrontParts;
+import org.dragonflygw.edge.front.FrontServer;
+import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.edge.ops.OpsServer;
+import org.dragonflygw.edge.stop.GracefulStop;
+import org.dragonflygw.edge.store.ConfigurationFeed;
+import org.dragonflygw.edge.store.EndpointFeed;
+import org.dragonflygw.edge.store.StoreFeeds;
+import org.dragonflygw.edge.upstream.EndpointPool;
+import org.dragonflygw.platform.adapter.CallerHeaders;
+import org.dragonflygw.platform.adapter.CatalogDecoder;
+import org.dragonflygw.platform.adapter.EndpointDecoder;
+import org.dragonflygw.platform.adapter.EndpointHeaders;
+import org.dragonflygw.platform.adapter.StoreCalls;
+
+/** One router process: wires its parts and starts them. All work is done by one event loop. */
+public final class EdgeNode {
+    /** Share of the time for a revocation within which a key must have been confirmed. */
+    private static final double KEY_AGE_SHARE = 0.85;
+
+    /** Hosts that are assumed to share the retry budget until their number is known. */
+    private static final int ASSUMED_HOSTS = 8;
+
+    private final HostSettings settings;
+    private final EventLog log;
+    private final EventLoopGroup group;
+    private final CatalogHolder catalogs = new CatalogHolder();
+    private final FrontGate gate = new FrontGate();
+    private final EdgeMetrics metrics;
+    private final EndpointPool pool;
+    private final StoreContact contact;
+    private final EndpointLoads loads = new EndpointLoads();
+    private final EndpointRegistry registry;
+
+    /** Makes a node that does not run yet. */
+    public EdgeNode(HostSettings settings, EventLog log) {
+        this.settings = settings;
+        this.log = log;
+        this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        this.metrics = new EdgeMetrics(new MetricRegistry());
+        this.pool = new EndpointPool(group, new EndpointHeaders(), metrics);
+        long keyAgeNanos =
+                TimeUnit.MILLISECONDS.toNanos((long) (settings.bounds().revokeMs() * KEY_AGE_SHARE));
+        this.contact = new StoreContact(keyAgeNanos, System::nanoTime, InstantSource.system());
+        this.registry = new EndpointRegistry(new EndpointChanges(), log);
+    }
+
+    /** Starts to serve on the settings' addresses, and the metrics on a port of the same host. */
+    public void start(int metricsPort) {
+        metrics.gauge("open_requests", gate::openCalls);
+        metrics.gauge("caller_connections", gate::connectionCount);
+        metrics.gauge("config_version", catalogs::version);
+        metrics.gauge("config_age_ms", contact::ageMs);
+        OpsServer ops = new OpsServer(group, this::ready, metrics::text);
+        ops.listen(settings.readiness());
+        ops.listen(new InetSocketAddress(settings.ip(), metricsPort));
+        followStore();
+        new FrontServer(group, frontParts()).listen(settings.callers());
+        log.line(LogTopic.START)
+                .with("zone", settings.zone())
+                .with("callers", settings.callers().toString())
+                .with("store", settings.store().toString())
+                .with("drainMs", settings.bounds().drainMs())
+                .with("revokeMs", settings.bounds().revokeMs())
+                .end();
+    }
+
+    private void followStore() {
+        ObjectMapper mapper = new ObjectMapper();
+        StoreFeeds feeds = new StoreFeeds(group, settings, new StoreCalls(mapper), metrics, log);
+        feeds.configuration(new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log))
+                .start();
+        feeds.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry)).start();
+    }
+
+    private FrontParts frontParts() {
+        EndpointChooser chooser = new EndpointChooser(
+                loads, new DispatchSettings(settings.zone(), settings.bounds().capFactor()));
+        FleetRetryShare retries = new FleetRetryShare(
+                settings.bounds().retryRatio(),
+                settings.bounds().retrySlack(),
+                TimeUnit.MILLISECONDS.toNanos(settings.bounds().retryWindowMs()),
+                ASSUMED_HOSTS);
+        ExchangeParts exchanges = new ExchangeParts(
+                chooser, loads, retries, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
+        return new FrontParts(
+                catalogs,
+                new RequestResolver(catalogs, contact),
+                exchanges,
+                pool,
+                new CallerHeaders(),
+                new EndpointHeaders(),
+                gate,
+                metrics);
+    }
+
+    /** Whether the balancer may send new connections. */
+    public boolean ready() {
+        return catalogs.current().isPresent() && registry.loaded() && !gate.stopping();
+    }
+
+    /** Stops without cutting answers; returns when the process may end. */
+    public void stop() throws InterruptedException {
+        new GracefulStop(group.next(), gate, log, settings.bounds().graceMs()).run();
+    }
+
+    private final class EndpointChanges implements EndpointListener {
+        @Override
+        public void onEntry(DiscoveredEndpoint endpoint) {
+            loads.onEntry(endpoint);
+        }
+
+        @Override
+        public void onGone(DiscoveredEndpoint endpoint) {
+            loads.onGone(endpoint);
+            pool.forget(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -0,0 +1,296 @@
+package org.dragonflygw.edge.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.exchange.AnswerHead;
+import org.dragonflygw.core.exchange.BreakCause;
+import org.dragonflygw.core.exchange.CallerFields;
+import org.dragonflygw.core.exchange.Dispatch;
+import org.dragonflygw.core.exchange.Exchange;
+import org.dragonflygw.core.exchange.ExchangeOutput;
+import org.dragonflygw.core.exchange.HeaderField;
+import org.dragonflygw.core.exchange.RejectReason;
+import org.dragonflygw.core.exchange.Rejection;
+import org.dragonflygw.core.exchange.Resolution;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.edge.upstream.Attempt;
+import org.dragonflygw.edge.upstream.AttemptListener;
+import org.dragonflygw.edge.upstream.EndpointRequest;
+
+/** One request on a caller's connection: carries out what its {@link Exchange} decides. */
+@SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
+final class Call implements ExchangeOutput, AttemptListener {
+    private final FrontHandler connection;
+    private final FrontParts parts;
+    private final String method;
+    private final String target;
+    private final boolean keepAliveAsked;
+    private final boolean http10;
+    private final List<HeaderField> callerFields;
+    private final CallerFields fields;
+    private final long arrivedNanos;
+    private final CompositeByteBuf body = Unpooled.compositeBuffer(256);
+
+    private Exchange exchange;
+    private String team = "";
+    private Attempt attempt;
+    private ScheduledFuture<?> timer;
+    private boolean chunked;
+    private boolean ended;
+    private boolean released;
+
+    Call(FrontHandler connection, FrontParts parts, HttpRequest request, long arrivedNanos) {
+        this.connection = connection;
+        this.parts = parts;
+        this.method = request.method().name();
+        this.target = request.uri();
+        this.keepAliveAsked = HttpUtil.isKeepAlive(request);
+        this.http10 = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
+        this.callerFields = copy(request);
+        this.fields = parts.callerHeaders().decode(request.headers()::get, target);
+        this.arrivedNanos = arrivedNanos;
+    }
+
+    private static List<HeaderField> copy(HttpRequest request) {
+        List<HeaderField> copied = new ArrayList<>();
+        for (Map.Entry<String, String> e : request.headers()) {
+            copied.add(new HeaderField(e.getKey(), e.getValue()));
+        }
+        return copied;
+    }
+
+    long bodyBytes() {
+        return body.readableBytes();
+    }
+
+    /** Adds a part of the body; false if too much is held by this host. */
+    boolean addBody(ByteBuf bytes) {
+        if (!parts.gate().hold(bytes.readableBytes())) {
+            return false;
+        }
+        body.addComponent(true, bytes.retain());
+        return true;
+    }
+
+    /** The request is read in whole. */
+    void start() {
+        Resolution resolution = parts.resolver().resolve(fields, arrivedNanos);
+        if (resolution.reason().isPresent()) {
+            refuseUnrouted(resolution.reason().get());
+            return;
+        }
+        var request = resolution.request().orElseThrow();
+        team = request.team();
+        exchange = new Exchange(request, parts.exchanges(), this);
+        exchange.start();
+    }
+
+    private void refuseUnrouted(RejectReason reason) {
+        parts.exchanges()
+                .log()
+                .line(LogTopic.REFUSE)
+                .with("request", fields.attemptId())
+                .with("reason", reason.name())
+                .with("hostHeader", fields.host())
+                .with("path", fields.path())
+                .with("configVersion", parts.catalogs().version())
+                .end();
+        long retryAfterMs = reason.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                ? parts.exchanges().returnTimes().afterMs(fields.deadlineMs().orElse(0))
+                : 0;
+        reject(new Rejection(reason, retryAfterMs));
+    }
+
+    /** Frees what is held without an answer. */
+    void discard() {
+        release();
+    }
+
+    void onCallerGone() {
+        ended = true;
+        if (exchange != null) {
+            exchange.onCallerGone();
+        }
+        cancelTimer();
+        release();
+    }
+
+    void onWritable(boolean writable) {
+        if (attempt != null) {
+            attempt.read(writable);
+        }
+    }
+
+    @Override
+    public void send(Dispatch dispatch) {
+        List<HeaderField> header = parts.endpointHeaders().encode(callerFields, dispatch, team);
+        parts.metrics().dispatched();
+        attempt = parts.pool()
+                .send(
+                        new EndpointRequest(dispatch, fields.attemptId(), method, target, header, body.duplicate()),
+                        this);
+    }
+
+    @Override
+    public void cancel() {
+        if (attempt != null) {
+            attempt.cancel();
+            attempt = null;
+        }
+    }
+
+    @Override
+    public void passHead(AnswerHead head) {
+        HttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()));
+        head.fields().forEach(f -> response.headers().add(f.name(), f.value()));
+        boolean bodiless = head.status() == HttpResponseStatus.NO_CONTENT.code()
+                || head.status() == HttpResponseStatus.NOT_MODIFIED.code();
+        if (head.contentLength() >= 0) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, head.contentLength());
+        } else if (!http10 && !bodiless) {
+            chunked = true;
+            HttpUtil.setTransferEncodingChunked(response, true);
+        }
+        setConnection(response);
+        context().write(response);
+    }
+
+    private void setConnection(HttpResponse response) {
+        if (!keepsAlive()) {
+            response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        }
+    }
+
+    private boolean keepsAlive() {
+        return keepAliveAsked && !http10 && !parts.gate().stopping();
+    }
+
+    @Override
+    public void passBody(byte[] bytes) {
+        context().writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+        if (!context().channel().isWritable()) {
+            onWritable(false);
+        }
+    }
+
+    @Override
+    public void finish() {
+        parts.metrics().answered(System.nanoTime() - arrivedNanos);
+        end(LastHttpContent.EMPTY_LAST_CONTENT);
+    }
+
+    @Override
+    public void abort() {
+        parts.metrics().cut();
+        ended = true;
+        cancelTimer();
+        release();
+        if (!chunked) {
+            context().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        connection.onCallEnded(false);
+        context().close();
+    }
+
+    @Override
+    public void reject(Rejection rejection) {
+        parts.metrics().rejected(rejection.reason());
+        DefaultFullHttpResponse response = Rejections.response(rejection);
+        setConnection(response);
+        end(response);
+    }
+
+    private void end(Object last) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        cancelTimer();
+        boolean keepAlive = keepsAlive();
+        var written = context().writeAndFlush(last);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+        release();
+        connection.onCallEnded(keepAlive);
+    }
+
+    @Override
+    public void wakeAt(long nanos) {
+        long delay = Math.max(0, nanos - System.nanoTime());
+        if (timer != null && !timer.isDone()) {
+            long left = timer.getDelay(TimeUnit.NANOSECONDS);
+            if (left <= delay) {
+                return; // The earlier wake-up asks for the next one.
+            }
+            timer.cancel(false);
+        }
+        timer = context().executor().schedule(this::onTimer, delay, TimeUnit.NANOSECONDS);
+    }
+
+    private void onTimer() {
+        if (!ended) {
+            exchange.onTimer();
+        }
+    }
+
+    private void cancelTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    private void release() {
+        if (!released) {
+            released = true;
+            parts.gate().release(body.readableBytes());
+            body.release();
+        }
+    }
+
+    private ChannelHandlerContext context() {
+        return connection.context();
+    }
+
+    @Override
+    public void onHead(AnswerHead head) {
+        exchange.onHead(head);
+    }
+
+    @Override
+    public void onBody(byte[] bytes) {
+        exchange.onBody(bytes);
+    }
+
+    @Override
+    public void onComplete() {
+        attempt = null;
+        exchange.onComplete();
+    }
+
+    @Override
+    public void onBroken(BreakCause cause) {
+        attempt = null;
+        exchange.onBroken(cause);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
@@ -0,0 +1,232 @@
+package org.dragonflygw.edge.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.catalog.CallerLimits;
+import org.dragonflygw.core.catalog.Catalog;
+import org.dragonflygw.core.exchange.RejectReason;
+import org.dragonflygw.core.exchange.Rejection;
+
+/** One connection of a caller: reads requests one after the other and hands each to a {@link Call}. */
+@SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
+final class FrontHandler extends ChannelInboundHandlerAdapter {
+    /** Messages a caller may send ahead of its answers; more close the connection. */
+    private static final int MAX_QUEUED = 64;
+
+    /** Time beyond the idle timeout before a connection is closed, so that a caller closes first, in milliseconds. */
+    private static final long IDLE_SLACK_MS = 1_500;
+
+    private final FrontParts parts;
+    private final Deque<HttpObject> queued = new ArrayDeque<>();
+
+    private ChannelHandlerContext context;
+    private Call call;
+    private boolean reading;
+    private boolean closing;
+    private long lastActiveNanos;
+    private ScheduledFuture<?> timer;
+
+    FrontHandler(FrontParts parts) {
+        this.parts = parts;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        context = ctx;
+        parts.gate().onConnection(this);
+        lastActiveNanos = System.nanoTime();
+        checkLater();
+    }
+
+    Optional<Channel> channel() {
+        return Optional.ofNullable(context).map(ChannelHandlerContext::channel);
+    }
+
+    ChannelHandlerContext context() {
+        return context;
+    }
+
+    private CallerLimits limits() {
+        return parts.catalogs().current().map(Catalog::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    private void checkLater() {
+        long waitMs = reading ? limits().headerTimeoutMs() : limits().idleTimeoutMs() + IDLE_SLACK_MS;
+        timer = context.executor().schedule(this::checkIdle, Math.max(1, waitMs), TimeUnit.MILLISECONDS);
+    }
+
+    private void checkIdle() {
+        long idleMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastActiveNanos);
+        if (call == null && idleMs >= limits().idleTimeoutMs() + IDLE_SLACK_MS) {
+            context.close();
+            return;
+        }
+        if (reading && idleMs >= limits().idleTimeoutMs()) {
+            context.close();
+            return;
+        }
+        checkLater();
+    }
+
+    /** Closes the connection if no request is open on it. */
+    void closeIfIdle() {
+        if (call == null && queued.isEmpty() && context != null) {
+            context.close();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        lastActiveNanos = System.nanoTime();
+        if (closing || !(message instanceof HttpObject part)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        boolean answering = call != null && !reading;
+        if (answering) {
+            if (queued.size() >= MAX_QUEUED) {
+                ReferenceCountUtil.release(message);
+                ctx.close();
+                return;
+            }
+            queued.add(part);
+            return;
+        }
+        onMessage(part);
+    }
+
+    private void onMessage(HttpObject message) {
+        try {
+            if (message.decoderResult().isFailure()) {
+                rejectMalformed(message.decoderResult().cause());
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                onRequest(request);
+            }
+            if (message instanceof HttpContent content && call != null && reading) {
+                onContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void rejectMalformed(Throwable cause) {
+        boolean tooLong = cause instanceof TooLongFrameException;
+        parts.metrics().malformed();
+        answerAndClose(Rejection.of(tooLong ? RejectReason.HEAD_TOO_LARGE : RejectReason.BAD_REQUEST));
+    }
+
+    private void onRequest(HttpRequest request) {
+        if (!request.uri().startsWith("/")) {
+            answerAndClose(Rejection.of(RejectReason.BAD_REQUEST));
+            return;
+        }
+        reading = true;
+        call = new Call(this, parts, request, System.nanoTime());
+        parts.gate().onCall();
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void onContent(HttpContent content) {
+        ByteBuf bytes = content.content();
+        if (call.bodyBytes() + bytes.readableBytes() > limits().maxBodyBytes()) {
+            dropCall();
+            answerAndClose(Rejection.of(RejectReason.BODY_TOO_LARGE));
+            return;
+        }
+        if (bytes.isReadable() && !call.addBody(bytes)) {
+            dropCall();
+            answerAndClose(Rejection.of(RejectReason.OVERLOADED));
+            return;
+        }
+        if (content instanceof LastHttpContent) {
+            reading = false;
+            call.start();
+        }
+    }
+
+    private void dropCall() {
+        call.discard();
+        call = null;
+        reading = false;
+        parts.gate().onCallEnded();
+    }
+
+    /** The call has written its whole answer. */
+    void onCallEnded(boolean keepAlive) {
+        call = null;
+        parts.gate().onCallEnded();
+        lastActiveNanos = System.nanoTime();
+        if (!keepAlive) {
+            closing = true;
+            return;
+        }
+        while (call == null && !closing && !queued.isEmpty()) {
+            onMessage(queued.poll());
+        }
+        while (reading && !queued.isEmpty()) {
+            onMessage(queued.poll());
+        }
+    }
+
+    private void answerAndClose(Rejection rejection) {
+        closing = true;
+        DefaultFullHttpResponse response = Rejections.response(rejection);
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        parts.gate().onDisconnection(this);
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        queued.forEach(ReferenceCountUtil::release);
+        queued.clear();
+        if (call != null) {
+            Call left = call;
+            call = null;
+            parts.gate().onCallEnded();
+            left.onCallerGone();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (call != null) {
+            call.onWritable(ctx.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        parts.metrics().callerConnectionError();
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontParts.java
@@ -0,0 +1,31 @@
+package org.dragonflygw.edge.front;
+
+import org.dragonflygw.core.catalog.CatalogHolder;
+import org.dragonflygw.core.exchange.ExchangeParts;
+import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.edge.upstream.EndpointPool;
+import org.dragonflygw.platform.adapter.CallerHeaders;
+import org.dragonflygw.platform.adapter.EndpointHeaders;
+
+/**
+ * What all connections of callers share.
+ *
+ * @param catalogs configuration in force
+ * @param resolver finds routes and teams
+ * @param exchanges what exchanges share
+ * @param pool connections to endpoints
+ * @param callerHeaders decodes heads of requests
+ * @param endpointHeaders makes heads of requests to endpoints
+ * @param gate open calls and whether the process stops
+ * @param metrics counters
+ */
+public record FrontParts(
+        CatalogHolder catalogs,
+        RequestResolver resolver,
+        ExchangeParts exchanges,
+        EndpointPool pool,
+        CallerHeaders callerHeaders,
+        EndpointHeaders endpointHeaders,
+        FrontGate gate,
+        EdgeMetrics metrics) {}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontServer.java
@@ -0,0 +1,59 @@
+package org.dragonflygw.edge.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import org.dragonflygw.core.catalog.CallerLimits;
+import org.dragonflygw.core.catalog.Catalog;
+
+/** Accepts the connections of callers. */
+public final class FrontServer {
+    private static final int BACKLOG = 1_024;
+
+    /** Bytes a slow caller may leave unread before its endpoint is no longer read, and below which it is again. */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32_768, 65_536);
+
+    private final EventLoopGroup group;
+    private final FrontParts parts;
+
+    /** Makes a server; {@link #listen} starts it. */
+    public FrontServer(EventLoopGroup group, FrontParts parts) {
+        this.group = group;
+        this.parts = parts;
+    }
+
+    /** Listens on an address. */
+    public Channel listen(InetSocketAddress address) {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        int maxHeader = parts.catalogs()
+                                .current()
+                                .map(Catalog::limits)
+                                .orElse(CallerLimits.DEFAULT)
+                                .maxHeaderBytes();
+                        channel.pipeline()
+                                .addLast(
+                                        new StrictRequestDecoder(maxHeader),
+                                        new HttpResponseEncoder(),
+                                        new FrontHandler(parts));
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/ops/OpsServer.java
@@ -0,0 +1,83 @@
+package org.dragonflygw.edge.ops;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** Answers the balancer's readiness check and serves the metrics. */
+@SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
+public final class OpsServer {
+    private static final int MAX_BODY_BYTES = 4_096;
+    private static final String METRICS_PATH = "/metrics";
+
+    private final EventLoopGroup group;
+    private final BooleanSupplier ready;
+    private final Supplier<String> metrics;
+
+    /** Makes a server; {@link #listen} starts it. */
+    public OpsServer(EventLoopGroup group, BooleanSupplier ready, Supplier<String> metrics) {
+        this.group = group;
+        this.ready = ready;
+        this.metrics = metrics;
+    }
+
+    /** Listens on an address. */
+    public void listen(InetSocketAddress address) {
+        Handler handler = new Handler();
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), handler);
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly();
+    }
+
+    @Sharable
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean text = request.uri().startsWith(METRICS_PATH);
+            HttpResponseStatus status =
+                    text || ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+            ByteBuf body = ByteBufUtil.writeUtf8(UnpooledByteBufAllocator.DEFAULT, text ? metrics.get() : "{}");
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, text ? "text/plain" : "application/json");
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            var written = ctx.writeAndFlush(response);
+            if (!HttpUtil.isKeepAlive(request)) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close(); // The balancer or the collector asks again.
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/stop/GracefulStop.java
@@ -0,0 +1,73 @@
+package org.dragonflygw.edge.stop;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.edge.front.FrontGate;
+
+/**
+ * Stops the process without cutting answers: it is not ready at once, goes on serving while the balancer learns of it,
+ * then closes idle connections and ends when no request is open, or shortly before it would be killed.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
+public final class GracefulStop {
+    /** How long new connections may still arrive, in milliseconds: two missed checks a second apart, and some. */
+    private static final long BALANCER_LAG_MS = 3_200;
+
+    /** Time before the kill at which the process ends by itself, in milliseconds. */
+    private static final long END_MARGIN_MS = 300;
+
+    private static final long CHECK_MS = 50;
+
+    private final EventLoop loop;
+    private final FrontGate gate;
+    private final EventLog log;
+    private final long graceMs;
+    private final CountDownLatch done = new CountDownLatch(1);
+    private long startNanos;
+
+    /** Makes a stop. */
+    public GracefulStop(EventLoop loop, FrontGate gate, EventLog log, long graceMs) {
+        this.loop = loop;
+        this.gate = gate;
+        this.log = log;
+        this.graceMs = graceMs;
+    }
+
+    /** Begins to stop; returns when nothing is open any more or the time is over. */
+    public void run() throws InterruptedException {
+        startNanos = System.nanoTime();
+        loop.execute(() -> {
+            gate.stop();
+            log.line(LogTopic.STOP)
+                    .with("outcome", "stopping")
+                    .with("openRequests", gate.openCalls())
+                    .with("connections", gate.connectionCount())
+                    .end();
+            check();
+        });
+        done.await(graceMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void check() {
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        boolean lagOver = elapsedMs >= Math.min(BALANCER_LAG_MS, graceMs / 2);
+        if (lagOver) {
+            gate.closeIdle();
+        }
+        boolean timeOver = elapsedMs >= graceMs - END_MARGIN_MS;
+        if (timeOver || (lagOver && gate.openCalls() == 0)) {
+            log.line(LogTopic.STOP)
+                    .with("outcome", timeOver ? "time over" : "all answered")
+                    .with("openRequests", gate.openCalls())
+                    .with("elapsedMs", elapsedMs)
+                    .end();
+            gate.closeAll();
+            done.countDown();
+            return;
+        }
+        loop.schedule(this::check, CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
@@ -0,0 +1,71 @@
+package org.dragonflygw.edge.store;
+
+import java.util.List;
+import org.dragonflygw.core.catalog.Catalog;
+import org.dragonflygw.core.catalog.CatalogHolder;
+import org.dragonflygw.core.contact.StoreContact;
+import org.dragonflygw.core.error.CodedException;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.storage.VersionedRow;
+import org.dragonflygw.platform.adapter.CatalogDecoder;
+
+/** Brings configurations from the store into force and notes how fresh they are. */
+public final class ConfigurationFeed implements TableListener {
+    private final CatalogDecoder decoder;
+    private final CatalogHolder catalogs;
+    private final StoreContact contact;
+    private final EventLog log;
+
+    /** Makes a feed. */
+    public ConfigurationFeed(CatalogDecoder decoder, CatalogHolder catalogs, StoreContact contact, EventLog log) {
+        this.decoder = decoder;
+        this.catalogs = catalogs;
+        this.contact = contact;
+        this.log = log;
+    }
+
+    @Override
+    public void onListing(List<VersionedRow> rows, long sentNanos) {
+        onChanges(rows, sentNanos);
+    }
+
+    @Override
+    public void onChanges(List<VersionedRow> rows, long sentNanos) {
+        boolean taken = true;
+        for (VersionedRow r : rows) {
+            if (r.key().equals(CatalogDecoder.ROW_KEY) && !r.deleted()) {
+                taken &= take(r);
+            }
+        }
+        if (taken && catalogs.current().isPresent()) {
+            contact.onRead(sentNanos);
+        }
+    }
+
+    private boolean take(VersionedRow row) {
+        try {
+            Catalog next = decoder.decode(row.data());
+            boolean inForce = catalogs.offer(next);
+            log.line(LogTopic.CONFIGURATION)
+                    .with("configVersion", next.version())
+                    .with("rowVersion", row.version())
+                    .with("routes", next.routeCount())
+                    .with("outcome", inForce ? "in force" : "older than the one in force")
+                    .end();
+            return true;
+        } catch (CodedException e) {
+            log.line(LogTopic.CONFIGURATION)
+                    .with("rowVersion", row.version())
+                    .with("outcome", "rejected")
+                    .with("reason", e.getMessage())
+                    .end();
+            return false;
+        }
+    }
+
+    @Override
+    public void onFailure() {
+        // The follower logs it; the age of the last read decides what keys are worth.
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -0,0 +1,153 @@
+package org.dragonflygw.edge.store;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.dragonflygw.edge.ops.EdgeMetrics;
+
+/**
+ * One connection to the platform's store with one call at a time. A call that is not answered in its time closes the
+ * connection, since a connection on which an answer was lost delivers nothing further. Used by the event loop only.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
+final class StoreClient {
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+    private final EventLoopGroup group;
+    private final InetSocketAddress address;
+    private final EdgeMetrics metrics;
+
+    private Channel channel;
+    private Consumer<StoreAnswer> waiting;
+    private ScheduledFuture<?> timeout;
+    private long sentNanos;
+
+    StoreClient(EventLoopGroup group, InetSocketAddress address, EdgeMetrics metrics) {
+        this.group = group;
+        this.address = address;
+        this.metrics = metrics;
+    }
+
+    /** Sends a read; the answer or the failure is told once. */
+    void get(String path, long timeoutMs, Consumer<StoreAnswer> answer) {
+        waiting = answer;
+        sentNanos = System.nanoTime();
+        metrics.storeCalled();
+        if (channel != null && channel.isActive()) {
+            write(path, timeoutMs);
+            return;
+        }
+        bootstrap().connect(address).addListener((ChannelFuture f) -> {
+            if (!f.isSuccess()) {
+                end(StoreAnswer.failed("no connection", sentNanos));
+                return;
+            }
+            channel = f.channel();
+            sentNanos = System.nanoTime();
+            write(path, timeoutMs);
+        });
+    }
+
+    private Bootstrap bootstrap() {
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel c) {
+                        c.pipeline()
+                                .addLast(
+                                        new HttpClientCodec(),
+                                        new HttpObjectAggregator(MAX_ANSWER_BYTES),
+                                        new Handler());
+                    }
+                });
+    }
+
+    private void write(String path, long timeoutMs) {
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        channel.writeAndFlush(request);
+        timeout = channel.eventLoop().schedule(this::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void onTimeout() {
+        close();
+        end(StoreAnswer.failed("timeout", sentNanos));
+    }
+
+    private void close() {
+        if (channel != null) {
+            Channel old = channel;
+            channel = null;
+            old.close();
+        }
+    }
+
+    private void end(StoreAnswer answer) {
+        if (timeout != null) {
+            timeout.cancel(false);
+        }
+        if (!answer.ok()) {
+            metrics.storeFailed();
+        }
+        Consumer<StoreAnswer> told = waiting;
+        waiting = null;
+        if (told != null) {
+            told.accept(answer);
+        }
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() != channel) {
+                return;
+            }
+            byte[] body = ByteBufUtil.getBytes(response.content());
+            if (!HttpUtil.isKeepAlive(response) || response.decoderResult().isFailure()) {
+                close();
+            }
+            end(new StoreAnswer(response.status().code(), body, sentNanos, Optional.empty()));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                channel = null;
+                end(StoreAnswer.failed("connection lost", sentNanos));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close(); // The call ends by the connection's end.
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -0,0 +1,240 @@
+package org.dragonflygw.edge.upstream;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.exchange.BreakCause;
+import org.dragonflygw.core.exchange.HeaderField;
+import org.dragonflygw.platform.adapter.EndpointHeaders;
+
+/**
+ * One connection to an endpoint, for one request at a time. An answer with another request's id is passed over; bytes
+ * that come while no request is open end the connection.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
+final class EndpointConnection extends ChannelInboundHandlerAdapter {
+    private static final long NANOS_PER_S = 1_000_000_000L;
+
+    /** Time before an endpoint's own idle timeout at which a connection is no longer used, in nanoseconds. */
+    private static final long KEEP_ALIVE_MARGIN_NANOS = 300_000_000L;
+
+    private static final String TIMEOUT_PARAMETER = "timeout=";
+
+    private final EndpointPool pool;
+    private final EndpointHeaders headers;
+
+    private ChannelHandlerContext context;
+    private DiscoveredEndpoint endpoint;
+    private EndpointRequest request;
+    private PendingAttempt attempt;
+    private ChannelFuture written;
+    private boolean passingOver;
+    private boolean headSeen;
+    private boolean reusable = true;
+    private boolean reset;
+    private boolean answered;
+    private long idleSinceNanos;
+    private long keepAliveNanos = Long.MAX_VALUE;
+
+    EndpointConnection(EndpointPool pool, EndpointHeaders headers) {
+        this.pool = pool;
+        this.headers = headers;
+    }
+
+    DiscoveredEndpoint endpoint() {
+        return endpoint;
+    }
+
+    void endpoint(DiscoveredEndpoint e) {
+        endpoint = e;
+    }
+
+    long idleSinceNanos() {
+        return idleSinceNanos;
+    }
+
+    boolean usable(DiscoveredEndpoint to, long nowNanos, long maxIdleNanos) {
+        long limit = Math.min(maxIdleNanos, keepAliveNanos);
+        return context.channel().isActive() && endpoint.sameIncarnation(to) && nowNanos - idleSinceNanos < limit;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
+    void send(EndpointRequest r, PendingAttempt a) {
+        request = r;
+        attempt = a;
+        headSeen = false;
+        passingOver = false;
+        DefaultFullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(r.method()),
+                r.target(),
+                r.body().retainedDuplicate());
+        r.header().forEach(f -> message.headers().add(f.name(), f.value()));
+        int length = r.body().readableBytes();
+        if (length > 0
+                || HttpMethod.POST.name().equals(r.method())
+                || HttpMethod.PUT.name().equals(r.method())) {
+            message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
+        written = context.writeAndFlush(message);
+    }
+
+    void close() {
+        attempt = null;
+        context.close();
+    }
+
+    void read(boolean wanted) {
+        context.channel().config().setAutoRead(wanted);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (attempt == null) {
+                ctx.close(); // Bytes that belong to no request.
+                return;
+            }
+            onMessage((HttpObject) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onMessage(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            fail(BreakCause.MALFORMED);
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            onResponse(response);
+        }
+        if (message instanceof HttpContent content) {
+            onContent(content);
+        }
+    }
+
+    private void onResponse(HttpResponse response) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            passingOver = true;
+            return;
+        }
+        if (!headers.answers(response.headers()::get, request.attemptId())) {
+            passingOver = true;
+            reusable = false;
+            return;
+        }
+        passingOver = false;
+        headSeen = true;
+        reusable &= HttpUtil.isKeepAlive(response) && framed(response);
+        noteKeepAlive(response.headers().get("Keep-Alive"));
+        List<HeaderField> all = new ArrayList<>();
+        for (Map.Entry<String, String> e : response.headers()) {
+            all.add(new HeaderField(e.getKey(), e.getValue()));
+        }
+        attempt.onHead(headers.decode(response.status().code(), response.headers()::get, all));
+    }
+
+    private static boolean framed(HttpResponse response) {
+        return HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response);
+    }
+
+    private void noteKeepAlive(String value) {
+        int at = value == null ? -1 : value.indexOf(TIMEOUT_PARAMETER);
+        if (at < 0) {
+            return;
+        }
+        String digits = value.substring(at + TIMEOUT_PARAMETER.length()).split("[^0-9]", 2)[0];
+        if (!digits.isEmpty() && digits.length() < 7) {
+            keepAliveNanos = Math.max(0, Long.parseLong(digits) * NANOS_PER_S - KEEP_ALIVE_MARGIN_NANOS);
+        }
+    }
+
+    private void onContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (passingOver) {
+            if (last) {
+                passingOver = false;
+            }
+            return;
+        }
+        if (attempt == null) {
+            return;
+        }
+        if (last && reset) {
+            fail(BreakCause.CONNECTION_LOST);
+            return;
+        }
+        if (content.content().isReadable()) {
+            attempt.onBody(ByteBufUtil.getBytes(content.content()));
+        }
+        if (last && attempt != null) {
+            complete();
+        }
+    }
+
+    private void complete() {
+        PendingAttempt done = attempt;
+        attempt = null;
+        request = null;
+        boolean keep = reusable && headSeen && written.isDone() && written.isSuccess();
+        done.onComplete();
+        if (keep && context.channel().isActive()) {
+            context.channel().config().setAutoRead(true);
+            answered = true;
+            return;
+        }
+        context.close();
+    }
+
+    /** Keeps the connection only once all that was received is read, since bytes after an answer belong to no request. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (answered && ctx.channel().isActive()) {
+            answered = false;
+            idleSinceNanos = System.nanoTime();
+            pool.onIdle(this);
+        }
+    }
+
+    private void fail(BreakCause cause) {
+        PendingAttempt failed = attempt;
+        attempt = null;
+        context.close();
+        if (failed != null) {
+            failed.onBroken(cause);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        pool.onClosed(this);
+        fail(BreakCause.CONNECTION_LOST);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        reset = true;
+        fail(BreakCause.CONNECTION_LOST);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointPool.java
@@ -0,0 +1,156 @@
+package org.dragonflygw.edge.upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.exchange.BreakCause;
+import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.platform.adapter.EndpointHeaders;
+
+/** Connections to endpoints, kept open between requests. Used by the event loop only. */
+@SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
+public final class EndpointPool {
+    /** Time for a connection to be made, in milliseconds: a second round trip would come after 1 s. */
+    private static final int CONNECT_TIMEOUT_MS = 450;
+
+    /** How long an idle connection is used again, in nanoseconds; endpoints close theirs later. */
+    private static final long MAX_IDLE_NANOS = 4_000_000_000L;
+
+    /** The same for requests whose outcome would be open if the connection were dead, in nanoseconds. */
+    private static final long MAX_IDLE_UNREPEATABLE_NANOS = 1_000_000_000L;
+
+    private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 32_768;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+
+    private final Bootstrap bootstrap;
+    private final EndpointHeaders headers;
+    private final EdgeMetrics metrics;
+    private final Map<String, Deque<EndpointConnection>> idle = new HashMap<>();
+
+    /** Makes an empty pool. */
+    public EndpointPool(EventLoopGroup group, EndpointHeaders headers, EdgeMetrics metrics) {
+        this.headers = headers;
+        this.metrics = metrics;
+        this.bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        initialize(channel);
+                    }
+                });
+    }
+
+    private void initialize(Channel channel) {
+        HttpDecoderConfig config = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxChunkSize(MAX_CHUNK_BYTES);
+        channel.pipeline()
+                .addLast(new HttpClientCodec(config, false, false))
+                .addLast(new EndpointConnection(this, headers));
+    }
+
+    /** Sends a request on an idle or a new connection. */
+    public Attempt send(EndpointRequest request, AttemptListener listener) {
+        PendingAttempt attempt = new PendingAttempt(listener);
+        EndpointConnection kept = takeIdle(request);
+        if (kept != null) {
+            attempt.bind(kept);
+            kept.send(request, attempt);
+            return attempt;
+        }
+        DiscoveredEndpoint e = request.dispatch().endpoint();
+        metrics.connectionOpened();
+        request.body().retain();
+        bootstrap.connect(e.host(), e.port()).addListener((ChannelFuture f) -> {
+            onConnected(f, request, attempt);
+            request.body().release();
+        });
+        return attempt;
+    }
+
+    private static void onConnected(ChannelFuture future, EndpointRequest request, PendingAttempt attempt) {
+        if (!future.isSuccess()) {
+            boolean timeout = future.cause() instanceof ConnectTimeoutException;
+            attempt.onBroken(timeout ? BreakCause.CONNECT_TIMEOUT : BreakCause.CONNECT_REFUSED);
+            return;
+        }
+        if (attempt.cancelled()) {
+            future.channel().close();
+            return;
+        }
+        EndpointConnection connection = future.channel().pipeline().get(EndpointConnection.class);
+        connection.endpoint(request.dispatch().endpoint());
+        attempt.bind(connection);
+        connection.send(request, attempt);
+    }
+
+    private EndpointConnection takeIdle(EndpointRequest request) {
+        Deque<EndpointConnection> connections =
+                idle.get(request.dispatch().endpoint().id());
+        long now = System.nanoTime();
+        long maxIdle = request.dispatch().freshConnection() ? MAX_IDLE_UNREPEATABLE_NANOS : MAX_IDLE_NANOS;
+        while (connections != null && !connections.isEmpty()) {
+            EndpointConnection c = connections.peekLast();
+            if (c.usable(request.dispatch().endpoint(), now, MAX_IDLE_NANOS)) {
+                if (now - c.idleSinceNanos() > maxIdle) {
+                    return null;
+                }
+                connections.pollLast();
+                return c;
+            }
+            connections.pollLast();
+            c.close();
+        }
+        return null;
+    }
+
+    void onIdle(EndpointConnection connection) {
+        Deque<EndpointConnection> connections =
+                idle.computeIfAbsent(connection.endpoint().id(), id -> new ArrayDeque<>());
+        connections.addLast(connection);
+        long now = System.nanoTime();
+        while (connections.peekFirst() != null && now - connections.peekFirst().idleSinceNanos() > MAX_IDLE_NANOS) {
+            connections.pollFirst().close();
+        }
+    }
+
+    void onClosed(EndpointConnection connection) {
+        if (connection.endpoint() == null) {
+            return;
+        }
+        Deque<EndpointConnection> connections = idle.get(connection.endpoint().id());
+        if (connections != null) {
+            connections.remove(connection);
+            if (connections.isEmpty()) {
+                idle.remove(connection.endpoint().id());
+            }
+        }
+    }
+
+    /** Closes the idle connections to an endpoint that is gone. */
+    public void forget(DiscoveredEndpoint endpoint) {
+        Deque<EndpointConnection> connections = idle.remove(endpoint.id());
+        if (connections != null) {
+            connections.forEach(EndpointConnection::close);
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/PendingAttempt.java
@@ -0,0 +1,71 @@
+package org.dragonflygw.edge.upstream;
+
+import org.dragonflygw.core.exchange.AnswerHead;
+import org.dragonflygw.core.exchange.BreakCause;
+
+/** An attempt from before its connection is made until its end; passes nothing on once it is cancelled or over. */
+final class PendingAttempt implements Attempt, AttemptListener {
+    private final AttemptListener listener;
+    private EndpointConnection connection;
+    private boolean over;
+
+    PendingAttempt(AttemptListener listener) {
+        this.listener = listener;
+    }
+
+    void bind(EndpointConnection c) {
+        connection = c;
+    }
+
+    boolean cancelled() {
+        return over;
+    }
+
+    @Override
+    public void cancel() {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    @Override
+    public void read(boolean wanted) {
+        if (!over && connection != null) {
+            connection.read(wanted);
+        }
+    }
+
+    @Override
+    public void onHead(AnswerHead head) {
+        if (!over) {
+            listener.onHead(head);
+        }
+    }
+
+    @Override
+    public void onBody(byte[] bytes) {
+        if (!over) {
+            listener.onBody(bytes);
+        }
+    }
+
+    @Override
+    public void onComplete() {
+        if (!over) {
+            over = true;
+            listener.onComplete();
+        }
+    }
+
+    @Override
+    public void onBroken(BreakCause cause) {
+        if (!over) {
+            over = true;
+            listener.onBroken(cause);
+        }
+    }
+}
