Fetch cached prompt starts from other engines instead of reading them again

Change: the chooser names an engine that holds the start of the prompt, and the adapter passes it on.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.dispatch;
 
 import java.util.Optional;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 
 /**
  * The outcome of a choice.
@@ -8,10 +9,16 @@
  * @param endpoint the endpoint, empty if the request cannot be served now
  * @param expectedMs time until the answer begins, in milliseconds
  * @param uncachedTokens prompt tokens that the endpoint has to read
+ * @param cacheSource another engine from which the endpoint can fetch what it does not cache
  * @param reason why the request cannot be served; {@link Unserved#NONE} if it can
  */
-public record Choice(Optional<EndpointLoadState> endpoint, long expectedMs, int uncachedTokens, Unserved reason) {
+public record Choice(
+        Optional<EndpointLoadState> endpoint,
+        long expectedMs,
+        int uncachedTokens,
+        Optional<DiscoveredEndpoint> cacheSource,
+        Unserved reason) {
     static Choice none(Unserved reason, long expectedMs) {
-        return new Choice(Optional.empty(), expectedMs, 0, reason);
+        return new Choice(Optional.empty(), expectedMs, 0, Optional.empty(), reason);
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.routing.RoutingHash;
 
 /**
@@ -33,6 +34,15 @@
     /** Share of the reading time that is charged at the first engine of the order although this host sent it nothing. */
     private static final double FIRST_RANK_UNCACHED = 0.4;
 
+    /** Cost of fetching a prompt's start from another engine, in milliseconds: the set-up of a transfer. */
+    private static final double FETCH_MS = 8;
+
+    /** Cost of each fetched token, in milliseconds; transfers are fast, but charged by their size. */
+    private static final double FETCH_MS_PER_TOKEN = 0.006;
+
+    /** Failure score from which an engine is not asked for cached tokens. */
+    private static final double MAX_SOURCE_FAILURES = 1;
+
     /** Load that is allowed beside the multiple of the mean. */
     private static final double BOUND_SLACK = 3;
 
@@ -81,7 +91,12 @@
         if (best.expectedMs > request.remainingMs()) {
             return Choice.none(Unserved.TOO_LATE, (long) best.expectedMs);
         }
-        return new Choice(Optional.of(best.endpoint), (long) best.expectedMs, best.uncached, Unserved.NONE);
+        return new Choice(
+                Optional.of(best.endpoint),
+                (long) best.expectedMs,
+                best.reading.tokens,
+                best.reading.source,
+                Unserved.NONE);
     }
 
     private List<EndpointLoadState> candidates(ChoiceRequest request) {
@@ -115,10 +130,10 @@
         if (key == 0) {
             return 0;
         }
-        long own = RoutingHash.mix(key, RoutingHash.of(e.entry().id()));
+        long own = affinity(e, key);
         int above = 0;
         for (EndpointLoadState c : candidates) {
-            if (RoutingHash.mix(key, RoutingHash.of(c.entry().id())) > own) {
+            if (affinity(c, key) > own) {
                 above++;
             }
         }
@@ -127,14 +142,11 @@
 
     private Scored score(ChoiceRequest request, EndpointLoadState e, int rank, double bound, long nowNanos) {
         double load = e.load(nowNanos);
-        boolean engine = request.service().modelEngines();
-        int uncached = engine ? uncachedTokens(request.prompt(), e) : 0;
-        double expected = engine ? engineMs(e, load, uncached, nowNanos) : plainMs(e, load);
-        double cost = expected + e.failures(nowNanos) * FAILURE_MS;
-        if (engine && rank == 0 && uncached > 0) {
-            cost -= (1 - FIRST_RANK_UNCACHED) * uncached / READ_TOKENS_PER_MS;
-        }
-        cost += rank * RANK_MS;
+        Reading reading = request.service().modelEngines() ? reading(request, e, rank, nowNanos) : Reading.NONE;
+        double expected = request.service().modelEngines()
+                ? (e.unread(nowNanos) + reading.tokens) / READ_TOKENS_PER_MS + load * RUNNING_MS
+                : plainMs(e, load);
+        double cost = expected + reading.extraMs + rank * RANK_MS + e.failures(nowNanos) * FAILURE_MS;
         if (!settings.zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_MS;
         }
@@ -144,15 +156,65 @@
         if (e.blocked(nowNanos)) {
             cost += BLOCKED_MS;
         }
-        return new Scored(e, cost, expected, uncached);
+        return new Scored(e, cost, expected, reading);
     }
 
-    private static int uncachedTokens(Prompt prompt, EndpointLoadState e) {
-        return Math.max(0, prompt.inputTokens() - e.cached().cachedTokens(prompt));
+    /** What an engine has to read for a prompt, and from where it can fetch the rest. */
+    private Reading reading(ChoiceRequest request, EndpointLoadState e, int rank, long nowNanos) {
+        Prompt prompt = request.prompt();
+        int shared = prompt.sharedTokens();
+        int cached = e.cached().cachedTokens(prompt);
+        int uncachedShared = Math.max(0, shared - cached);
+        int own = Math.max(0, prompt.inputTokens() - Math.max(shared, cached));
+        if (uncachedShared == 0) {
+            return new Reading(own, 0, Optional.empty());
+        }
+        if (request.service().bytesPerToken() > 0) {
+            Optional<EndpointLoadState> holder = holder(request, e, cached, nowNanos);
+            if (holder.isPresent()) {
+                double fetchMs = FETCH_MS + uncachedShared * FETCH_MS_PER_TOKEN;
+                return new Reading(own, fetchMs, holder.map(EndpointLoadState::entry));
+            }
+        }
+        double readMs = uncachedShared / READ_TOKENS_PER_MS;
+        if (rank == 0) {
+            return new Reading(own + uncachedShared, -(1 - FIRST_RANK_UNCACHED) * readMs, likelyHolder(request, e));
+        }
+        return new Reading(own + uncachedShared, readMs, likelyHolder(request, e));
     }
 
-    private static double engineMs(EndpointLoadState e, double load, int uncached, long nowNanos) {
-        return (e.unread(nowNanos) + uncached) / READ_TOKENS_PER_MS + load * RUNNING_MS;
+    /** The engine that is known to cache most of the prompt beyond a number of tokens. */
+    private Optional<EndpointLoadState> holder(
+            ChoiceRequest request, EndpointLoadState target, int cached, long nowNanos) {
+        EndpointLoadState best = null;
+        int most = cached;
+        for (EndpointLoadState e : loads.ofService(request.service().name())) {
+            int tokens = e == target ? 0 : e.cached().cachedTokens(request.prompt());
+            if (tokens > most && !e.blocked(nowNanos) && e.failures(nowNanos) < MAX_SOURCE_FAILURES) {
+                most = tokens;
+                best = e;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** The engine that other hosts are likely to have sent such prompts to: the first of the order but the target. */
+    private Optional<DiscoveredEndpoint> likelyHolder(ChoiceRequest request, EndpointLoadState target) {
+        long key = request.prompt().sharedKey();
+        if (key == 0 || request.service().bytesPerToken() == 0) {
+            return Optional.empty();
+        }
+        EndpointLoadState best = null;
+        for (EndpointLoadState e : loads.ofService(request.service().name())) {
+            if (e != target && (best == null || affinity(e, key) > affinity(best, key))) {
+                best = e;
+            }
+        }
+        return Optional.ofNullable(best).map(EndpointLoadState::entry);
+    }
+
+    private static long affinity(EndpointLoadState e, long key) {
+        return RoutingHash.mix(key, RoutingHash.of(e.entry().id()));
     }
 
     private static double plainMs(EndpointLoadState e, double load) {
@@ -161,5 +223,9 @@
         return PLAIN_WORK_MS * (queued / slots + load / slots);
     }
 
-    private record Scored(EndpointLoadState endpoint, double cost, double expectedMs, int uncached) {}
+    private record Reading(int tokens, double extraMs, Optional<DiscoveredEndpoint> source) {
+        private static final Reading NONE = new Reading(0, 0, Optional.empty());
+    }
+
+    private record Scored(EndpointLoadState endpoint, double cost, double expectedMs, Reading reading) {}
 }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
@@ -17,6 +17,15 @@
         parts = List.copyOf(parts);
     }
 
+    /** Length of the parts that other requests share. */
+    public int sharedTokens() {
+        int tokens = 0;
+        for (int i = 0; i < parts.size() - 1; i++) {
+            tokens += parts.get(i).tokens();
+        }
+        return tokens;
+    }
+
     /** Key of the longest part that other requests share; 0 if there is none. */
     public long sharedKey() {
         if (parts.isEmpty()) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/Dispatch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Dispatch.java
@@ -10,6 +10,7 @@
  * @param remainingMs time that the endpoint has, in milliseconds
  * @param priority rank for the engine's queue, 0 is the most urgent
  * @param resumeAfter id of the last event that the caller has, if a stream goes on
+ * @param cacheSource engine from which the endpoint fetches the cached start of the prompt, if any
  * @param freshConnection whether a connection that was idle for long must not be used, since its failure would leave it
  *     open whether the request ran
  */
@@ -18,4 +19,5 @@
         long remainingMs,
         int priority,
         Optional<String> resumeAfter,
+        Optional<DiscoveredEndpoint> cacheSource,
         boolean freshConnection) {}
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
@@ -127,7 +128,11 @@
                 .with("team", request.team())
                 .with("endpoint", endpoint.entry().id())
                 .with("loadTenths", (long) (endpoint.load(now) * 10))
+                .with("promptKey", Long.toHexString(request.prompt().sharedKey()))
                 .with("uncachedTokens", uncachedTokens)
+                .with(
+                        "cacheSource",
+                        choice.cacheSource().map(DiscoveredEndpoint::id).orElse(null))
                 .with("expectedMs", choice.expectedMs())
                 .with("remainingMs", remainingMs(now))
                 .with("attempt", runs + rejections + connectFailures + 1)
@@ -139,6 +144,7 @@
                 remainingMs(now),
                 request.priority(),
                 answer.resumeAfter(),
+                choice.cacheSource(),
                 !request.route().repeatable()));
     }
 
--- a/core/src/main/java/org/dragonflygw/core/settings/HostSettings.java
+++ b/core/src/main/java/org/dragonflygw/core/settings/HostSettings.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.core.settings;
 
-import java.net.InetSocketAddress;
 import java.util.Optional;
 
 /**
@@ -20,9 +19,9 @@
         String hostName,
         String ip,
         String zone,
-        InetSocketAddress callers,
-        InetSocketAddress readiness,
-        Optional<InetSocketAddress> control,
+        HostAddress callers,
+        HostAddress readiness,
+        Optional<HostAddress> control,
         int firstInternalPort,
-        InetSocketAddress store,
+        HostAddress store,
         HostBounds bounds) {}
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +22,7 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.retry.FleetRetryShare;
+import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.edge.front.FrontGate;
 import org.dragonflygw.edge.front.FrontParts;
@@ -80,7 +80,7 @@
         metrics.gauge("config_age_ms", contact::ageMs);
         OpsServer ops = new OpsServer(group, this::ready, metrics::text);
         ops.listen(settings.readiness());
-        ops.listen(new InetSocketAddress(settings.ip(), metricsPort));
+        ops.listen(new HostAddress(settings.ip(), metricsPort));
         followStore();
         new FrontServer(group, frontParts()).listen(settings.callers());
         log.line(LogTopic.START)
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontServer.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontServer.java
@@ -9,9 +9,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.net.InetSocketAddress;
 import org.dragonflygw.core.catalog.CallerLimits;
 import org.dragonflygw.core.catalog.Catalog;
+import org.dragonflygw.core.settings.HostAddress;
 
 /** Accepts the connections of callers. */
 public final class FrontServer {
@@ -30,7 +30,7 @@
     }
 
     /** Listens on an address. */
-    public Channel listen(InetSocketAddress address) {
+    public Channel listen(HostAddress address) {
         return new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -52,7 +52,7 @@
                                         new FrontHandler(parts));
                     }
                 })
-                .bind(address)
+                .bind(address.ip(), address.port())
                 .syncUninterruptibly()
                 .channel();
     }
--- a/edge/src/main/java/org/dragonflygw/edge/ops/OpsServer.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ops/OpsServer.java
@@ -20,9 +20,9 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.dragonflygw.core.settings.HostAddress;
 
 /** Answers the balancer's readiness check and serves the metrics. */
 @SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
@@ -42,7 +42,7 @@
     }
 
     /** Listens on an address. */
-    public void listen(InetSocketAddress address) {
+    public void listen(HostAddress address) {
         Handler handler = new Handler();
         new ServerBootstrap()
                 .group(group)
@@ -54,7 +54,7 @@
                                 .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES), handler);
                     }
                 })
-                .bind(address)
+                .bind(address.ip(), address.port())
                 .syncUninterruptibly();
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -21,10 +21,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 
 /**
@@ -37,7 +37,7 @@
     private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
     private final EventLoopGroup group;
-    private final InetSocketAddress address;
+    private final HostAddress address;
     private final EdgeMetrics metrics;
 
     private Channel channel;
@@ -45,7 +45,7 @@
     private ScheduledFuture<?> timeout;
     private long sentNanos;
 
-    StoreClient(EventLoopGroup group, InetSocketAddress address, EdgeMetrics metrics) {
+    StoreClient(EventLoopGroup group, HostAddress address, EdgeMetrics metrics) {
         this.group = group;
         this.address = address;
         this.metrics = metrics;
@@ -60,7 +60,7 @@
             write(path, timeoutMs);
             return;
         }
-        bootstrap().connect(address).addListener((ChannelFuture f) -> {
+        bootstrap().connect(address.ip(), address.port()).addListener((ChannelFuture f) -> {
             if (!f.isSuccess()) {
                 end(StoreAnswer.failed("no connection", sentNanos));
                 return;
@@ -92,7 +92,7 @@
     private void write(String path, long timeoutMs) {
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        request.headers().set(HttpHeaderNames.HOST, address.toString());
         channel.writeAndFlush(request);
         timeout = channel.eventLoop().schedule(this::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
     }
