Let hosts tell each other loads and cached prompt starts

Change: hosts exchange datagrams (Thrift compact, 200 ms, bounded fan-out) with their use of endpoints and the prompts they sent; they find each other by rows of the store, read once at the start.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/CachedParts.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/CachedParts.java
@@ -2,6 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** What this host believes one engine keeps of the prompts sent to it: the latest parts up to a number of tokens. */
@@ -29,8 +30,8 @@
         return cached;
     }
 
-    void remember(Prompt prompt) {
-        for (PromptPart p : prompt.parts()) {
+    void remember(List<PromptPart> parts) {
+        for (PromptPart p : parts) {
             Integer before = tokensByPart.put(p.id(), p.tokens());
             tokens += p.tokens() - (before == null ? 0 : before);
         }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -1,5 +1,6 @@
 package org.dragonflygw.core.dispatch;
 
+import java.util.List;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 
 /** What this host knows of one endpoint beside its entry: its load, its failures, and what it caches. */
@@ -53,11 +54,15 @@
         return cached;
     }
 
-    /** Notes a request that is sent, and the prompt tokens that the endpoint has to read for it. */
-    public void onSent(Prompt prompt, long uncachedTokens) {
+    void onSent(Prompt prompt, long uncachedTokens) {
         inFlight++;
         unreadTokens += uncachedTokens;
-        cached.remember(prompt);
+        cached.remember(prompt.parts());
+    }
+
+    /** Notes the start of a prompt that another host sent to the endpoint. */
+    public void onHeldPrompt(List<PromptPart> parts) {
+        cached.remember(parts);
     }
 
     /** Notes that a request's prompt was read, or that the request ended before. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -8,12 +8,17 @@
 import java.util.Optional;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
+import org.dragonflygw.core.peers.PromptHolding;
 
 /** The load states of all known endpoints, by service. Used by one thread. */
 public final class EndpointLoads implements EndpointListener {
     /** Tokens that an engine is taken to cache when the configuration does not say. */
     private static final long DEFAULT_CACHE_TOKENS = 300_000;
 
+    /** Prompts that wait to be told to other hosts; more are not worth their bytes. */
+    private static final int MAX_NEW_HOLDINGS = 64;
+
+    private final List<PromptHolding> newHoldings = new ArrayList<>();
     private final Map<String, EndpointLoadState> byId = new HashMap<>();
     private final Map<String, List<EndpointLoadState>> byService = new HashMap<>();
 
@@ -37,6 +42,22 @@
         }
     }
 
+    /** Notes a request that is sent, and the prompt tokens that the endpoint has to read for it. */
+    public void onSent(EndpointLoadState endpoint, Prompt prompt, long uncachedTokens) {
+        boolean known = endpoint.cached().cachedTokens(prompt) >= prompt.sharedTokens();
+        endpoint.onSent(prompt, uncachedTokens);
+        if (!known && newHoldings.size() < MAX_NEW_HOLDINGS) {
+            newHoldings.add(new PromptHolding(endpoint.entry().id(), prompt.sharedParts()));
+        }
+    }
+
+    /** What endpoints cache since the last call because of this host's requests. */
+    public List<PromptHolding> takeNewHoldings() {
+        List<PromptHolding> taken = List.copyOf(newHoldings);
+        newHoldings.clear();
+        return taken;
+    }
+
     /** The endpoints of a service, leaving ones included. */
     public List<EndpointLoadState> ofService(String service) {
         return byService.getOrDefault(service, List.of());
--- a/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
@@ -17,13 +17,14 @@
         parts = List.copyOf(parts);
     }
 
+    /** The parts that other requests share. */
+    public List<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /** Length of the parts that other requests share. */
     public int sharedTokens() {
-        int tokens = 0;
-        for (int i = 0; i < parts.size() - 1; i++) {
-            tokens += parts.get(i).tokens();
-        }
-        return tokens;
+        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
     }
 
     /** Key of the longest part that other requests share; 0 if there is none. */
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -0,0 +1,32 @@
+package org.dragonflygw.core.peers;
+
+import java.util.List;
+import org.dragonflygw.core.settings.HostAddress;
+
+/**
+ * What a host tells the others several times a second.
+ *
+ * @param host its name
+ * @param address where it hears reports
+ * @param startedMs Unix time of its process' start, in milliseconds
+ * @param sequence rises with each report of a process
+ * @param uses what it has at endpoints
+ * @param holdings prompts that it sent to endpoints lately
+ */
+public record HostReport(
+        String host,
+        HostAddress address,
+        long startedMs,
+        long sequence,
+        List<EndpointUse> uses,
+        List<PromptHolding> holdings) {
+    public HostReport {
+        uses = List.copyOf(uses);
+        holdings = List.copyOf(holdings);
+    }
+
+    /** Whether this report was made after another of the same host. */
+    public boolean newerThan(HostReport other) {
+        return startedMs != other.startedMs ? startedMs > other.startedMs : sequence > other.sequence;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -0,0 +1,151 @@
+package org.dragonflygw.core.peers;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.lease.MonotonicClock;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.settings.HostAddress;
+
+/**
+ * The other hosts: their addresses and their newest reports. A host that is not heard of for a while no longer counts
+ * in the load of endpoints, but it is still told of this host's, since only one direction may be cut. Nothing depends
+ * on it: without reports, each host works with what it knows itself. Used by one thread.
+ */
+public final class PeerTable {
+    /** Age from which a report is no longer used, in nanoseconds: several reports were lost then. */
+    private static final long MAX_REPORT_AGE_NANOS = 2_500_000_000L;
+
+    /** Silence after which a host is taken as gone, in nanoseconds: longer than a host is frozen or cut off. */
+    private static final long MAX_SILENCE_NANOS = 60_000_000_000L;
+
+    private final String self;
+    private final EndpointLoads loads;
+    private final EventLog log;
+    private final MonotonicClock clock;
+    private final Map<String, Peer> peers = new HashMap<>();
+
+    /** Makes an empty table. */
+    public PeerTable(String self, EndpointLoads loads, EventLog log, MonotonicClock clock) {
+        this.self = self;
+        this.loads = loads;
+        this.log = log;
+        this.clock = clock;
+    }
+
+    /** Notes that a host exists, as the store says. */
+    public void onListed(String host, HostAddress address) {
+        if (host.equals(self)) {
+            return;
+        }
+        Peer known = peers.get(host);
+        if (known == null) {
+            peers.put(host, new Peer(address, clock.nanos()));
+        } else if (known.report == null) {
+            known.address = address;
+        }
+    }
+
+    /** Takes a report; older ones and this host's own are left out. */
+    public void onReport(HostReport report) {
+        if (report.host().equals(self)) {
+            return;
+        }
+        Peer peer = peers.computeIfAbsent(report.host(), h -> new Peer(report.address(), clock.nanos()));
+        if (peer.report != null && !report.newerThan(peer.report)) {
+            return;
+        }
+        if (peer.report == null || !peer.counted) {
+            logPeer(report.host(), "heard");
+        }
+        peer.report = report;
+        peer.address = report.address();
+        peer.heardNanos = clock.nanos();
+        peer.counted = true;
+        for (PromptHolding h : report.holdings()) {
+            loads.get(h.endpoint()).ifPresent(e -> e.onHeldPrompt(h.parts()));
+        }
+    }
+
+    /** Brings what other hosts have at endpoints up to date. */
+    public void refresh() {
+        long now = clock.nanos();
+        forgetSilent(now);
+        Map<String, int[]> inFlight = new HashMap<>();
+        Map<String, long[]> unread = new HashMap<>();
+        boolean any = false;
+        for (Map.Entry<String, Peer> e : peers.entrySet()) {
+            Peer p = e.getValue();
+            boolean fresh = p.report != null && now - p.heardNanos < MAX_REPORT_AGE_NANOS;
+            if (p.counted && !fresh) {
+                p.counted = false;
+                logPeer(e.getKey(), "silent");
+            }
+            any |= fresh;
+            if (fresh) {
+                add(p.report, inFlight, unread);
+            }
+        }
+        if (!any) {
+            return;
+        }
+        for (EndpointLoadState s : loads.all()) {
+            int[] count = inFlight.getOrDefault(s.entry().id(), new int[1]);
+            long[] tokens = unread.getOrDefault(s.entry().id(), new long[1]);
+            s.onPeers(count[0], tokens[0], now);
+        }
+    }
+
+    private static void add(HostReport report, Map<String, int[]> inFlight, Map<String, long[]> unread) {
+        for (EndpointUse u : report.uses()) {
+            inFlight.computeIfAbsent(u.endpoint(), x -> new int[1])[0] += u.inFlight();
+            unread.computeIfAbsent(u.endpoint(), x -> new long[1])[0] += u.unreadTokens();
+        }
+    }
+
+    private void forgetSilent(long now) {
+        peers.entrySet().removeIf(e -> {
+            boolean gone = now - e.getValue().heardNanos > MAX_SILENCE_NANOS;
+            if (gone) {
+                logPeer(e.getKey(), "gone");
+            }
+            return gone;
+        });
+    }
+
+    private void logPeer(String host, String outcome) {
+        log.line(LogTopic.PEER)
+                .with("peer", host)
+                .with("outcome", outcome)
+                .with("peers", peers.size())
+                .end();
+    }
+
+    /** Hosts that are known, this one included. */
+    public int hostCount() {
+        return peers.size() + 1;
+    }
+
+    /** Addresses of the other hosts. */
+    public List<HostAddress> addresses() {
+        List<HostAddress> addresses = new ArrayList<>();
+        peers.values().forEach(p -> addresses.add(p.address));
+        return addresses;
+    }
+
+    private static final class Peer {
+        private HostAddress address;
+        private HostReport report;
+        private long heardNanos;
+        private boolean counted;
+
+        Peer(HostAddress address, long nowNanos) {
+            this.address = address;
+            this.heardNanos = nowNanos;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportMaker.java
@@ -0,0 +1,62 @@
+package org.dragonflygw.core.peers;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.settings.HostAddress;
+
+/** Makes this host's reports. Each prompt is told in several, so that one lost message does not matter. */
+public final class ReportMaker {
+    /** Prompts in one report: keeps a message within one packet of a usual network. */
+    private static final int MAX_HOLDINGS = 24;
+
+    /** Reports in which each prompt is told to the same host. */
+    private static final int REPEATS = 2;
+
+    private final String host;
+    private final HostAddress address;
+    private final long startedMs;
+    private final EndpointLoads loads;
+    private final Deque<Told> recent = new ArrayDeque<>();
+    private long sequence;
+
+    /** Makes a maker of reports. */
+    public ReportMaker(String host, HostAddress address, long startedMs, EndpointLoads loads) {
+        this.host = host;
+        this.address = address;
+        this.startedMs = startedMs;
+        this.loads = loads;
+    }
+
+    /**
+     * Makes the next report.
+     *
+     * @param rounds reports after which all hosts were told once
+     */
+    public HostReport next(int rounds) {
+        sequence++;
+        loads.takeNewHoldings().forEach(h -> recent.addLast(new Told(h, sequence)));
+        while (recent.size() > MAX_HOLDINGS
+                || (!recent.isEmpty() && sequence - recent.peekFirst().since >= (long) rounds * REPEATS)) {
+            recent.removeFirst();
+        }
+        List<PromptHolding> holdings = new ArrayList<>();
+        recent.forEach(t -> holdings.add(t.holding));
+        return new HostReport(host, address, startedMs, sequence, uses(), holdings);
+    }
+
+    private List<EndpointUse> uses() {
+        List<EndpointUse> uses = new ArrayList<>();
+        for (EndpointLoadState e : loads.all()) {
+            if (e.inFlight() > 0) {
+                uses.add(new EndpointUse(e.entry().id(), e.inFlight(), e.unreadTokens()));
+            }
+        }
+        return uses;
+    }
+
+    private record Told(PromptHolding holding, long since) {}
+}
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -20,10 +20,14 @@
 public final class EdgeMain {
     private static final int EXIT_BAD_SETTINGS = 2;
 
+    /** Part of the ids of channels, which only logs of the network library show; hosts have no hardware address. */
+    private static final String MACHINE_ID = "02:00:00:00:00:01";
+
     private EdgeMain() {}
 
     /** Runs until it is told to stop. */
     public static void main(String[] args) throws IOException {
+        System.setProperty("io.netty.machineId", MACHINE_ID);
         OptionParser parser = new OptionParser();
         OptionSpec<String> file = parser.accepts("settings", "settings file of the host")
                 .withRequiredArg()
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -21,6 +21,8 @@
 import org.dragonflygw.core.limits.ReturnTimes;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.peers.ReportMaker;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostSettings;
@@ -29,6 +31,7 @@
 import org.dragonflygw.edge.front.FrontServer;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.ops.OpsServer;
+import org.dragonflygw.edge.peers.PeerReports;
 import org.dragonflygw.edge.stop.GracefulStop;
 import org.dragonflygw.edge.store.ConfigurationFeed;
 import org.dragonflygw.edge.store.EndpointFeed;
@@ -58,6 +61,7 @@
     private final StoreContact contact;
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointRegistry registry;
+    private final FleetRetryShare retries;
 
     /** Makes a node that does not run yet. */
     public EdgeNode(HostSettings settings, EventLog log) {
@@ -69,6 +73,11 @@
         long keyAgeNanos =
                 TimeUnit.MILLISECONDS.toNanos((long) (settings.bounds().revokeMs() * KEY_AGE_SHARE));
         this.contact = new StoreContact(keyAgeNanos, System::nanoTime, InstantSource.system());
+        this.retries = new FleetRetryShare(
+                settings.bounds().retryRatio(),
+                settings.bounds().retrySlack(),
+                TimeUnit.MILLISECONDS.toNanos(settings.bounds().retryWindowMs()),
+                ASSUMED_HOSTS);
         this.registry = new EndpointRegistry(new EndpointChanges(), log);
     }
 
@@ -98,16 +107,17 @@
         feeds.configuration(new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log))
                 .start();
         feeds.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry)).start();
+        HostAddress internal = new HostAddress(settings.ip(), settings.firstInternalPort());
+        PeerTable peers = new PeerTable(settings.hostName(), loads, log, System::nanoTime);
+        long startedMs = InstantSource.system().instant().toEpochMilli();
+        new PeerReports(group, peers, new ReportMaker(settings.hostName(), internal, startedMs, loads), retries, log)
+                .listen(internal);
+        feeds.hosts(peers).start(settings.hostName(), internal);
     }
 
     private FrontParts frontParts() {
         EndpointChooser chooser = new EndpointChooser(
                 loads, new DispatchSettings(settings.zone(), settings.bounds().capFactor()));
-        FleetRetryShare retries = new FleetRetryShare(
-                settings.bounds().retryRatio(),
-                settings.bounds().retrySlack(),
-                TimeUnit.MILLISECONDS.toNanos(settings.bounds().retryWindowMs()),
-                ASSUMED_HOSTS);
         ExchangeParts exchanges = new ExchangeParts(
                 chooser, loads, retries, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
         return new FrontParts(
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -0,0 +1,103 @@
+package org.dragonflygw.edge.peers;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.error.CodedException;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.peers.ReportMaker;
+import org.dragonflygw.core.retry.FleetRetryShare;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.wire.codec.HostReportCodec;
+
+/**
+ * Exchanges reports with the other hosts by datagrams. Each round goes to a bounded number of hosts in turn, so that
+ * the cost of a host does not grow with the fleet.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // A lost datagram is made good by the next.
+public final class PeerReports {
+    /** Pause between reports in milliseconds: shorter than most requests, so that loads are known while they last. */
+    private static final long ROUND_MS = 200;
+
+    /** Hosts that are told in one round. */
+    private static final int FAN_OUT = 8;
+
+    private final EventLoopGroup group;
+    private final PeerTable peers;
+    private final ReportMaker reports;
+    private final FleetRetryShare retries;
+    private final EventLog log;
+    private final HostReportCodec codec = new HostReportCodec();
+
+    private Channel channel;
+    private int nextTarget;
+
+    /** Makes an exchange; {@link #listen} starts it. */
+    public PeerReports(
+            EventLoopGroup group, PeerTable peers, ReportMaker reports, FleetRetryShare retries, EventLog log) {
+        this.group = group;
+        this.peers = peers;
+        this.reports = reports;
+        this.retries = retries;
+        this.log = log;
+    }
+
+    /** Listens on an address and begins to send. */
+    public void listen(HostAddress address) {
+        channel = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .handler(new Receiver())
+                .bind(address.ip(), address.port())
+                .syncUninterruptibly()
+                .channel();
+        channel.eventLoop().scheduleWithFixedDelay(this::round, ROUND_MS, ROUND_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void round() {
+        peers.refresh();
+        retries.hosts(peers.hostCount());
+        List<HostAddress> targets = peers.addresses();
+        int rounds = Math.max(1, (targets.size() + FAN_OUT - 1) / FAN_OUT);
+        byte[] bytes = codec.encode(reports.next(rounds));
+        for (int i = 0; i < Math.min(FAN_OUT, targets.size()); i++) {
+            HostAddress to = targets.get(nextTarget++ % targets.size());
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.ip(), to.port())));
+        }
+        channel.flush();
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            try {
+                peers.onReport(codec.decode(ByteBufUtil.getBytes(packet.content())));
+            } catch (CodedException e) {
+                log.line(LogTopic.PEER)
+                        .with("outcome", "unreadable report")
+                        .with("reason", e.getMessage())
+                        .with("sender", packet.sender().toString())
+                        .end();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            log.line(LogTopic.PEER)
+                    .with("outcome", "receiving failed")
+                    .with("reason", cause.toString())
+                    .end();
+        }
+    }
+}
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -36,6 +36,8 @@
     private static final int CONNECT_TIMEOUT_MS = 500;
     private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
+    private static final byte[] NO_BYTES = {};
+
     private final EventLoopGroup group;
     private final HostAddress address;
     private final EdgeMetrics metrics;
@@ -53,11 +55,20 @@
 
     /** Sends a read; the answer or the failure is told once. */
     void get(String path, long timeoutMs, Consumer<StoreAnswer> answer) {
+        call(HttpMethod.GET, path, NO_BYTES, timeoutMs, answer);
+    }
+
+    /** Sends a change; the answer or the failure is told once. Without an answer it may have been made. */
+    void post(String path, byte[] body, long timeoutMs, Consumer<StoreAnswer> answer) {
+        call(HttpMethod.POST, path, body, timeoutMs, answer);
+    }
+
+    private void call(HttpMethod method, String path, byte[] body, long timeoutMs, Consumer<StoreAnswer> answer) {
         waiting = answer;
         sentNanos = System.nanoTime();
         metrics.storeCalled();
         if (channel != null && channel.isActive()) {
-            write(path, timeoutMs);
+            write(method, path, body, timeoutMs);
             return;
         }
         bootstrap().connect(address.ip(), address.port()).addListener((ChannelFuture f) -> {
@@ -67,7 +78,7 @@
             }
             channel = f.channel();
             sentNanos = System.nanoTime();
-            write(path, timeoutMs);
+            write(method, path, body, timeoutMs);
         });
     }
 
@@ -89,10 +100,14 @@
                 });
     }
 
-    private void write(String path, long timeoutMs) {
+    private void write(HttpMethod method, String path, byte[] body, long timeoutMs) {
         DefaultFullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, address.toString());
+        if (body.length > 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
         channel.writeAndFlush(request);
         timeout = channel.eventLoop().schedule(this::onTimeout, timeoutMs, TimeUnit.MILLISECONDS);
     }
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreFeeds.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreFeeds.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.StoreCalls;
@@ -48,6 +49,11 @@
         return follower(new FollowSettings(StoreCalls.ENDPOINT_TABLE, 0, pauseMs, TIMEOUT_MS, RETRY_MS), listener);
     }
 
+    /** Makes this host and the others known to each other. */
+    public HostDirectory hosts(PeerTable peers) {
+        return new HostDirectory(new StoreClient(group, settings.store(), metrics), calls, group.next(), peers, log);
+    }
+
     private TableFollower follower(FollowSettings follow, TableListener listener) {
         StoreClient client = new StoreClient(group, settings.store(), metrics);
         return new TableFollower(follow, calls, client, group.next(), listener, log);
--- /dev/null
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -0,0 +1,79 @@
+package org.dragonflygw.wire.codec;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.dragonflygw.core.dispatch.PromptPart;
+import org.dragonflygw.core.peers.EndpointUse;
+import org.dragonflygw.core.peers.HostReport;
+import org.dragonflygw.core.peers.PromptHolding;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.wire.hosts.EndpointUseMessage;
+import org.dragonflygw.wire.hosts.HostReportMessage;
+import org.dragonflygw.wire.hosts.PromptHoldingMessage;
+import org.dragonflygw.wire.hosts.PromptPartMessage;
+
+/** Turns reports of hosts into bytes and back. */
+public final class HostReportCodec {
+    private final TSerializer serializer;
+    private final TDeserializer deserializer;
+
+    /** Makes a codec; it is used by one thread. */
+    public HostReportCodec() {
+        try {
+            serializer = new TSerializer(new TCompactProtocol.Factory());
+            deserializer = new TDeserializer(new TCompactProtocol.Factory());
+        } catch (TException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "no codec for reports", e);
+        }
+    }
+
+    /** Encodes a report. */
+    public byte[] encode(HostReport report) {
+        List<EndpointUseMessage> uses = new ArrayList<>();
+        report.uses().forEach(u -> uses.add(new EndpointUseMessage(u.endpoint(), u.inFlight(), u.unreadTokens())));
+        List<PromptHoldingMessage> holdings = new ArrayList<>();
+        for (PromptHolding h : report.holdings()) {
+            List<PromptPartMessage> parts = new ArrayList<>();
+            h.parts().forEach(p -> parts.add(new PromptPartMessage(p.id(), p.tokens())));
+            holdings.add(new PromptHoldingMessage(h.endpoint(), parts));
+        }
+        HostReportMessage message = new HostReportMessage(
+                report.host(),
+                report.address().ip(),
+                report.address().port(),
+                report.startedMs(),
+                report.sequence(),
+                uses,
+                holdings);
+        try {
+            return serializer.serialize(message);
+        } catch (TException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "a report cannot be encoded", e);
+        }
+    }
+
+    /** Decodes a report. */
+    public HostReport decode(byte[] bytes) {
+        HostReportMessage m = new HostReportMessage();
+        try {
+            deserializer.deserialize(m, bytes);
+            m.validate();
+        } catch (TException | RuntimeException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "a report cannot be decoded", e);
+        }
+        List<EndpointUse> uses = new ArrayList<>();
+        m.getUses().forEach(u -> uses.add(new EndpointUse(u.getEndpoint(), u.getInFlight(), u.getUnreadTokens())));
+        List<PromptHolding> holdings = new ArrayList<>();
+        for (PromptHoldingMessage h : m.getHoldings()) {
+            List<PromptPart> parts = new ArrayList<>();
+            h.getParts().forEach(p -> parts.add(new PromptPart(p.getId(), p.getTokens())));
+            holdings.add(new PromptHolding(h.getEndpoint(), parts));
+        }
+        HostAddress address = new HostAddress(m.getIp(), m.getPort());
+        return new HostReport(m.getHost(), address, m.getStartedMillis(), m.getSequence(), uses, holdings);
+    }
+}
