Test the exchange, the choice of endpoints and what hosts know

Two tests failed first and led to fixes: a read of the store sent at the moment of a suspension confirmed keys; and a second request for a subject went to another engine, naming as the source one that had not read the part yet. The parts an engine holds now say from when they can be fetched.

--- a/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
+++ b/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
@@ -31,14 +31,14 @@
         this.maxAgeNanos = maxAgeNanos;
         this.clock = clock;
         this.wallClock = wallClock;
-        this.notBeforeNanos = clock.nanos();
+        this.notBeforeNanos = Long.MIN_VALUE;
         this.wallOffsetMs = wallOffset(clock.nanos());
     }
 
     /** Notes a read that was answered. */
     public void onRead(long sentNanos) {
         checkForSuspension();
-        if (sentNanos < notBeforeNanos || (confirmed && sentNanos < confirmedNanos)) {
+        if (sentNanos <= notBeforeNanos || (confirmed && sentNanos < confirmedNanos)) {
             return;
         }
         confirmed = true;
--- a/core/src/main/java/org/dragonflygw/core/dispatch/CachedParts.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/CachedParts.java
@@ -11,18 +11,24 @@
     private static final int INITIAL_PARTS = 32;
 
     private final long capacityTokens;
-    private final Map<Long, Integer> tokensByPart = new LinkedHashMap<>(INITIAL_PARTS, LOAD_FACTOR, true);
+    private final Map<Long, Entry> entries = new LinkedHashMap<>(INITIAL_PARTS, LOAD_FACTOR, true);
     private long tokens;
 
     CachedParts(long capacityTokens) {
         this.capacityTokens = capacityTokens;
     }
 
-    /** Tokens at the start of the prompt that need not be read again. */
+    /** Tokens at the start of the prompt that the engine has read or will have read before it comes to this prompt. */
     int cachedTokens(Prompt prompt) {
+        return cachedTokens(prompt, Long.MAX_VALUE);
+    }
+
+    /** Tokens at the start of the prompt that the engine has read by now, so that another can fetch them. */
+    int cachedTokens(Prompt prompt, long nowNanos) {
         int cached = 0;
         for (PromptPart p : prompt.parts()) {
-            if (!tokensByPart.containsKey(p.id())) {
+            Entry e = entries.get(p.id());
+            if (e == null || e.readNanos > nowNanos) {
                 break;
             }
             cached += p.tokens();
@@ -30,20 +36,25 @@
         return cached;
     }
 
-    void remember(List<PromptPart> parts) {
+    /**
+     * Notes parts that were sent to the engine.
+     *
+     * @param readNanos when they will have been read
+     */
+    void remember(List<PromptPart> parts, long readNanos) {
         for (PromptPart p : parts) {
-            Integer before = tokensByPart.put(p.id(), p.tokens());
-            tokens += p.tokens() - (before == null ? 0 : before);
+            Entry before = entries.get(p.id());
+            if (before == null) {
+                entries.put(p.id(), new Entry(p.tokens(), readNanos));
+                tokens += p.tokens();
+            }
         }
-        Iterator<Integer> oldest = tokensByPart.values().iterator();
+        Iterator<Entry> oldest = entries.values().iterator();
         while (tokens > capacityTokens && oldest.hasNext()) {
-            tokens -= oldest.next();
+            tokens -= oldest.next().tokens;
             oldest.remove();
         }
     }
 
-    void clear() {
-        tokensByPart.clear();
-        tokens = 0;
-    }
+    private record Entry(int tokens, long readNanos) {}
 }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -13,9 +13,6 @@
  * until waiting there would cost more than reading it elsewhere. Used by one thread.
  */
 public final class EndpointChooser {
-    /** Speed at which an engine reads prompts, in tokens a millisecond: typical of the engines in use. */
-    private static final double READ_TOKENS_PER_MS = 50;
-
     /** How much each running request delays the first token, in milliseconds. */
     private static final double RUNNING_MS = 2.5;
 
@@ -144,7 +141,7 @@
         double load = e.load(nowNanos);
         Reading reading = request.service().modelEngines() ? reading(request, e, rank, nowNanos) : Reading.NONE;
         double expected = request.service().modelEngines()
-                ? (e.unread(nowNanos) + reading.tokens) / READ_TOKENS_PER_MS + load * RUNNING_MS
+                ? (e.unread(nowNanos) + reading.tokens) / EndpointLoadState.READ_TOKENS_PER_MS + load * RUNNING_MS
                 : plainMs(e, load);
         double cost = expected + reading.extraMs + rank * RANK_MS + e.failures(nowNanos) * FAILURE_MS;
         if (!settings.zone().equals(e.entry().zone())) {
@@ -176,7 +173,7 @@
                 return new Reading(own, fetchMs, holder.map(EndpointLoadState::entry));
             }
         }
-        double readMs = uncachedShared / READ_TOKENS_PER_MS;
+        double readMs = uncachedShared / EndpointLoadState.READ_TOKENS_PER_MS;
         if (rank == 0) {
             return new Reading(own + uncachedShared, -(1 - FIRST_RANK_UNCACHED) * readMs, likelyHolder(request, e));
         }
@@ -189,7 +186,7 @@
         EndpointLoadState best = null;
         int most = cached;
         for (EndpointLoadState e : loads.ofService(request.service().name())) {
-            int tokens = e == target ? 0 : e.cached().cachedTokens(request.prompt());
+            int tokens = e == target ? 0 : e.cached().cachedTokens(request.prompt(), nowNanos);
             if (tokens > most && !e.blocked(nowNanos) && e.failures(nowNanos) < MAX_SOURCE_FAILURES) {
                 most = tokens;
                 best = e;
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -5,6 +5,11 @@
 
 /** What this host knows of one endpoint beside its entry: its load, its failures, and what it caches. */
 public final class EndpointLoadState {
+    /** Speed at which an engine reads prompts, in tokens a millisecond: typical of the engines in use. */
+    static final double READ_TOKENS_PER_MS = 50;
+
+    private static final double NANOS_PER_MS = 1e6;
+
     /** Half-life of the failure score, in nanoseconds: a few seconds, as faults of endpoints last some seconds. */
     private static final double FAILURE_HALF_LIFE_NANOS = 2.5e9;
 
@@ -54,15 +59,19 @@
         return cached;
     }
 
-    void onSent(Prompt prompt, long uncachedTokens) {
+    void onSent(Prompt prompt, long uncachedTokens, long nowNanos) {
         inFlight++;
         unreadTokens += uncachedTokens;
-        cached.remember(prompt.parts());
+        cached.remember(prompt.parts(), readNanos(nowNanos));
     }
 
     /** Notes the start of a prompt that another host sent to the endpoint. */
-    public void onHeldPrompt(List<PromptPart> parts) {
-        cached.remember(parts);
+    public void onHeldPrompt(List<PromptPart> parts, long nowNanos) {
+        cached.remember(parts, readNanos(nowNanos));
+    }
+
+    private long readNanos(long nowNanos) {
+        return nowNanos + (long) (unread(nowNanos) / READ_TOKENS_PER_MS * NANOS_PER_MS);
     }
 
     /** Notes that a request's prompt was read, or that the request ended before. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -43,9 +43,9 @@
     }
 
     /** Notes a request that is sent, and the prompt tokens that the endpoint has to read for it. */
-    public void onSent(EndpointLoadState endpoint, Prompt prompt, long uncachedTokens) {
+    public void onSent(EndpointLoadState endpoint, Prompt prompt, long uncachedTokens, long nowNanos) {
         boolean known = endpoint.cached().cachedTokens(prompt) >= prompt.sharedTokens();
-        endpoint.onSent(prompt, uncachedTokens);
+        endpoint.onSent(prompt, uncachedTokens, nowNanos);
         if (!known && newHoldings.size() < MAX_NEW_HOLDINGS) {
             newHoldings.add(new PromptHolding(endpoint.entry().id(), prompt.sharedParts()));
         }
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -137,7 +137,7 @@
                 .with("remainingMs", remainingMs(now))
                 .with("attempt", runs + rejections + connectFailures + 1)
                 .end();
-        parts.loads().onSent(endpoint, request.prompt(), uncachedTokens);
+        parts.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
         arm();
         out.send(new Dispatch(
                 endpoint.entry(),
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -67,7 +67,7 @@
         peer.heardNanos = clock.nanos();
         peer.counted = true;
         for (PromptHolding h : report.holdings()) {
-            loads.get(h.endpoint()).ifPresent(e -> e.onHeldPrompt(h.parts()));
+            loads.get(h.endpoint()).ifPresent(e -> e.onHeldPrompt(h.parts(), clock.nanos()));
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/EndpointChooserTest.java
@@ -0,0 +1,178 @@
+package org.dragonflygw.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class EndpointChooserTest {
+    private static final String ENGINES = "llm";
+    private static final CatalogService SERVICE = new CatalogService(ENGINES, "/", 300, 64, 600_000, 18_432);
+    private static final CatalogService PLAIN = new CatalogService("app", "/", 96, 6, 0, 0);
+    private static final long NOW = 1_000_000_000_000L;
+
+    private final EndpointLoads loads = new EndpointLoads();
+    private final EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2));
+
+    private void engines(int count) {
+        for (int i = 0; i < count; i++) {
+            loads.onEntry(endpoint("e" + i, ENGINES, i % 2 == 0 ? "a" : "b", 64, false));
+        }
+    }
+
+    private static DiscoveredEndpoint endpoint(String id, String service, String zone, int slots, boolean draining) {
+        return new DiscoveredEndpoint(id, service, "10.0.0.1", 80, zone, slots, draining, 0, 1);
+    }
+
+    private static Prompt prompt(long subject, long own) {
+        return new Prompt(
+                List.of(new PromptPart(1, 500), new PromptPart(subject, 10_000), new PromptPart(own, 1_000)),
+                11_500,
+                300);
+    }
+
+    private Choice choose(Prompt prompt) {
+        return chooser.choose(new ChoiceRequest(SERVICE, prompt, 15_000, Set.of()), NOW);
+    }
+
+    private String send(Prompt prompt) {
+        Choice c = choose(prompt);
+        EndpointLoadState e = c.endpoint().orElseThrow();
+        loads.onSent(e, prompt, c.uncachedTokens(), NOW);
+        return e.entry().id();
+    }
+
+    @Nested
+    final class LongSharedParts {
+        @Test
+        void stayOnOneEngineWhileItHasRoom() {
+            engines(6);
+            Set<String> used = new HashSet<>();
+            for (int i = 0; i < 3; i++) {
+                used.add(send(prompt(77, 1_000 + i)));
+            }
+            assertThat(used).hasSize(1);
+        }
+
+        @Test
+        void areSpreadOverEnginesBySubject() {
+            engines(6);
+            Map<String, Integer> counts = new HashMap<>();
+            for (int i = 0; i < 60; i++) {
+                String id = send(prompt(100 + i, 5_000 + i));
+                loads.get(id).orElseThrow().onRead(loads.get(id).orElseThrow().unreadTokens());
+                loads.get(id).orElseThrow().onEnded();
+                counts.merge(id, 1, Integer::sum);
+            }
+            assertThat(counts).hasSize(6);
+        }
+
+        @Test
+        void areFetchedFromTheEngineThatHoldsThemWhenItIsExcluded() {
+            engines(6);
+            String holder = send(prompt(77, 1));
+            long later = NOW + 1_000_000_000L;
+            Choice c = chooser.choose(new ChoiceRequest(SERVICE, prompt(77, 2), 15_000, Set.of(holder)), later);
+            assertThat(c.cacheSource().orElseThrow().id()).isEqualTo(holder);
+            assertThat(c.uncachedTokens()).isEqualTo(1_000);
+        }
+
+        @Test
+        void areChosenTheSameByHostsThatKnowNothing() {
+            engines(6);
+            EndpointLoads other = new EndpointLoads();
+            loads.all().forEach(e -> other.onEntry(e.entry()));
+            EndpointChooser elsewhere = new EndpointChooser(other, new DispatchSettings("b", 2));
+            for (int i = 0; i < 20; i++) {
+                Prompt p = prompt(300 + i, i);
+                String here = choose(p).endpoint().orElseThrow().entry().id();
+                Choice there = elsewhere.choose(new ChoiceRequest(SERVICE, p, 15_000, Set.of()), NOW);
+                assertThat(there.endpoint().orElseThrow().entry().id()).isEqualTo(here);
+            }
+        }
+    }
+
+    /** One subject gets a large part of the traffic. */
+    @Nested
+    final class HotKey {
+        @Test
+        void neverLoadsAnEngineBeyondTheBound() {
+            engines(12);
+            Map<String, Integer> counts = new HashMap<>();
+            for (int i = 0; i < 120; i++) {
+                String id = send(i % 4 == 0 ? prompt(77, 1_000 + i) : prompt(200 + i, 2_000 + i));
+                loads.get(id).orElseThrow().onRead(loads.get(id).orElseThrow().unreadTokens());
+                counts.merge(id, 1, Integer::sum);
+            }
+            double mean = 120 / 12.0;
+            counts.values().forEach(n -> assertThat(n.doubleValue()).isAtMost(2 * mean + 3));
+        }
+    }
+
+    @Nested
+    final class Failures {
+        @Test
+        void aFailingEndpointIsLeftAlone() {
+            engines(3);
+            String first =
+                    choose(prompt(77, 1)).endpoint().orElseThrow().entry().id();
+            loads.get(first).orElseThrow().onFailure(2, NOW);
+            assertThat(choose(prompt(77, 1)).endpoint().orElseThrow().entry().id())
+                    .isNotEqualTo(first);
+        }
+
+        @Test
+        void aFailureIsForgottenAfterSomeSeconds() {
+            engines(3);
+            String first =
+                    choose(prompt(77, 1)).endpoint().orElseThrow().entry().id();
+            loads.get(first).orElseThrow().onFailure(2, NOW);
+            Choice later =
+                    chooser.choose(new ChoiceRequest(SERVICE, prompt(77, 1), 15_000, Set.of()), NOW + 20_000_000_000L);
+            assertThat(later.endpoint().orElseThrow().entry().id()).isEqualTo(first);
+        }
+    }
+
+    @Nested
+    final class Leaving {
+        @Test
+        void aDrainingEndpointGetsNothing() {
+            loads.onEntry(endpoint("old", ENGINES, "a", 64, true));
+            assertThat(choose(prompt(1, 2)).reason()).isEqualTo(Unserved.NO_ENDPOINT);
+        }
+    }
+
+    @Nested
+    final class PlainServices {
+        @Test
+        void areSpreadByLoad() {
+            for (String id : List.of("p1", "p2", "p3")) {
+                loads.onEntry(endpoint(id, "app", "a", 6, false));
+            }
+            Map<String, Integer> counts = new HashMap<>();
+            for (int i = 0; i < 9; i++) {
+                Choice c = chooser.choose(new ChoiceRequest(PLAIN, Prompt.NONE, 600, Set.of()), NOW);
+                loads.onSent(c.endpoint().orElseThrow(), Prompt.NONE, 0, NOW);
+                counts.merge(c.endpoint().orElseThrow().entry().id(), 1, Integer::sum);
+            }
+            assertThat(counts.values()).containsExactly(3, 3, 3);
+        }
+
+        @Test
+        void refuseWhenAllPlacesAreTaken() {
+            loads.onEntry(endpoint("p1", "app", "a", 2, false));
+            for (int i = 0; i < 5; i++) {
+                loads.onSent(loads.get("p1").orElseThrow(), Prompt.NONE, 0, NOW);
+            }
+            Choice c = chooser.choose(new ChoiceRequest(PLAIN, Prompt.NONE, 600, Set.of()), NOW);
+            assertThat(c.reason()).isEqualTo(Unserved.BUSY);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -0,0 +1,147 @@
+package org.dragonflygw.core.exchange;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.catalog.CatalogRoute;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.catalog.WeightedService;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.DispatchSettings;
+import org.dragonflygw.core.dispatch.EndpointChooser;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.Prompt;
+import org.dragonflygw.core.limits.ReturnTimes;
+import org.dragonflygw.core.log.NoLog;
+import org.dragonflygw.core.retry.FleetRetryShare;
+
+/** An exchange with three endpoints, a clock that tests advance, and a record of all effects. */
+final class ExchangeFixture implements ExchangeOutput {
+    static final String SERVICE = "app";
+
+    final ManualMonotonicClock clock = new ManualMonotonicClock();
+    final EndpointLoads loads = new EndpointLoads();
+    final List<Dispatch> sent = new ArrayList<>();
+    final List<Rejection> rejections = new ArrayList<>();
+    final StringBuilder body = new StringBuilder();
+    AnswerHead head;
+    int cancelled;
+    boolean finished;
+    boolean aborted;
+    long wakeNanos;
+
+    private final FleetRetryShare retries;
+
+    ExchangeFixture() {
+        this(10);
+    }
+
+    ExchangeFixture(double retrySlack) {
+        retries = new FleetRetryShare(0.2, retrySlack, TimeUnit.SECONDS.toNanos(10), 1);
+        for (int i = 1; i <= 3; i++) {
+            loads.onEntry(endpoint("e" + i));
+        }
+    }
+
+    static DiscoveredEndpoint endpoint(String id) {
+        return new DiscoveredEndpoint(id, SERVICE, "10.0.0.1", 80, "a", 4, false, 0, 1);
+    }
+
+    static CatalogRoute route(RouteKind kind, boolean resumable) {
+        return new CatalogRoute(
+                "r",
+                "h",
+                "/p/",
+                kind,
+                2_000,
+                100,
+                1,
+                List.of(new WeightedService(SERVICE, 1)),
+                2,
+                false,
+                false,
+                resumable,
+                400);
+    }
+
+    Exchange start(CatalogRoute route) {
+        return start(route, 1_500);
+    }
+
+    Exchange start(CatalogRoute route, long deadlineMs) {
+        CatalogService service = new CatalogService(SERVICE, "/", 100, 4, 0, 0);
+        ExchangeRequest request =
+                new ExchangeRequest("id", "team", route, service, 1, Prompt.NONE, clock.nanos(), deadlineMs);
+        EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2));
+        ExchangeParts parts = new ExchangeParts(
+                chooser, loads, retries, new ReturnTimes(new SplittableRandom(1)), new NoLog(), clock);
+        Exchange exchange = new Exchange(request, parts, this);
+        exchange.start();
+        return exchange;
+    }
+
+    static AnswerHead answer(int status) {
+        return new AnswerHead(status, true, false, false, -1, Optional.empty(), List.of());
+    }
+
+    static AnswerHead unsigned(int status) {
+        return new AnswerHead(status, false, false, false, -1, Optional.empty(), List.of());
+    }
+
+    static AnswerHead notExecuted(int status) {
+        return new AnswerHead(status, false, true, false, -1, Optional.empty(), List.of());
+    }
+
+    int totalInFlight() {
+        return loads.all().stream().mapToInt(e -> e.inFlight()).sum();
+    }
+
+    boolean answered() {
+        return finished || aborted || !rejections.isEmpty();
+    }
+
+    @Override
+    public void send(Dispatch dispatch) {
+        sent.add(dispatch);
+    }
+
+    @Override
+    public void cancel() {
+        cancelled++;
+    }
+
+    @Override
+    public void passHead(AnswerHead h) {
+        head = h;
+    }
+
+    @Override
+    public void passBody(byte[] bytes) {
+        body.append(new String(bytes, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void finish() {
+        finished = true;
+    }
+
+    @Override
+    public void abort() {
+        aborted = true;
+    }
+
+    @Override
+    public void reject(Rejection rejection) {
+        rejections.add(rejection);
+    }
+
+    @Override
+    public void wakeAt(long nanos) {
+        wakeNanos = nanos;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -0,0 +1,66 @@
+package org.dragonflygw.core.peers;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.log.NoLog;
+import org.dragonflygw.core.settings.HostAddress;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class PeerTableTest {
+    private static final HostAddress ADDRESS = new HostAddress("10.0.0.2", 7_000);
+
+    private final ManualMonotonicClock clock = new ManualMonotonicClock();
+    private final EndpointLoads loads = new EndpointLoads();
+    private final PeerTable peers = new PeerTable("me", loads, new NoLog(), clock);
+
+    @BeforeEach
+    void addEndpoint() {
+        loads.onEntry(new DiscoveredEndpoint("e1", "s", "10.0.0.9", 80, "a", 4, false, 0, 1));
+    }
+
+    private static HostReport report(String host, long started, long sequence, int inFlight) {
+        return new HostReport(
+                host, ADDRESS, started, sequence, List.of(new EndpointUse("e1", inFlight, 100)), List.of());
+    }
+
+    private double load() {
+        peers.refresh();
+        return loads.get("e1").orElseThrow().load(clock.nanos());
+    }
+
+    @Test
+    void sumsWhatOtherHostsHave() {
+        peers.onReport(report("h1", 1, 1, 3));
+        peers.onReport(report("h2", 1, 1, 4));
+        assertThat(load()).isEqualTo(7.0);
+        assertThat(peers.hostCount()).isEqualTo(3);
+    }
+
+    @Test
+    void leavesOutOlderReportsAndItsOwn() {
+        peers.onReport(report("h1", 1, 5, 3));
+        peers.onReport(report("h1", 1, 4, 9));
+        peers.onReport(report("me", 1, 1, 9));
+        assertThat(load()).isEqualTo(3.0);
+    }
+
+    @Test
+    void takesTheReportsOfARestartedProcess() {
+        peers.onReport(report("h1", 1, 50, 3));
+        peers.onReport(report("h1", 2, 1, 1));
+        assertThat(load()).isEqualTo(1.0);
+    }
+
+    @Test
+    void aSilentHostNoLongerCountsButIsStillTold() {
+        peers.onReport(report("h1", 1, 1, 3));
+        clock.advanceMs(3_000);
+        assertThat(load()).isEqualTo(0.0);
+        assertThat(peers.addresses()).containsExactly(ADDRESS);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
@@ -0,0 +1,48 @@
+package org.dragonflygw.core.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class FleetRetryShareTest {
+    private static final long WINDOW = TimeUnit.SECONDS.toNanos(10);
+
+    private static int repeats(FleetRetryShare share, long now) {
+        int n = 0;
+        while (n < 1_000 && share.tryRepeat("s", now)) {
+            n++;
+        }
+        return n;
+    }
+
+    @Test
+    void allHostsTogetherStayWithinTheBudget() {
+        int hosts = 6;
+        int total = 0;
+        for (int h = 0; h < hosts; h++) {
+            FleetRetryShare share = new FleetRetryShare(0.2, 52, WINDOW, hosts);
+            for (int i = 0; i < 100; i++) {
+                share.onRequest("s", 0);
+            }
+            total += repeats(share, 1);
+        }
+        assertThat(total).isAtMost((int) (0.2 * 600 + 52));
+        assertThat(total).isAtLeast((int) (0.7 * (0.2 * 600 + 52)));
+    }
+
+    @Test
+    void repeatsComeBackAfterTheWindow() {
+        FleetRetryShare share = new FleetRetryShare(0, 10, WINDOW, 1);
+        assertThat(repeats(share, 0)).isEqualTo(8);
+        assertThat(repeats(share, WINDOW / 2)).isEqualTo(0);
+        assertThat(repeats(share, WINDOW + 1)).isEqualTo(8);
+    }
+
+    @Test
+    void servicesDoNotShareABudget() {
+        FleetRetryShare share = new FleetRetryShare(0, 2, WINDOW, 1);
+        assertThat(share.tryRepeat("a", 0)).isTrue();
+        assertThat(share.tryRepeat("b", 0)).isTrue();
+    }
+}
