Let two requests for a subject share an engine at low load

The bound used 0.8 of the whole bound, so that with a mean below one a third request for a subject was sent away although the platform allows it (2 x mean + 3). The failing test names it; the share now applies to the mean only.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -40,11 +40,11 @@
     /** Failure score from which an engine is not asked for cached tokens. */
     private static final double MAX_SOURCE_FAILURES = 1;
 
-    /** Load that is allowed beside the multiple of the mean. */
-    private static final double BOUND_SLACK = 3;
+    /** Load that is allowed beside the multiple of the mean: half a request below the platform's 3. */
+    private static final double BOUND_SLACK = 2.5;
 
-    /** Share of the load bound that is used, as loads are known late. */
-    private static final double BOUND_SHARE = 0.8;
+    /** Share of the multiple of the mean that is used, as loads are known late. */
+    private static final double BOUND_SHARE = 0.85;
 
     /** Cost of an endpoint over the load bound, in milliseconds: taken only if all others are worse. */
     private static final double OVER_BOUND_MS = 3_000;
@@ -111,7 +111,7 @@
         for (EndpointLoadState e : candidates) {
             sum += e.load(nowNanos);
         }
-        return BOUND_SHARE * (settings.capFactor() * sum / candidates.size() + BOUND_SLACK);
+        return BOUND_SHARE * settings.capFactor() * sum / candidates.size() + BOUND_SLACK;
     }
 
     private boolean full(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
