Start with an archive of the loaded classes

Change: the build serves a few requests on loopback against a stand-in of the platform and archives the classes. Ruled out: the store (first read answered in 20 ms).

--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -26,7 +26,7 @@
     private EdgeMain() {}
 
     /** Runs until it is told to stop. */
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws IOException, InterruptedException {
         System.setProperty("io.netty.machineId", MACHINE_ID);
         OptionParser parser = new OptionParser();
         OptionSpec<String> file = parser.accepts("settings", "settings file of the host")
@@ -36,7 +36,13 @@
                 .withRequiredArg()
                 .ofType(Integer.class)
                 .defaultsTo(9464);
+        OptionSpec<Void> train = parser.accepts("train", "serve a few requests on loopback and end");
         OptionSet options = parser.parse(args);
+        if (options.has(train)) {
+            ArchiveTraining.run(
+                    new JsonLog(new FileOutputStream(FileDescriptor.out), InstantSource.system(), "training"));
+            System.exit(0);
+        }
         Path path = Path.of(options.valueOf(file));
         HostSettings settings;
         try {
