--- a/core/src/main/java/org/dragonflygw/core/dispatch/ChoiceRequest.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ChoiceRequest.java
@@ -8,10 +8,12 @@
  *
  * @param service where the request goes
  * @param prompt its prompt
+ * @param objectiveMs time within which an answer that begins is on time, in milliseconds
  * @param remainingMs time that is left to answer it, in milliseconds
  * @param excluded endpoints that failed or rejected it before
  */
-public record ChoiceRequest(CatalogService service, Prompt prompt, long remainingMs, Set<String> excluded) {
+public record ChoiceRequest(
+        CatalogService service, Prompt prompt, long objectiveMs, long remainingMs, Set<String> excluded) {
     public ChoiceRequest {
         excluded = Set.copyOf(excluded);
     }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -31,11 +31,20 @@
     /** Share of the reading time that is charged at the first engine of the order although this host sent it nothing. */
     private static final double FIRST_RANK_UNCACHED = 0.4;
 
+    /** Share of the objective up to which an expected time is safe, as expectations are rough. */
+    private static final double ON_TIME_SHARE = 0.4;
+
+    /** Cost of a millisecond of waiting that does not make the answer late. */
+    private static final double ON_TIME_COST = 0.5;
+
+    /** Further cost of a millisecond beyond the safe time. */
+    private static final double LATE_COST = 2;
+
     /** Cost of fetching a prompt's start from another engine, in milliseconds: the set-up of a transfer. */
     private static final double FETCH_MS = 8;
 
     /** Cost of each fetched token, in milliseconds; transfers are fast, but charged by their size. */
-    private static final double FETCH_MS_PER_TOKEN = 0.006;
+    private static final double FETCH_MS_PER_TOKEN = 0.01;
 
     /** Failure score from which an engine is not asked for cached tokens. */
     private static final double MAX_SOURCE_FAILURES = 1;
@@ -143,7 +152,8 @@
         double expected = request.service().modelEngines()
                 ? (e.unread(nowNanos) + reading.tokens) / EndpointLoadState.READ_TOKENS_PER_MS + load * RUNNING_MS
                 : plainMs(e, load);
-        double cost = expected + reading.extraMs + rank * RANK_MS + e.failures(nowNanos) * FAILURE_MS;
+        double cost =
+                waitCost(request, expected) + reading.extraMs + rank * RANK_MS + e.failures(nowNanos) * FAILURE_MS;
         if (!settings.zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_MS;
         }
@@ -156,6 +166,12 @@
         return new Scored(e, cost, expected, reading);
     }
 
+    /** Waiting costs little while the answer is sure to be on time, and much when it may be late. */
+    private static double waitCost(ChoiceRequest request, double expectedMs) {
+        double late = Math.max(0, expectedMs - ON_TIME_SHARE * request.objectiveMs());
+        return ON_TIME_COST * expectedMs + LATE_COST * late;
+    }
+
     /** What an engine has to read for a prompt, and from where it can fetch the rest. */
     private Reading reading(ChoiceRequest request, EndpointLoadState e, int rank, long nowNanos) {
         Prompt prompt = request.prompt();
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -102,7 +102,8 @@
     }
 
     private ChoiceRequest choiceRequest(long now) {
-        return new ChoiceRequest(request.service(), request.prompt(), remainingMs(now), excluded);
+        return new ChoiceRequest(
+                request.service(), request.prompt(), request.route().objectiveMs(), remainingMs(now), excluded);
     }
 
     private static RejectReason reasonOf(Unserved reason) {
--- a/core/src/test/java/org/dragonflygw/core/dispatch/EndpointChooserTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/EndpointChooserTest.java
@@ -39,7 +39,7 @@
     }
 
     private Choice choose(Prompt prompt) {
-        return chooser.choose(new ChoiceRequest(SERVICE, prompt, 15_000, Set.of()), NOW);
+        return chooser.choose(new ChoiceRequest(SERVICE, prompt, 800, 15_000, Set.of()), NOW);
     }
 
     private String send(Prompt prompt) {
@@ -79,7 +79,7 @@
             engines(6);
             String holder = send(prompt(77, 1));
             long later = NOW + 1_000_000_000L;
-            Choice c = chooser.choose(new ChoiceRequest(SERVICE, prompt(77, 2), 15_000, Set.of(holder)), later);
+            Choice c = chooser.choose(new ChoiceRequest(SERVICE, prompt(77, 2), 800, 15_000, Set.of(holder)), later);
             assertThat(c.cacheSource().orElseThrow().id()).isEqualTo(holder);
             assertThat(c.uncachedTokens()).isEqualTo(1_000);
         }
@@ -93,7 +93,7 @@
             for (int i = 0; i < 20; i++) {
                 Prompt p = prompt(300 + i, i);
                 String here = choose(p).endpoint().orElseThrow().entry().id();
-                Choice there = elsewhere.choose(new ChoiceRequest(SERVICE, p, 15_000, Set.of()), NOW);
+                Choice there = elsewhere.choose(new ChoiceRequest(SERVICE, p, 800, 15_000, Set.of()), NOW);
                 assertThat(there.endpoint().orElseThrow().entry().id()).isEqualTo(here);
             }
         }
@@ -134,8 +134,8 @@
             String first =
                     choose(prompt(77, 1)).endpoint().orElseThrow().entry().id();
             loads.get(first).orElseThrow().onFailure(2, NOW);
-            Choice later =
-                    chooser.choose(new ChoiceRequest(SERVICE, prompt(77, 1), 15_000, Set.of()), NOW + 20_000_000_000L);
+            Choice later = chooser.choose(
+                    new ChoiceRequest(SERVICE, prompt(77, 1), 800, 15_000, Set.of()), NOW + 20_000_000_000L);
             assertThat(later.endpoint().orElseThrow().entry().id()).isEqualTo(first);
         }
     }
@@ -158,7 +158,7 @@
             }
             Map<String, Integer> counts = new HashMap<>();
             for (int i = 0; i < 9; i++) {
-                Choice c = chooser.choose(new ChoiceRequest(PLAIN, Prompt.NONE, 600, Set.of()), NOW);
+                Choice c = chooser.choose(new ChoiceRequest(PLAIN, Prompt.NONE, 150, 600, Set.of()), NOW);
                 loads.onSent(c.endpoint().orElseThrow(), Prompt.NONE, 0, NOW);
                 counts.merge(c.endpoint().orElseThrow().entry().id(), 1, Integer::sum);
             }
@@ -171,7 +171,7 @@
             for (int i = 0; i < 5; i++) {
                 loads.onSent(loads.get("p1").orElseThrow(), Prompt.NONE, 0, NOW);
             }
-            Choice c = chooser.choose(new ChoiceRequest(PLAIN, Prompt.NONE, 600, Set.of()), NOW);
+            Choice c = chooser.choose(new ChoiceRequest(PLAIN, Prompt.NONE, 150, 600, Set.of()), NOW);
             assertThat(c.reason()).isEqualTo(Unserved.BUSY);
         }
     }
