--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -182,23 +182,24 @@
         if (uncachedShared == 0) {
             return new Reading(own, 0, Optional.empty());
         }
-        if (request.service().bytesPerToken() > 0) {
-            Optional<EndpointLoadState> holder = holder(request, e, cached, nowNanos);
-            if (holder.isPresent()) {
-                double fetchMs = FETCH_MS + uncachedShared * FETCH_MS_PER_TOKEN;
-                return new Reading(own, fetchMs, holder.map(EndpointLoadState::entry));
-            }
-        }
-        double readMs = uncachedShared / EndpointLoadState.READ_TOKENS_PER_MS;
-        if (rank == 0) {
-            return new Reading(own + uncachedShared, -(1 - FIRST_RANK_UNCACHED) * readMs, likelyHolder(request, e));
-        }
-        return new Reading(own + uncachedShared, readMs, likelyHolder(request, e));
+        Optional<EndpointLoadState> holder = holder(request, e, cached, nowNanos);
+        int held = holder.map(h -> h.cached().cachedTokens(prompt, nowNanos)).orElse(cached);
+        int fetched = Math.max(0, Math.min(held, shared) - cached);
+        int unread = uncachedShared - fetched;
+        double extraMs = fetched > 0 ? FETCH_MS + fetched * FETCH_MS_PER_TOKEN : 0;
+        double readMs = unread / EndpointLoadState.READ_TOKENS_PER_MS;
+        extraMs += rank == 0 ? -(1 - FIRST_RANK_UNCACHED) * readMs : readMs;
+        Optional<DiscoveredEndpoint> source =
+                unread > fetched ? likelyHolder(request, e) : holder.map(EndpointLoadState::entry);
+        return new Reading(own + unread, extraMs, source);
     }
 
     /** The engine that is known to cache most of the prompt beyond a number of tokens. */
     private Optional<EndpointLoadState> holder(
             ChoiceRequest request, EndpointLoadState target, int cached, long nowNanos) {
+        if (request.service().bytesPerToken() == 0) {
+            return Optional.empty();
+        }
         EndpointLoadState best = null;
         int most = cached;
         for (EndpointLoadState e : loads.ofService(request.service().name())) {
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -44,14 +44,13 @@
 
     /** Notes a request that is sent, and the prompt tokens that the endpoint has to read for it. */
     public void onSent(EndpointLoadState endpoint, Prompt prompt, long uncachedTokens, long nowNanos) {
-        boolean known = endpoint.cached().cachedTokens(prompt) >= prompt.sharedTokens();
         endpoint.onSent(prompt, uncachedTokens, nowNanos);
-        if (!known && newHoldings.size() < MAX_NEW_HOLDINGS) {
+        if (prompt.sharedTokens() > 0 && newHoldings.size() < MAX_NEW_HOLDINGS) {
             newHoldings.add(new PromptHolding(endpoint.entry().id(), prompt.sharedParts()));
         }
     }
 
-    /** What endpoints cache since the last call because of this host's requests. */
+    /** The prompt starts that were sent to endpoints since the last call, known ones too, for hosts that are new. */
     public List<PromptHolding> takeNewHoldings() {
         List<PromptHolding> taken = List.copyOf(newHoldings);
         newHoldings.clear();
--- a/core/src/test/java/org/dragonflygw/core/dispatch/EndpointChooserTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/EndpointChooserTest.java
@@ -84,6 +84,15 @@
             assertThat(c.uncachedTokens()).isEqualTo(1_000);
         }
 
+        @Test
+        void countAsReadAgainWhenOnlyTheCommonPartCanBeFetched() {
+            engines(2);
+            String other = send(prompt(55, 1));
+            long later = NOW + 1_000_000_000L;
+            Choice c = chooser.choose(new ChoiceRequest(SERVICE, prompt(77, 2), 800, 15_000, Set.of(other)), later);
+            assertThat(c.uncachedTokens()).isEqualTo(11_000);
+        }
+
         @Test
         void areChosenTheSameByHostsThatKnowNothing() {
             engines(6);
