--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -0,0 +1,161 @@
+package org.dragonflygw.edge;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.catalog.CallerLimits;
+import org.dragonflygw.core.catalog.Catalog;
+import org.dragonflygw.core.catalog.CatalogHolder;
+import org.dragonflygw.core.catalog.CatalogRoute;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.catalog.CatalogTeam;
+import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.catalog.WeightedService;
+import org.dragonflygw.core.contact.StoreContact;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.DispatchSettings;
+import org.dragonflygw.core.dispatch.EndpointChooser;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.exchange.ExchangeParts;
+import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.core.limits.ReturnTimes;
+import org.dragonflygw.core.log.NoLog;
+import org.dragonflygw.core.retry.FleetRetryShare;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.edge.front.FrontGate;
+import org.dragonflygw.edge.front.FrontParts;
+import org.dragonflygw.edge.front.FrontServer;
+import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.edge.upstream.EndpointPool;
+import org.dragonflygw.platform.adapter.CallerHeaders;
+import org.dragonflygw.platform.adapter.EndpointHeaders;
+
+/** The data plane on loopback with a fixed configuration, before endpoints that a test scripts. */
+@SuppressWarnings("FutureReturnValueIgnored") // The loop ends with the test.
+final class EdgeFixture implements AutoCloseable {
+    private static final int READ_TIMEOUT_MS = 5_000;
+    private static final String SERVICE = "s";
+
+    final FrontGate gate = new FrontGate();
+    final EndpointLoads loads = new EndpointLoads();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final int port;
+
+    EdgeFixture(RawEndpoint... endpoints) {
+        CatalogHolder catalogs = new CatalogHolder();
+        catalogs.offer(catalog());
+        StoreContact contact = new StoreContact(TimeUnit.MINUTES.toNanos(5), System::nanoTime, InstantSource.system());
+        contact.onRead(System.nanoTime());
+        EdgeMetrics metrics = new EdgeMetrics(new MetricRegistry());
+        EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2));
+        FleetRetryShare retries = new FleetRetryShare(1, 100, TimeUnit.SECONDS.toNanos(10), 1);
+        ExchangeParts exchanges = new ExchangeParts(
+                chooser, loads, retries, new ReturnTimes(new SplittableRandom(1)), new NoLog(), System::nanoTime);
+        for (int i = 0; i < endpoints.length; i++) {
+            loads.onEntry(
+                    new DiscoveredEndpoint("i-" + i, SERVICE, "127.0.0.1", endpoints[i].port(), "a", 8, false, 0, 1));
+        }
+        FrontParts parts = new FrontParts(
+                catalogs,
+                new RequestResolver(catalogs, contact),
+                exchanges,
+                new EndpointPool(group, new EndpointHeaders(), metrics),
+                new CallerHeaders(),
+                new EndpointHeaders(),
+                gate,
+                metrics);
+        port = ((InetSocketAddress) new FrontServer(group, parts)
+                        .listen(new HostAddress("127.0.0.1", 0))
+                        .localAddress())
+                .getPort();
+    }
+
+    private static Catalog catalog() {
+        List<CatalogRoute> routes = List.of(
+                route("/once/", RouteKind.NON_IDEMPOTENT, false),
+                route("/again/", RouteKind.IDEMPOTENT, false),
+                route("/stream/", RouteKind.STREAMING, false),
+                route("/resume/", RouteKind.STREAMING, true));
+        CatalogTeam team = new CatalogTeam("team", OptionalInt.empty());
+        return new Catalog(
+                1,
+                CallerLimits.DEFAULT,
+                routes,
+                List.of(new CatalogService(SERVICE, "/", 10, 8, 0, 0)),
+                Optional.of(Map.of("key", team)));
+    }
+
+    private static CatalogRoute route(String prefix, RouteKind kind, boolean resumable) {
+        return new CatalogRoute(
+                prefix,
+                "h",
+                prefix,
+                kind,
+                3_000,
+                1_000,
+                1,
+                List.of(new WeightedService(SERVICE, 1)),
+                2,
+                false,
+                false,
+                resumable,
+                400);
+    }
+
+    Socket connect() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
+        s.setSoTimeout(READ_TIMEOUT_MS);
+        return s;
+    }
+
+    static String request(String path, String id) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nDragonflygw-Attempt-Id: " + id
+                + "\r\nDragonflygw-Deadline-Ms: 2500\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody";
+    }
+
+    /** Sends a request on a connection of its own and reads until the connection ends. */
+    String exchange(String request) throws IOException {
+        try (Socket s = connect()) {
+            send(s, request.replace("Host: h\r\n", "Host: h\r\nConnection: close\r\n"));
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    static void send(Socket s, String text) throws IOException {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        s.getOutputStream().flush();
+    }
+
+    /** Reads from a connection until a text has come. */
+    static String readUntil(Socket s, String end) throws IOException {
+        InputStream in = s.getInputStream();
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf(end) < 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException("ended after: " + text);
+            }
+            text.append((char) b);
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
