Let one host of a group read the store for the others

Change: hosts are cut into groups by the hash of their names; the first that reaches the store reads and tells the rest by datagram, with the changes since and the age of its knowledge. A host that hears nothing, or news that do not join on to what it knows, reads by itself, within the same bounds. News that wait in the socket while the process stands still are not taken. Weighed: a lease of a reader in the store (more calls, and a takeover waits for its expiry); rotating reads without messages (bounds allow no longer pause).

--- a/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
+++ b/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
@@ -53,6 +53,7 @@
 
     /** Age of the newest confirmation in milliseconds, -1 if there is none. */
     public long ageMs() {
+        checkForSuspension();
         return confirmed ? (clock.nanos() - confirmedNanos) / 1_000_000 : -1;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/discovery/EndpointRegistry.java
+++ b/core/src/main/java/org/dragonflygw/core/discovery/EndpointRegistry.java
@@ -62,14 +62,15 @@
         expireLapsed(nowNanos);
     }
 
-    /** Notes a new or changed entry. */
-    public void onEntry(DiscoveredEndpoint e) {
+    /** Notes a new or changed entry; returns whether it matters for routing. */
+    public boolean onEntry(DiscoveredEndpoint e) {
         lapsed.remove(e.id());
         DiscoveredEndpoint before = entries.put(e.id(), e);
         if (before != null && !before.sameIncarnation(e)) {
             listener.onGone(before);
         }
-        if (before == null || before.draining() != e.draining() || !before.sameIncarnation(e)) {
+        boolean changed = before == null || before.draining() != e.draining() || !before.sameIncarnation(e);
+        if (changed) {
             log.line(LogTopic.ENDPOINT)
                     .with("endpoint", e.id())
                     .with("service", e.service())
@@ -78,19 +79,21 @@
                     .end();
         }
         listener.onEntry(e);
+        return changed;
     }
 
-    /** Notes that an entry was removed from the store. */
-    public void onRemoved(String id, long nowNanos) {
+    /** Notes that an entry was removed from the store; returns whether it was known. */
+    public boolean onRemoved(String id, long nowNanos) {
         if (!entries.containsKey(id)) {
-            return;
+            return false;
         }
         boolean kept = regainedNanos != Long.MIN_VALUE && nowNanos - regainedNanos < LAPSE_GRACE_NANOS;
         if (kept && !entries.get(id).draining()) {
             lapsed.putIfAbsent(id, regainedNanos + LAPSE_GRACE_NANOS);
-            return;
+            return true;
         }
         drop(id, "removed");
+        return true;
     }
 
     private void expireLapsed(long nowNanos) {
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.storenews.StoreNews;
 
 /**
  * What a host tells the others several times a second.
@@ -12,6 +13,7 @@
  * @param sequence rises with each report of a process
  * @param uses what it has at endpoints
  * @param holdings prompts that it sent to endpoints lately
+ * @param news what it has read of the store
  */
 public record HostReport(
         String host,
@@ -19,7 +21,8 @@
         long startedMs,
         long sequence,
         List<EndpointUse> uses,
-        List<PromptHolding> holdings) {
+        List<PromptHolding> holdings,
+        StoreNews news) {
     public HostReport {
         uses = List.copyOf(uses);
         holdings = List.copyOf(holdings);
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.MonotonicClock;
@@ -20,6 +21,9 @@
     /** Age from which a report is no longer used, in nanoseconds: several reports were lost then. */
     private static final long MAX_REPORT_AGE_NANOS = 2_500_000_000L;
 
+    /** The same for each host of a large fleet, where reports of one host to another are rarer. */
+    private static final long AGE_PER_HOST_NANOS = 60_000_000L;
+
     /** Silence after which a host is taken as gone, in nanoseconds: longer than a host is frozen or cut off. */
     private static final long MAX_SILENCE_NANOS = 60_000_000_000L;
 
@@ -50,14 +54,14 @@
         }
     }
 
-    /** Takes a report; older ones and this host's own are left out. */
-    public void onReport(HostReport report) {
+    /** Takes a report; older ones and this host's own are left out. Returns whether it was taken. */
+    public boolean onReport(HostReport report) {
         if (report.host().equals(self)) {
-            return;
+            return false;
         }
         Peer peer = peers.computeIfAbsent(report.host(), h -> new Peer(report.address(), clock.nanos()));
         if (peer.report != null && !report.newerThan(peer.report)) {
-            return;
+            return false;
         }
         if (peer.report == null || !peer.counted) {
             logPeer(report.host(), "heard");
@@ -69,6 +73,7 @@
         for (PromptHolding h : report.holdings()) {
             loads.get(h.endpoint()).ifPresent(e -> e.onHeldPrompt(h.parts(), clock.nanos()));
         }
+        return true;
     }
 
     /** Brings what other hosts have at endpoints up to date. */
@@ -80,7 +85,7 @@
         boolean any = false;
         for (Map.Entry<String, Peer> e : peers.entrySet()) {
             Peer p = e.getValue();
-            boolean fresh = p.report != null && now - p.heardNanos < MAX_REPORT_AGE_NANOS;
+            boolean fresh = p.report != null && now - p.heardNanos < maxReportAgeNanos();
             if (p.counted && !fresh) {
                 p.counted = false;
                 logPeer(e.getKey(), "silent");
@@ -130,6 +135,24 @@
         return peers.size() + 1;
     }
 
+    /** Names of the other hosts. */
+    public Set<String> names() {
+        return Set.copyOf(peers.keySet());
+    }
+
+    /** Whether a host was heard of lately and said that it reaches the store. */
+    public boolean reachesStore(String host) {
+        Peer p = peers.get(host);
+        return p != null
+                && p.report != null
+                && p.report.news().reachable()
+                && clock.nanos() - p.heardNanos < maxReportAgeNanos();
+    }
+
+    private long maxReportAgeNanos() {
+        return Math.max(MAX_REPORT_AGE_NANOS, peers.size() * AGE_PER_HOST_NANOS);
+    }
+
     /** Addresses of the other hosts. */
     public List<HostAddress> addresses() {
         List<HostAddress> addresses = new ArrayList<>();
--- a/core/src/main/java/org/dragonflygw/core/peers/ReportMaker.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportMaker.java
@@ -7,6 +7,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.storenews.StoreNews;
 
 /** Makes this host's reports. Each prompt is told in several, so that one lost message does not matter. */
 public final class ReportMaker {
@@ -35,8 +36,9 @@
      * Makes the next report.
      *
      * @param rounds reports after which all hosts were told once
+     * @param news what this host has read of the store
      */
-    public HostReport next(int rounds) {
+    public HostReport next(int rounds, StoreNews news) {
         sequence++;
         loads.takeNewHoldings().forEach(h -> recent.addLast(new Told(h, sequence)));
         while (recent.size() > MAX_HOLDINGS
@@ -45,7 +47,7 @@
         }
         List<PromptHolding> holdings = new ArrayList<>();
         recent.forEach(t -> holdings.add(t.holding));
-        return new HostReport(host, address, startedMs, sequence, uses(), holdings);
+        return new HostReport(host, address, startedMs, sequence, uses(), holdings, news);
     }
 
     private List<EndpointUse> uses() {
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/storenews/NewsTaker.java
@@ -0,0 +1,77 @@
+package org.dragonflygw.core.storenews;
+
+import org.dragonflygw.core.contact.StoreContact;
+import org.dragonflygw.core.discovery.EndpointRegistry;
+import org.dragonflygw.core.lease.MonotonicClock;
+
+/**
+ * Takes what other hosts have read of the store. News are only used if they join on to what this host knows; otherwise
+ * it reads the store itself as if it had heard nothing. Used by one thread.
+ */
+public final class NewsTaker {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    /** Time that a message may have been under way, in milliseconds, which is added to the age of what it says. */
+    private static final long TRANSIT_MS = 100;
+
+    private final EndpointRegistry registry;
+    private final StoreContact contact;
+    private final MonotonicClock clock;
+
+    /** Makes a taker. */
+    public NewsTaker(EndpointRegistry registry, StoreContact contact, MonotonicClock clock) {
+        this.registry = registry;
+        this.contact = contact;
+        this.clock = clock;
+    }
+
+    /** Takes news about both tables. */
+    public void take(StoreNews news, FollowedTable endpoints, FollowedTable configuration, long ownConfigRowVersion) {
+        takeEndpoints(news, endpoints);
+        takeConfiguration(news, configuration, ownConfigRowVersion);
+    }
+
+    private void takeEndpoints(StoreNews news, FollowedTable endpoints) {
+        boolean joins = endpoints.listed()
+                && news.endpointsAgeMs() >= 0
+                && news.completeFrom() <= endpoints.version()
+                && news.endpointsVersion() >= endpoints.version();
+        if (!joins) {
+            return;
+        }
+        long now = clock.nanos();
+        for (EndpointChange c : news.changes()) {
+            if (c.version() > endpoints.version()) {
+                apply(c, now);
+            }
+        }
+        endpoints.onFresh(news.endpointsVersion(), asOf(news.endpointsAgeMs(), now));
+    }
+
+    private void apply(EndpointChange change, long now) {
+        if (change.entry().isPresent()) {
+            registry.onEntry(change.entry().get());
+        } else {
+            registry.onRemoved(change.id(), now);
+        }
+    }
+
+    private void takeConfiguration(StoreNews news, FollowedTable configuration, long ownRowVersion) {
+        if (!configuration.listed() || news.configRowVersion() == 0) {
+            return;
+        }
+        if (news.configRowVersion() > ownRowVersion) {
+            configuration.readNow();
+            return;
+        }
+        if (news.configRowVersion() == ownRowVersion && news.configAgeMs() >= 0) {
+            long asOf = asOf(news.configAgeMs(), clock.nanos());
+            contact.onRead(asOf);
+            configuration.onFresh(configuration.version(), asOf);
+        }
+    }
+
+    private static long asOf(long ageMs, long now) {
+        return now - (ageMs + TRANSIT_MS) * NANOS_PER_MS;
+    }
+}
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -8,6 +8,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.log.NoLog;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.storenews.StoreNews;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -25,7 +26,13 @@
 
     private static HostReport report(String host, long started, long sequence, int inFlight) {
         return new HostReport(
-                host, ADDRESS, started, sequence, List.of(new EndpointUse("e1", inFlight, 100)), List.of());
+                host,
+                ADDRESS,
+                started,
+                sequence,
+                List.of(new EndpointUse("e1", inFlight, 100)),
+                List.of(),
+                StoreNews.NONE);
     }
 
     private double load() {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -1,7 +1,6 @@
 package org.dragonflygw.edge;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -33,15 +32,10 @@
 import org.dragonflygw.edge.ops.OpsServer;
 import org.dragonflygw.edge.peers.PeerReports;
 import org.dragonflygw.edge.stop.GracefulStop;
-import org.dragonflygw.edge.store.ConfigurationFeed;
-import org.dragonflygw.edge.store.EndpointFeed;
-import org.dragonflygw.edge.store.StoreFeeds;
+import org.dragonflygw.edge.store.StoreView;
 import org.dragonflygw.edge.upstream.EndpointPool;
 import org.dragonflygw.platform.adapter.CallerHeaders;
-import org.dragonflygw.platform.adapter.CatalogDecoder;
-import org.dragonflygw.platform.adapter.EndpointDecoder;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
-import org.dragonflygw.platform.adapter.StoreCalls;
 
 /** One router process: wires its parts and starts them. All work is done by one event loop. */
 public final class EdgeNode {
@@ -62,6 +56,9 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointRegistry registry;
     private final FleetRetryShare retries;
+    private final PeerTable peers;
+    private final StoreView store;
+    private PeerReports reports;
 
     /** Makes a node that does not run yet. */
     public EdgeNode(HostSettings settings, EventLog log) {
@@ -79,6 +76,8 @@
                 TimeUnit.MILLISECONDS.toNanos(settings.bounds().retryWindowMs()),
                 ASSUMED_HOSTS);
         this.registry = new EndpointRegistry(new EndpointChanges(), log);
+        this.peers = new PeerTable(settings.hostName(), loads, log, System::nanoTime);
+        this.store = new StoreView(group, settings, catalogs, registry, contact, peers, metrics, log, this::tellPeers);
     }
 
     /** Starts to serve on the settings' addresses, and the metrics on a port of the same host. */
@@ -102,17 +101,16 @@
     }
 
     private void followStore() {
-        ObjectMapper mapper = new ObjectMapper();
-        StoreFeeds feeds = new StoreFeeds(group, settings, new StoreCalls(mapper), metrics, log);
-        feeds.configuration(new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log))
-                .start();
-        feeds.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry)).start();
         HostAddress internal = new HostAddress(settings.ip(), settings.firstInternalPort());
-        PeerTable peers = new PeerTable(settings.hostName(), loads, log, System::nanoTime);
         long startedMs = InstantSource.system().instant().toEpochMilli();
-        new PeerReports(group, peers, new ReportMaker(settings.hostName(), internal, startedMs, loads), retries, log)
-                .listen(internal);
-        feeds.hosts(peers).start(settings.hostName(), internal);
+        ReportMaker maker = new ReportMaker(settings.hostName(), internal, startedMs, loads);
+        reports = new PeerReports(group, peers, maker, retries, log, store::news, store::take);
+        reports.listen(internal);
+        store.start(internal);
+    }
+
+    private void tellPeers() {
+        reports.tellAll();
     }
 
     private FrontParts frontParts() {
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -12,13 +12,17 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dragonflygw.core.error.CodedException;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.peers.ReportMaker;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.storenews.StoreNews;
 import org.dragonflygw.wire.codec.HostReportCodec;
 
 /**
@@ -33,24 +37,46 @@
     /** Hosts that are told in one round. */
     private static final int FAN_OUT = 8;
 
+    /** Hosts that are told at once what was read of the store: a group of hosts that share one reader. */
+    private static final int MAX_TOLD_AT_ONCE = 80;
+
+    /** Pause of this process after which waiting messages may be older than they say, in nanoseconds. */
+    private static final long MAX_STALL_NANOS = 600_000_000L;
+
     private final EventLoopGroup group;
     private final PeerTable peers;
     private final ReportMaker reports;
     private final FleetRetryShare retries;
     private final EventLog log;
+    private final Supplier<StoreNews> news;
+    private final Consumer<StoreNews> newsTaker;
     private final HostReportCodec codec = new HostReportCodec();
 
     private Channel channel;
     private int nextTarget;
+    private long lastRoundNanos;
 
-    /** Makes an exchange; {@link #listen} starts it. */
+    /**
+     * Makes an exchange; {@link #listen} starts it.
+     *
+     * @param news what this host has read of the store
+     * @param newsTaker takes what others have read
+     */
     public PeerReports(
-            EventLoopGroup group, PeerTable peers, ReportMaker reports, FleetRetryShare retries, EventLog log) {
+            EventLoopGroup group,
+            PeerTable peers,
+            ReportMaker reports,
+            FleetRetryShare retries,
+            EventLog log,
+            Supplier<StoreNews> news,
+            Consumer<StoreNews> newsTaker) {
         this.group = group;
         this.peers = peers;
         this.reports = reports;
         this.retries = retries;
         this.log = log;
+        this.news = news;
+        this.newsTaker = newsTaker;
     }
 
     /** Listens on an address and begins to send. */
@@ -66,12 +92,25 @@
     }
 
     private void round() {
+        lastRoundNanos = System.nanoTime();
         peers.refresh();
         retries.hosts(peers.hostCount());
         List<HostAddress> targets = peers.addresses();
         int rounds = Math.max(1, (targets.size() + FAN_OUT - 1) / FAN_OUT);
-        byte[] bytes = codec.encode(reports.next(rounds));
-        for (int i = 0; i < Math.min(FAN_OUT, targets.size()); i++) {
+        send(targets, Math.min(FAN_OUT, targets.size()), rounds);
+    }
+
+    /** Tells many hosts at once what was just read of the store. */
+    public void tellAll() {
+        List<HostAddress> targets = peers.addresses();
+        if (channel != null && !targets.isEmpty()) {
+            send(targets, Math.min(MAX_TOLD_AT_ONCE, targets.size()), 1);
+        }
+    }
+
+    private void send(List<HostAddress> targets, int count, int rounds) {
+        byte[] bytes = codec.encode(reports.next(rounds, news.get()));
+        for (int i = 0; i < count; i++) {
             HostAddress to = targets.get(nextTarget++ % targets.size());
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.ip(), to.port())));
         }
@@ -82,7 +121,11 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             try {
-                peers.onReport(codec.decode(ByteBufUtil.getBytes(packet.content())));
+                HostReport report = codec.decode(ByteBufUtil.getBytes(packet.content()));
+                boolean stalled = System.nanoTime() - lastRoundNanos > MAX_STALL_NANOS;
+                if (peers.onReport(report) && !stalled) {
+                    newsTaker.accept(report.news());
+                }
             } catch (CodedException e) {
                 log.line(LogTopic.PEER)
                         .with("outcome", "unreadable report")
--- a/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
@@ -16,6 +16,7 @@
     private final CatalogHolder catalogs;
     private final StoreContact contact;
     private final EventLog log;
+    private long rowVersion;
 
     /** Makes a feed. */
     public ConfigurationFeed(CatalogDecoder decoder, CatalogHolder catalogs, StoreContact contact, EventLog log) {
@@ -25,8 +26,13 @@
         this.log = log;
     }
 
+    /** Version of the row that holds the configuration in force, 0 if there is none. */
+    public long rowVersion() {
+        return rowVersion;
+    }
+
     @Override
-    public void onListing(List<VersionedRow> rows, long sentNanos) {
+    public void onListing(List<VersionedRow> rows, long version, long sentNanos) {
         onChanges(rows, sentNanos);
     }
 
@@ -47,6 +53,7 @@
         try {
             Catalog next = decoder.decode(row.data());
             boolean inForce = catalogs.offer(next);
+            rowVersion = Math.max(rowVersion, row.version());
             log.line(LogTopic.CONFIGURATION)
                     .with("configVersion", next.version())
                     .with("rowVersion", row.version())
--- a/edge/src/main/java/org/dragonflygw/edge/store/EndpointFeed.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/EndpointFeed.java
@@ -6,26 +6,31 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.storage.VersionedRow;
+import org.dragonflygw.core.storenews.EndpointChange;
+import org.dragonflygw.core.storenews.EndpointChangeLog;
 import org.dragonflygw.platform.adapter.EndpointDecoder;
 
 /** Keeps the registry of endpoints up to date from the store. */
 public final class EndpointFeed implements TableListener {
     private final EndpointDecoder decoder;
     private final EndpointRegistry registry;
+    private final EndpointChangeLog changes;
 
     /** Makes a feed. */
-    public EndpointFeed(EndpointDecoder decoder, EndpointRegistry registry) {
+    public EndpointFeed(EndpointDecoder decoder, EndpointRegistry registry, EndpointChangeLog changes) {
         this.decoder = decoder;
         this.registry = registry;
+        this.changes = changes;
     }
 
     @Override
-    public void onListing(List<VersionedRow> rows, long sentNanos) {
+    public void onListing(List<VersionedRow> rows, long version, long sentNanos) {
         List<DiscoveredEndpoint> entries = new ArrayList<>();
         for (VersionedRow r : rows) {
             decoder.decode(r.key(), r.data()).ifPresent(entries::add);
         }
         registry.onListing(entries, System.nanoTime());
+        changes.restart(version);
     }
 
     @Override
@@ -34,10 +39,9 @@
         registry.onReached(now);
         for (VersionedRow r : rows) {
             Optional<DiscoveredEndpoint> entry = r.deleted() ? Optional.empty() : decoder.decode(r.key(), r.data());
-            if (entry.isPresent()) {
-                registry.onEntry(entry.get());
-            } else {
-                registry.onRemoved(r.key(), now);
+            boolean changed = entry.isPresent() ? registry.onEntry(entry.get()) : registry.onRemoved(r.key(), now);
+            if (changed) {
+                changes.add(new EndpointChange(r.key(), entry, r.version()));
             }
         }
     }
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreFeeds.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreFeeds.java
@@ -4,16 +4,27 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.core.storenews.ReadDuty;
+import org.dragonflygw.core.storenews.ReadPace;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.StoreCalls;
 
 /** Makes the followers of the two tables that this host reads, with rates that keep the deployment's bounds. */
-public final class StoreFeeds {
-    /** Share of the time for a configuration that a wait for changes may take; a lost connection is found after it. */
-    private static final double CONFIG_WAIT_SHARE = 0.6;
+final class StoreFeeds {
+    /** Share of the time for a configuration that the reader's wait for changes takes. */
+    private static final double CONFIG_WAIT_SHARE = 0.4;
 
-    /** Share of the time for a leaving endpoint that passes between reads of the list. */
-    private static final double ENDPOINT_PAUSE_SHARE = 0.45;
+    /** Share of the time for a configuration after which a host that heard nothing reads itself. */
+    private static final double CONFIG_FOLLOWER_SHARE = 0.72;
+
+    /** Share of the time for a leaving endpoint after which the reader reads the list again. */
+    private static final double ENDPOINT_READER_SHARE = 0.3;
+
+    /** Share of the time for a leaving endpoint after which a host that heard nothing reads itself. */
+    private static final double ENDPOINT_FOLLOWER_SHARE = 0.6;
+
+    /** Share of either time by which each further host reads later. */
+    private static final double STAGGER_SHARE = 0.04;
 
     /** Time for an answer beyond the wait, in milliseconds: the store answers in a few, or slowly in some hundred. */
     private static final long TIMEOUT_MS = 700;
@@ -26,36 +37,48 @@
     private final StoreCalls calls;
     private final EdgeMetrics metrics;
     private final EventLog log;
+    private final ReadDuty duty;
 
-    /** Makes a factory of followers. */
-    public StoreFeeds(
-            EventLoopGroup group, HostSettings settings, StoreCalls calls, EdgeMetrics metrics, EventLog log) {
+    StoreFeeds(
+            EventLoopGroup group,
+            HostSettings settings,
+            StoreCalls calls,
+            EdgeMetrics metrics,
+            EventLog log,
+            ReadDuty duty) {
         this.group = group;
         this.settings = settings;
         this.calls = calls;
         this.metrics = metrics;
         this.log = log;
+        this.duty = duty;
     }
 
     /** Follows the operator's table. */
-    public TableFollower configuration(TableListener listener) {
-        long waitMs = (long) (settings.bounds().configApplyMs() * CONFIG_WAIT_SHARE);
-        return follower(new FollowSettings(StoreCalls.OPERATOR_TABLE, waitMs, 0, TIMEOUT_MS, RETRY_MS), listener);
+    TableFollower configuration(TableListener listener, Runnable afterRead) {
+        double boundMs = settings.bounds().configApplyMs();
+        ReadPace pace = new ReadPace(
+                duty, 0, (long) (boundMs * CONFIG_WAIT_SHARE), (long) (boundMs * CONFIG_FOLLOWER_SHARE), (long)
+                        (boundMs * STAGGER_SHARE));
+        return follower(new FollowSettings(StoreCalls.OPERATOR_TABLE, pace, TIMEOUT_MS, RETRY_MS), listener, afterRead);
     }
 
     /** Follows the list of endpoints. */
-    public TableFollower endpoints(TableListener listener) {
-        long pauseMs = (long) (settings.bounds().drainMs() * ENDPOINT_PAUSE_SHARE);
-        return follower(new FollowSettings(StoreCalls.ENDPOINT_TABLE, 0, pauseMs, TIMEOUT_MS, RETRY_MS), listener);
+    TableFollower endpoints(TableListener listener, Runnable afterRead) {
+        double boundMs = settings.bounds().drainMs();
+        ReadPace pace = new ReadPace(
+                duty, (long) (boundMs * ENDPOINT_READER_SHARE), 0, (long) (boundMs * ENDPOINT_FOLLOWER_SHARE), (long)
+                        (boundMs * STAGGER_SHARE));
+        return follower(new FollowSettings(StoreCalls.ENDPOINT_TABLE, pace, TIMEOUT_MS, RETRY_MS), listener, afterRead);
     }
 
     /** Makes this host and the others known to each other. */
-    public HostDirectory hosts(PeerTable peers) {
+    HostDirectory hosts(PeerTable peers) {
         return new HostDirectory(new StoreClient(group, settings.store(), metrics), calls, group.next(), peers, log);
     }
 
-    private TableFollower follower(FollowSettings follow, TableListener listener) {
+    private TableFollower follower(FollowSettings follow, TableListener listener, Runnable afterRead) {
         StoreClient client = new StoreClient(group, settings.store(), metrics);
-        return new TableFollower(follow, calls, client, group.next(), listener, log);
+        return new TableFollower(follow, calls, client, group.next(), listener, log, afterRead);
     }
 }
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -0,0 +1,82 @@
+package org.dragonflygw.edge.store;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import org.dragonflygw.core.catalog.CatalogHolder;
+import org.dragonflygw.core.contact.StoreContact;
+import org.dragonflygw.core.discovery.EndpointRegistry;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.core.storenews.EndpointChangeLog;
+import org.dragonflygw.core.storenews.NewsTaker;
+import org.dragonflygw.core.storenews.ReadDuty;
+import org.dragonflygw.core.storenews.StoreNews;
+import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.platform.adapter.CatalogDecoder;
+import org.dragonflygw.platform.adapter.EndpointDecoder;
+import org.dragonflygw.platform.adapter.StoreCalls;
+
+/** What this host knows of the store: read by itself, or heard from a host that reads for others. */
+public final class StoreView {
+    private final HostSettings settings;
+    private final StoreContact contact;
+    private final ConfigurationFeed configurationFeed;
+    private final EndpointChangeLog changes = new EndpointChangeLog();
+    private final TableFollower configuration;
+    private final TableFollower endpoints;
+    private final HostDirectory hosts;
+    private final NewsTaker taker;
+
+    /**
+     * Makes a view; {@link #start} begins to read.
+     *
+     * @param afterRead called after each read of this host
+     */
+    public StoreView(
+            EventLoopGroup group,
+            HostSettings settings,
+            CatalogHolder catalogs,
+            EndpointRegistry registry,
+            StoreContact contact,
+            PeerTable peers,
+            EdgeMetrics metrics,
+            EventLog log,
+            Runnable afterRead) {
+        this.settings = settings;
+        this.contact = contact;
+        ObjectMapper mapper = new ObjectMapper();
+        ReadDuty duty = new ReadDuty(settings.hostName(), peers);
+        StoreFeeds feeds = new StoreFeeds(group, settings, new StoreCalls(mapper), metrics, log, duty);
+        configurationFeed = new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log);
+        configuration = feeds.configuration(configurationFeed, afterRead);
+        endpoints = feeds.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry, changes), afterRead);
+        hosts = feeds.hosts(peers);
+        taker = new NewsTaker(registry, contact, System::nanoTime);
+    }
+
+    /** Begins to read, and makes this host known to the others. */
+    public void start(HostAddress internal) {
+        configuration.start();
+        endpoints.start();
+        hosts.start(settings.hostName(), internal);
+    }
+
+    /** What this host can tell the others. */
+    public StoreNews news() {
+        return new StoreNews(
+                configuration.reachable() && endpoints.reachable(),
+                endpoints.version(),
+                endpoints.ageMs(),
+                changes.completeFrom(),
+                changes.changes(),
+                configurationFeed.rowVersion(),
+                contact.ageMs());
+    }
+
+    /** Takes what another host tells. */
+    public void take(StoreNews news) {
+        taker.take(news, endpoints, configuration, configurationFeed.rowVersion());
+    }
+}
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.edge.store;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +10,7 @@
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.storage.RowPage;
 import org.dragonflygw.core.storage.VersionedRow;
+import org.dragonflygw.core.storenews.FollowedTable;
 import org.dragonflygw.platform.adapter.StoreCalls;
 
 /**
@@ -16,7 +18,7 @@
  * keeps the history that is missing. Used by the event loop only.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
-public final class TableFollower {
+public final class TableFollower implements FollowedTable {
     private final FollowSettings settings;
     private final StoreCalls calls;
     private final StoreClient client;
@@ -27,8 +29,12 @@
     private final List<VersionedRow> listing = new ArrayList<>();
     private boolean listed;
     private long version;
+    private final Runnable afterRead;
     private boolean reachable = true;
     private boolean stopped;
+    private boolean reading;
+    private long asOfNanos;
+    private ScheduledFuture<?> nextCheck;
 
     /** Makes a follower; {@link #start} begins. */
     TableFollower(
@@ -37,18 +43,20 @@
             StoreClient client,
             EventLoop loop,
             TableListener listener,
-            EventLog log) {
+            EventLog log,
+            Runnable afterRead) {
         this.settings = settings;
         this.calls = calls;
         this.client = client;
         this.loop = loop;
         this.listener = listener;
         this.log = log;
+        this.afterRead = afterRead;
     }
 
     /** Begins to read. */
     public void start() {
-        loop.execute(this::next);
+        loop.execute(this::read);
     }
 
     /** Ends reading. */
@@ -56,13 +64,60 @@
         stopped = true;
     }
 
-    private void next() {
+    @Override
+    public boolean listed() {
+        return listed;
+    }
+
+    @Override
+    public long version() {
+        return version;
+    }
+
+    /** Whether the last read was answered. */
+    public boolean reachable() {
+        return reachable;
+    }
+
+    /** Age of what is known, in milliseconds; -1 if nothing is. */
+    public long ageMs() {
+        return listed ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - asOfNanos) : -1;
+    }
+
+    @Override
+    public void onFresh(long upTo, long asOf) {
+        version = Math.max(version, upTo);
+        asOfNanos = Math.max(asOfNanos, asOf);
+    }
+
+    @Override
+    public void readNow() {
+        if (!reading) {
+            read();
+        }
+    }
+
+    private void check() {
+        if (stopped || reading) {
+            return;
+        }
+        long delayMs = listed ? settings.pace().delayMs(ageMs()) : 0;
+        if (delayMs <= 0) {
+            read();
+            return;
+        }
+        again(delayMs);
+    }
+
+    private void read() {
         if (stopped) {
             return;
         }
+        reading = true;
         if (listed) {
-            String path = calls.changesPath(settings.table(), version, settings.waitMs());
-            client.get(path, settings.waitMs() + settings.timeoutMs(), this::onChanges);
+            long waitMs = settings.pace().waitMs();
+            String path = calls.changesPath(settings.table(), version, waitMs);
+            client.get(path, waitMs + settings.timeoutMs(), this::onChanges);
             return;
         }
         listing.clear();
@@ -89,15 +144,16 @@
         }
         version = page.newestVersion();
         listed = true;
-        onReached();
-        listener.onListing(List.copyOf(listing), answer.sentNanos());
-        again(settings.pauseMs());
+        onReached(answer);
+        listener.onListing(List.copyOf(listing), version, answer.sentNanos());
+        afterRead.run();
+        check();
     }
 
     private void onChanges(StoreAnswer answer) {
         if (answer.status() == StoreCalls.STATUS_HISTORY_GONE) {
             listed = false;
-            again(0);
+            read();
             return;
         }
         if (!answer.ok()) {
@@ -109,9 +165,10 @@
             return;
         }
         version = Math.max(version, page.newestVersion());
-        onReached();
+        onReached(answer);
         listener.onChanges(page.rows(), answer.sentNanos());
-        again(settings.pauseMs());
+        afterRead.run();
+        check();
     }
 
     private RowPage decode(StoreAnswer answer) {
@@ -123,7 +180,9 @@
         }
     }
 
-    private void onReached() {
+    private void onReached(StoreAnswer answer) {
+        reading = false;
+        asOfNanos = Math.max(asOfNanos, answer.sentNanos());
         if (!reachable) {
             reachable = true;
             log.line(LogTopic.DEPENDENCY_REGAINED)
@@ -143,12 +202,16 @@
                     .end();
         }
         listener.onFailure();
+        reading = false;
         again(settings.retryMs());
     }
 
     private void again(long delayMs) {
+        if (nextCheck != null) {
+            nextCheck.cancel(false);
+        }
         if (!stopped) {
-            loop.schedule(this::next, delayMs, TimeUnit.MILLISECONDS);
+            nextCheck = loop.schedule(this::check, delayMs, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableListener.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableListener.java
@@ -5,8 +5,8 @@
 
 /** Told what is read of a table. */
 public interface TableListener {
-    /** The whole table. */
-    void onListing(List<VersionedRow> rows, long sentNanos);
+    /** The whole table as of a version. */
+    void onListing(List<VersionedRow> rows, long version, long sentNanos);
 
     /** What has changed since the last read. */
     void onChanges(List<VersionedRow> rows, long sentNanos);
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -48,7 +48,8 @@
                 report.startedMs(),
                 report.sequence(),
                 uses,
-                holdings);
+                holdings,
+                StoreNewsCodec.encode(report.news()));
         try {
             return serializer.serialize(message);
         } catch (TException e) {
@@ -74,6 +75,13 @@
             holdings.add(new PromptHolding(h.getEndpoint(), parts));
         }
         HostAddress address = new HostAddress(m.getIp(), m.getPort());
-        return new HostReport(m.getHost(), address, m.getStartedMillis(), m.getSequence(), uses, holdings);
+        return new HostReport(
+                m.getHost(),
+                address,
+                m.getStartedMillis(),
+                m.getSequence(),
+                uses,
+                holdings,
+                StoreNewsCodec.decode(m.getNews()));
     }
 }
--- /dev/null
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
@@ -0,0 +1,71 @@
+package org.dragonflygw.wire.codec;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.storenews.EndpointChange;
+import org.dragonflygw.core.storenews.StoreNews;
+import org.dragonflygw.wire.hosts.EndpointChangeMessage;
+import org.dragonflygw.wire.hosts.StoreNewsMessage;
+
+/** Turns news of the store into the message and back. */
+final class StoreNewsCodec {
+    private StoreNewsCodec() {}
+
+    static StoreNewsMessage encode(StoreNews news) {
+        List<EndpointChangeMessage> changes = new ArrayList<>();
+        news.changes().forEach(c -> changes.add(encode(c)));
+        return new StoreNewsMessage(
+                news.reachable(),
+                news.endpointsVersion(),
+                news.endpointsAgeMs(),
+                news.completeFrom(),
+                changes,
+                news.configRowVersion(),
+                news.configAgeMs());
+    }
+
+    private static EndpointChangeMessage encode(EndpointChange change) {
+        EndpointChangeMessage m = new EndpointChangeMessage(change.id(), change.version());
+        change.entry()
+                .ifPresent(e -> m.setServiceName(e.service())
+                        .setIp(e.host())
+                        .setPort(e.port())
+                        .setZone(e.zone())
+                        .setSlots(e.slots())
+                        .setDraining(e.draining())
+                        .setStartedMillis(e.startedMs()));
+        return m;
+    }
+
+    static StoreNews decode(StoreNewsMessage m) {
+        List<EndpointChange> changes = new ArrayList<>();
+        m.getChanges().forEach(c -> changes.add(decode(c)));
+        return new StoreNews(
+                m.isReachable(),
+                m.getEndpointsVersion(),
+                m.getEndpointsAgeMillis(),
+                m.getCompleteFrom(),
+                changes,
+                m.getConfigRowVersion(),
+                m.getConfigAgeMillis());
+    }
+
+    private static EndpointChange decode(EndpointChangeMessage m) {
+        if (!m.isSetServiceName()) {
+            return new EndpointChange(m.getId(), Optional.empty(), m.getVersion());
+        }
+        DiscoveredEndpoint e = new DiscoveredEndpoint(
+                m.getId(),
+                m.getServiceName(),
+                m.getIp(),
+                m.getPort(),
+                m.getZone(),
+                m.getSlots(),
+                m.isDraining(),
+                0,
+                m.getStartedMillis());
+        return new EndpointChange(m.getId(), Optional.of(e), m.getVersion());
+    }
+}
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -21,6 +21,30 @@
   2: required list<PromptPartMessage> parts
 }
 
+/** One change of the list of endpoints; without a service the endpoint was removed. */
+struct EndpointChangeMessage {
+  1: required string id
+  2: required i64 version
+  3: optional string serviceName
+  4: optional string ip
+  5: optional i32 port
+  6: optional string zone
+  7: optional i32 slots
+  8: optional bool draining
+  9: optional i64 startedMillis
+}
+
+/** What a host has read of the store. */
+struct StoreNewsMessage {
+  1: required bool reachable
+  2: required i64 endpointsVersion
+  3: required i64 endpointsAgeMillis
+  4: required i64 completeFrom
+  5: required list<EndpointChangeMessage> changes
+  6: required i64 configRowVersion
+  7: required i64 configAgeMillis
+}
+
 /** What a host tells the others several times a second. */
 struct HostReportMessage {
   1: required string host
@@ -32,4 +56,5 @@
   5: required i64 sequence
   6: required list<EndpointUseMessage> uses
   7: required list<PromptHoldingMessage> holdings
+  8: required StoreNewsMessage news
 }
