Tell heard changes on, and sample endpoints in large fleets

A host that had heard changes from the reader did not keep them in its own log, but told others the version they led to as complete; hosts that had missed them joined on to it and never learned them. Ruled out: the store (stable then), the pace of followers (2.3 s of 3 s). Fleets of more than 16 hosts compare two random endpoints of a plain service; a test plays it.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -66,11 +66,13 @@
 
     private final EndpointLoads loads;
     private final DispatchSettings settings;
+    private final CandidateSampling sampling;
 
     /** Makes a chooser over the known endpoints. */
-    public EndpointChooser(EndpointLoads loads, DispatchSettings settings) {
+    public EndpointChooser(EndpointLoads loads, DispatchSettings settings, CandidateSampling sampling) {
         this.loads = loads;
         this.settings = settings;
+        this.sampling = sampling;
     }
 
     /** Chooses an endpoint or says why there is none. */
@@ -80,6 +82,9 @@
             return Choice.none(Unserved.NO_ENDPOINT, 0);
         }
         double bound = loadBound(candidates, nowNanos);
+        if (!request.service().modelEngines()) {
+            candidates = sampling.sample(candidates);
+        }
         long key = request.prompt().sharedKey();
         Scored best = null;
         for (EndpointLoadState e : candidates) {
--- a/core/src/main/java/org/dragonflygw/core/storenews/EndpointChangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/EndpointChangeLog.java
@@ -6,8 +6,8 @@
 
 /** The latest changes of the list of endpoints, and from which version on they are complete. Used by one thread. */
 public final class EndpointChangeLog {
-    /** Changes that are kept; they fit a datagram. */
-    private static final int MAX_CHANGES = 16;
+    /** Changes that are kept; they fit a datagram of two packets. */
+    private static final int MAX_CHANGES = 32;
 
     private final Deque<EndpointChange> changes = new ArrayDeque<>();
     private long completeFrom;
--- a/core/src/main/java/org/dragonflygw/core/storenews/NewsTaker.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/NewsTaker.java
@@ -15,12 +15,14 @@
     private static final long TRANSIT_MS = 100;
 
     private final EndpointRegistry registry;
+    private final EndpointChangeLog changes;
     private final StoreContact contact;
     private final MonotonicClock clock;
 
     /** Makes a taker. */
-    public NewsTaker(EndpointRegistry registry, StoreContact contact, MonotonicClock clock) {
+    public NewsTaker(EndpointRegistry registry, EndpointChangeLog changes, StoreContact contact, MonotonicClock clock) {
         this.registry = registry;
+        this.changes = changes;
         this.contact = contact;
         this.clock = clock;
     }
@@ -42,6 +44,7 @@
         long now = clock.nanos();
         for (EndpointChange c : news.changes()) {
             if (c.version() > endpoints.version()) {
+                changes.add(c);
                 apply(c, now);
             }
         }
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizedSamplingTest.java
@@ -0,0 +1,62 @@
+package org.dragonflygw.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class FleetSizedSamplingTest {
+    private static final int ENDPOINTS = 4;
+    private static final long NOW = 1_000_000_000_000L;
+
+    private static EndpointLoads loads() {
+        EndpointLoads loads = new EndpointLoads();
+        for (int i = 0; i < ENDPOINTS; i++) {
+            loads.onEntry(new DiscoveredEndpoint("p" + i, "app", "10.0.0.1", 80, "a", 6, false, 0, 1));
+        }
+        return loads;
+    }
+
+    /** Many hosts choose at once, all with the same old report in which one endpoint had the least load. */
+    @Nested
+    final class StaleLoads {
+        private int busiest(int hosts) {
+            CatalogService service = new CatalogService("app", "/", 96, 6, 0, 0);
+            int[] chosen = new int[ENDPOINTS];
+            for (int host = 0; host < hosts; host++) {
+                EndpointLoads loads = loads();
+                List<EndpointLoadState> all = new ArrayList<>(loads.ofService("app"));
+                for (int i = 0; i < ENDPOINTS; i++) {
+                    all.get(i).onPeers(i == 0 ? 0 : 1, 0, NOW);
+                }
+                FleetSizedSampling sampling = new FleetSizedSampling(() -> hosts, new SplittableRandom(host));
+                EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2), sampling);
+                ChoiceRequest request = new ChoiceRequest(service, Prompt.NONE, 150, 600, Set.of());
+                String id = chooser.choose(request, NOW)
+                        .endpoint()
+                        .orElseThrow()
+                        .entry()
+                        .id();
+                chosen[Integer.parseInt(id.substring(1))]++;
+            }
+            return Arrays.stream(chosen).max().orElseThrow();
+        }
+
+        @Test
+        void doNotSendALargeFleetToOneEndpoint() {
+            assertThat(busiest(60)).isAtMost(40);
+        }
+
+        @Test
+        void areNoConcernOfASmallOne() {
+            assertThat(busiest(6)).isEqualTo(6);
+        }
+    }
+}
--- a/core/src/test/java/org/dragonflygw/core/storenews/NewsTakerTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/NewsTakerTest.java
@@ -21,7 +21,8 @@
     private final EndpointRegistry registry = new EndpointRegistry(new EndpointLoads(), new NoLog());
     private final StoreContact contact =
             new StoreContact(4_000_000_000L, clock, MutableClock.of(Instant.ofEpochSecond(1_000), ZoneOffset.UTC));
-    private final NewsTaker taker = new NewsTaker(registry, contact, clock);
+    private final EndpointChangeLog changeLog = new EndpointChangeLog();
+    private final NewsTaker taker = new NewsTaker(registry, changeLog, contact, clock);
     private final FakeTable endpoints = new FakeTable(10);
     private final FakeTable configuration = new FakeTable(10);
 
@@ -51,6 +52,16 @@
             assertThat(endpoints.version).isEqualTo(14);
         }
 
+        /** Otherwise this host would tell others that it knows all changes, without those that it only heard of. */
+        @Test
+        void changesThatWereHeardAreToldOn() {
+            changeLog.restart(10);
+            EndpointChange change = new EndpointChange("e1", Optional.of(endpoint("e1", true)), 12);
+            take(endpointNews(8, 14, new EndpointChange("e0", Optional.empty(), 9), change));
+            assertThat(changeLog.completeFrom()).isEqualTo(10);
+            assertThat(changeLog.changes()).containsExactly(change);
+        }
+
         @Test
         void olderChangesAreNotAppliedAgain() {
             registry.onListing(List.of(endpoint("e1", false)), clock.nanos());
--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -26,7 +26,9 @@
 
     private ArchiveTraining() {}
 
-    static void run(EventLog log) throws IOException, InterruptedException {
+    /** Runs the training; returns the number of requests that were answered with success. */
+    static int run(EventLog log) throws IOException, InterruptedException {
+        int served = 0;
         try (LoopbackPlatform platform = new LoopbackPlatform()) {
             HostSettings settings = settings(platform.port());
             EdgeNode node = new EdgeNode(settings, log);
@@ -36,12 +38,13 @@
             }
             for (int i = 0; i < REQUESTS; i++) {
                 String prefix = i % 3 == 0 ? LoopbackPlatform.PLAIN_PREFIX : LoopbackPlatform.STREAM_PREFIX;
-                request(settings.callers(), prefix, i);
+                served += request(settings.callers(), prefix, i) ? 1 : 0;
             }
         }
+        return served;
     }
 
-    private static void request(HostAddress to, String prefix, int number) throws IOException {
+    private static boolean request(HostAddress to, String prefix, int number) throws IOException {
         System.setProperty("sun.net.http.allowRestrictedHeaders", "true");
         HttpURLConnection c = (HttpURLConnection)
                 URI.create("http://" + to + prefix + "x").toURL().openConnection();
@@ -50,11 +53,13 @@
         LoopbackPlatform.callerHeaders(number, key).forEach(c::setRequestProperty);
         c.setDoOutput(true);
         c.getOutputStream().write("prompt".getBytes(StandardCharsets.UTF_8));
-        if (c.getResponseCode() == HttpURLConnection.HTTP_OK) {
-            try (InputStream in = c.getInputStream()) {
-                in.readAllBytes();
-            }
+        if (c.getResponseCode() != HttpURLConnection.HTTP_OK) {
+            return false;
+        }
+        try (InputStream in = c.getInputStream()) {
+            in.readAllBytes();
         }
+        return true;
     }
 
     private static HostSettings settings(int storePort) throws IOException {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -15,6 +15,7 @@
 import org.dragonflygw.core.dispatch.DispatchSettings;
 import org.dragonflygw.core.dispatch.EndpointChooser;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.FleetSizedSampling;
 import org.dragonflygw.core.exchange.ExchangeParts;
 import org.dragonflygw.core.exchange.RequestResolver;
 import org.dragonflygw.core.limits.ReturnTimes;
@@ -59,6 +60,7 @@
     private final PeerTable peers;
     private final StoreView store;
     private PeerReports reports;
+    private volatile boolean toldReady;
 
     /** Makes a node that does not run yet. */
     public EdgeNode(HostSettings settings, EventLog log) {
@@ -115,7 +117,9 @@
 
     private FrontParts frontParts() {
         EndpointChooser chooser = new EndpointChooser(
-                loads, new DispatchSettings(settings.zone(), settings.bounds().capFactor()));
+                loads,
+                new DispatchSettings(settings.zone(), settings.bounds().capFactor()),
+                new FleetSizedSampling(peers::hostCount, new SplittableRandom()));
         ExchangeParts exchanges = new ExchangeParts(
                 chooser, loads, retries, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
         return new FrontParts(
@@ -131,7 +135,17 @@
 
     /** Whether the balancer may send new connections. */
     public boolean ready() {
-        return catalogs.current().isPresent() && registry.loaded() && !gate.stopping();
+        boolean now = catalogs.current().isPresent() && registry.loaded() && !gate.stopping();
+        if (now != toldReady) {
+            toldReady = now;
+            log.line(LogTopic.READINESS)
+                    .with("ready", now)
+                    .with("configVersion", catalogs.version())
+                    .with("endpoints", registry.all().size())
+                    .with("stopping", gate.stopping())
+                    .end();
+        }
+        return now;
     }
 
     /** Stops without cutting answers; returns when the process may end. */
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -53,7 +53,7 @@
         configuration = feeds.configuration(configurationFeed, afterRead);
         endpoints = feeds.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry, changes), afterRead);
         hosts = feeds.hosts(peers);
-        taker = new NewsTaker(registry, contact, System::nanoTime);
+        taker = new NewsTaker(registry, changes, contact, System::nanoTime);
     }
 
     /** Begins to read, and makes this host known to the others. */
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -61,7 +61,7 @@
         StoreContact contact = new StoreContact(TimeUnit.MINUTES.toNanos(5), System::nanoTime, InstantSource.system());
         contact.onRead(System.nanoTime());
         EdgeMetrics metrics = new EdgeMetrics(new MetricRegistry());
-        EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2));
+        EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2), all -> all);
         FleetRetryShare retries = new FleetRetryShare(1, 100, TimeUnit.SECONDS.toNanos(10), 1);
         ExchangeParts exchanges = new ExchangeParts(
                 chooser, loads, retries, new ReturnTimes(new SplittableRandom(1)), new NoLog(), System::nanoTime);
