Close the port before the last check of a planned stop

Two holes in the stop would do it: the port stayed open between the last check and the end of the process, so that a request could be read and sent on in between; and idle connections were closed without waiting for what was still to be written. A test shows the first (it connected after the stop had ended). Now the port is closed first, a further check must find nothing open and all answers written, and connections close after their last write.

--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.edge;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -60,6 +61,7 @@
     private final PeerTable peers;
     private final StoreView store;
     private PeerReports reports;
+    private Channel listener;
     private volatile boolean toldReady;
 
     /** Makes a node that does not run yet. */
@@ -92,7 +94,7 @@
         ops.listen(settings.readiness());
         ops.listen(new HostAddress(settings.ip(), metricsPort));
         followStore();
-        new FrontServer(group, frontParts()).listen(settings.callers());
+        listener = new FrontServer(group, frontParts()).listen(settings.callers());
         log.line(LogTopic.START)
                 .with("zone", settings.zone())
                 .with("callers", settings.callers().toString())
@@ -150,7 +152,14 @@
 
     /** Stops without cutting answers; returns when the process may end. */
     public void stop() throws InterruptedException {
-        new GracefulStop(group.next(), gate, log, settings.bounds().graceMs()).run();
+        new GracefulStop(group.next(), gate, log, settings.bounds().graceMs(), this::closePort).run();
+    }
+
+    private void closePort() {
+        listener.close()
+                .addListener(closed -> log.line(LogTopic.STOP)
+                        .with("outcome", closed.isSuccess() ? "port closed" : "port not closed")
+                        .end());
     }
 
     private final class EndpointChanges implements EndpointListener {
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -227,7 +227,9 @@
         ended = true;
         cancelTimer();
         boolean keepAlive = keepsAlive();
+        parts.gate().onAnswerEnding();
         var written = context().writeAndFlush(last);
+        written.addListener(done -> parts.gate().onAnswerWritten());
         if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontGate.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontGate.java
@@ -14,6 +14,7 @@
     private final Set<FrontHandler> connections = new HashSet<>();
     private boolean stopping;
     private int openCalls;
+    private int unwrittenAnswers;
     private long heldBytes;
 
     /** Whether the process is about to stop; answers then close their connections. */
@@ -31,6 +32,11 @@
         return openCalls;
     }
 
+    /** Answers that have ended but are not yet written in whole to their callers. */
+    public int unwrittenAnswers() {
+        return unwrittenAnswers;
+    }
+
     /** Connections of callers. */
     public int connectionCount() {
         return connections.size();
@@ -54,6 +60,14 @@
         connections.remove(handler);
     }
 
+    void onAnswerEnding() {
+        unwrittenAnswers++;
+    }
+
+    void onAnswerWritten() {
+        unwrittenAnswers--;
+    }
+
     void onCall() {
         openCalls++;
     }
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
@@ -88,10 +88,11 @@
         checkLater();
     }
 
-    /** Closes the connection if no request is open on it. */
+    /** Closes the connection, after what is still to be written, if no request is open on it. */
     void closeIfIdle() {
-        if (call == null && queued.isEmpty() && context != null) {
-            context.close();
+        if (call == null && !closing && queued.isEmpty() && context != null) {
+            closing = true;
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/stop/GracefulStop.java
+++ b/edge/src/main/java/org/dragonflygw/edge/stop/GracefulStop.java
@@ -25,15 +25,22 @@
     private final FrontGate gate;
     private final EventLog log;
     private final long graceMs;
+    private final Runnable stopAccepting;
     private final CountDownLatch done = new CountDownLatch(1);
     private long startNanos;
+    private boolean portClosed;
 
-    /** Makes a stop. */
-    public GracefulStop(EventLoop loop, FrontGate gate, EventLog log, long graceMs) {
+    /**
+     * Makes a stop.
+     *
+     * @param stopAccepting closes the port for callers
+     */
+    public GracefulStop(EventLoop loop, FrontGate gate, EventLog log, long graceMs, Runnable stopAccepting) {
         this.loop = loop;
         this.gate = gate;
         this.log = log;
         this.graceMs = graceMs;
+        this.stopAccepting = stopAccepting;
     }
 
     /** Begins to stop; returns when nothing is open any more or the time is over. */
@@ -58,7 +65,12 @@
             gate.closeIdle();
         }
         boolean timeOver = elapsedMs >= graceMs - END_MARGIN_MS;
-        if (timeOver || (lagOver && gate.openCalls() == 0)) {
+        boolean answered = lagOver && gate.openCalls() == 0 && gate.unwrittenAnswers() == 0;
+        if (answered && !portClosed) {
+            // Only the next check may end the process: a request that was accepted before the port closed is served.
+            portClosed = true;
+            stopAccepting.run();
+        } else if (timeOver || answered) {
             log.line(LogTopic.STOP)
                     .with("outcome", timeOver ? "time over" : "all answered")
                     .with("openRequests", gate.openCalls())
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.edge;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -40,6 +41,7 @@
 import org.dragonflygw.edge.front.FrontParts;
 import org.dragonflygw.edge.front.FrontServer;
 import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.edge.stop.GracefulStop;
 import org.dragonflygw.edge.upstream.EndpointPool;
 import org.dragonflygw.platform.adapter.CallerHeaders;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
@@ -53,6 +55,7 @@
     final FrontGate gate = new FrontGate();
     final EndpointLoads loads = new EndpointLoads();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Channel listener;
     private final int port;
 
     EdgeFixture(RawEndpoint... endpoints) {
@@ -78,10 +81,8 @@
                 new EndpointHeaders(),
                 gate,
                 metrics);
-        port = ((InetSocketAddress) new FrontServer(group, parts)
-                        .listen(new HostAddress("127.0.0.1", 0))
-                        .localAddress())
-                .getPort();
+        listener = new FrontServer(group, parts).listen(new HostAddress("127.0.0.1", 0));
+        port = ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
     private static Catalog catalog() {
@@ -122,6 +123,15 @@
         return s;
     }
 
+    /** Closes idle connections, on the event loop as the stop does. */
+    void closeIdle() {
+        group.next().submit(gate::closeIdle).syncUninterruptibly();
+    }
+
+    GracefulStop stop(long graceMs) {
+        return new GracefulStop(group.next(), gate, new NoLog(), graceMs, listener::close);
+    }
+
     static String request(String path, String id) {
         return "POST " + path + " HTTP/1.1\r\nHost: h\r\nDragonflygw-Attempt-Id: " + id
                 + "\r\nDragonflygw-Deadline-Ms: 2500\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\nbody";
