Take in a changed settings file, at the signal and without one

Cause: the settings were only checked at SIGHUP and came into force at the next start; a change without a signal was not seen. Ruled out: taking in names, addresses and zones too, since ports are bound and others know the host by them; these wait for the next start and the log says so. Before: outcome 'changed, in force at the next start'. After: bounds and the store's address hold from their next use (SettingsHolderTest, SettingsReloadTest); the file is looked at every 4 s. Removed: the control address and the endpoints' heartbeat, which nothing read; a second EndpointHeaders.

--- a/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
+++ b/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.contact;
 
 import java.time.InstantSource;
+import java.util.function.LongSupplier;
 import org.dragonflygw.core.lease.MonotonicClock;
 
 /**
@@ -13,7 +14,7 @@
     /** Jump of the time of day that voids a confirmation, in milliseconds: more than clocks are adjusted by. */
     private static final long MAX_CLOCK_JUMP_MS = 400;
 
-    private final long maxAgeNanos;
+    private final LongSupplier maxAgeNanos;
     private final MonotonicClock clock;
     private final InstantSource wallClock;
 
@@ -27,7 +28,7 @@
      *
      * @param maxAgeNanos how long keys are taken as valid after a read was sent
      */
-    public StoreContact(long maxAgeNanos, MonotonicClock clock, InstantSource wallClock) {
+    public StoreContact(LongSupplier maxAgeNanos, MonotonicClock clock, InstantSource wallClock) {
         this.maxAgeNanos = maxAgeNanos;
         this.clock = clock;
         this.wallClock = wallClock;
@@ -48,7 +49,7 @@
     /** Whether keys are known to be valid now. */
     public boolean keysConfirmed() {
         checkForSuspension();
-        return confirmed && clock.nanos() - confirmedNanos < maxAgeNanos;
+        return confirmed && clock.nanos() - confirmedNanos < maxAgeNanos.getAsLong();
     }
 
     /** Age of the newest confirmation in milliseconds, -1 if there is none. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.routing.RoutingHash;
 
@@ -65,11 +66,11 @@
     private static final double PLAIN_QUEUE = 1.5;
 
     private final EndpointLoads loads;
-    private final DispatchSettings settings;
+    private final Supplier<DispatchSettings> settings;
     private final CandidateSampling sampling;
 
     /** Makes a chooser over the known endpoints. */
-    public EndpointChooser(EndpointLoads loads, DispatchSettings settings, CandidateSampling sampling) {
+    public EndpointChooser(EndpointLoads loads, Supplier<DispatchSettings> settings, CandidateSampling sampling) {
         this.loads = loads;
         this.settings = settings;
         this.sampling = sampling;
@@ -125,7 +126,7 @@
         for (EndpointLoadState e : candidates) {
             sum += e.load(nowNanos);
         }
-        return BOUND_SHARE * settings.capFactor() * sum / candidates.size() + BOUND_SLACK;
+        return BOUND_SHARE * settings.get().capFactor() * sum / candidates.size() + BOUND_SLACK;
     }
 
     private boolean full(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
@@ -159,7 +160,7 @@
                 : plainMs(e, load);
         double cost =
                 waitCost(request, expected) + reading.extraMs + rank * RANK_MS + e.failures(nowNanos) * FAILURE_MS;
-        if (!settings.zone().equals(e.entry().zone())) {
+        if (!settings.get().zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_MS;
         }
         if (load + 1 > bound) {
--- a/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
@@ -4,6 +4,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
+import org.dragonflygw.core.settings.RetryBounds;
 
 /**
  * This host's share of a retry budget that holds for the whole fleet: in any window, repeats to a service may be at
@@ -14,24 +16,18 @@
     /** Share of the budget that is used, since hosts count the others late. */
     private static final double SAFETY = 0.8;
 
-    private final double ratio;
-    private final double slack;
-    private final long windowNanos;
+    private final Supplier<RetryBounds> bounds;
     private final Map<String, Window> byService = new HashMap<>();
     private int hosts;
 
     /**
      * Makes a share.
      *
-     * @param ratio repeats for each request
-     * @param slack further repeats in a window, over all hosts
-     * @param windowNanos length of the window
+     * @param bounds the budget in force, of all hosts together
      * @param hosts hosts that share the budget, at least 1
      */
-    public FleetRetryShare(double ratio, double slack, long windowNanos, int hosts) {
-        this.ratio = ratio;
-        this.slack = slack;
-        this.windowNanos = windowNanos;
+    public FleetRetryShare(Supplier<RetryBounds> bounds, int hosts) {
+        this.bounds = bounds;
         this.hosts = hosts;
     }
 
@@ -48,7 +44,8 @@
     /** Takes a repeat if the share allows it. */
     public boolean tryRepeat(String service, long nowNanos) {
         Window w = window(service, nowNanos);
-        double allowed = SAFETY * (ratio * w.requests.size() + slack / hosts);
+        RetryBounds b = bounds.get();
+        double allowed = SAFETY * (b.ratio() * w.requests.size() + b.slack() / hosts);
         if (w.repeats.size() + 1 > allowed) {
             return false;
         }
@@ -58,13 +55,14 @@
 
     private Window window(String service, long nowNanos) {
         Window w = byService.computeIfAbsent(service, s -> new Window());
-        expire(w.requests, nowNanos);
-        expire(w.repeats, nowNanos);
+        long oldest = nowNanos - bounds.get().windowNanos();
+        expire(w.requests, oldest);
+        expire(w.repeats, oldest);
         return w;
     }
 
-    private void expire(Deque<Long> times, long nowNanos) {
-        while (!times.isEmpty() && nowNanos - times.peekFirst() > windowNanos) {
+    private static void expire(Deque<Long> times, long oldestNanos) {
+        while (!times.isEmpty() && times.peekFirst() - oldestNanos < 0) {
             times.removeFirst();
         }
     }
--- a/core/src/test/java/org/dragonflygw/core/contact/StoreContactTest.java
+++ b/core/src/test/java/org/dragonflygw/core/contact/StoreContactTest.java
@@ -12,7 +12,7 @@
 final class StoreContactTest {
     private final ManualMonotonicClock clock = new ManualMonotonicClock();
     private final MutableClock wall = MutableClock.of(Instant.ofEpochSecond(1_000), ZoneOffset.UTC);
-    private final StoreContact contact = new StoreContact(4_000_000_000L, clock, wall);
+    private final StoreContact contact = new StoreContact(() -> 4_000_000_000L, clock, wall);
 
     private void pass(long ms) {
         clock.advanceMs(ms);
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizedSamplingTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizedSamplingTest.java
@@ -37,7 +37,7 @@
                     all.get(i).onPeers(i == 0 ? 0 : 1, 0, NOW);
                 }
                 FleetSizedSampling sampling = new FleetSizedSampling(() -> hosts, new SplittableRandom(host));
-                EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2), sampling);
+                EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), sampling);
                 ChoiceRequest request = new ChoiceRequest(service, Prompt.NONE, 150, 600, Set.of());
                 String id = chooser.choose(request, NOW)
                         .endpoint()
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -19,6 +19,7 @@
 import org.dragonflygw.core.limits.ReturnTimes;
 import org.dragonflygw.core.log.NoLog;
 import org.dragonflygw.core.retry.FleetRetryShare;
+import org.dragonflygw.core.settings.RetryBounds;
 
 /** An exchange with three endpoints, a clock that tests advance, and a record of all effects. */
 final class ExchangeFixture implements ExchangeOutput {
@@ -42,7 +43,7 @@
     }
 
     ExchangeFixture(double retrySlack) {
-        retries = new FleetRetryShare(0.2, retrySlack, TimeUnit.SECONDS.toNanos(10), 1);
+        retries = new FleetRetryShare(() -> new RetryBounds(0.2, retrySlack, TimeUnit.SECONDS.toNanos(10)), 1);
         for (int i = 1; i <= 3; i++) {
             loads.onEntry(endpoint("e" + i));
         }
@@ -77,7 +78,7 @@
         CatalogService service = new CatalogService(SERVICE, "/", 100, 4, 0, 0);
         ExchangeRequest request =
                 new ExchangeRequest("id", "team", route, service, 1, Prompt.NONE, clock.nanos(), deadlineMs);
-        EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2), all -> all);
+        EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), all -> all);
         ExchangeParts parts = new ExchangeParts(
                 chooser, loads, retries, new ReturnTimes(new SplittableRandom(1)), new NoLog(), clock);
         Exchange exchange = new Exchange(request, parts, this);
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.settings.RetryBounds;
 import org.junit.jupiter.api.Test;
 
 final class FleetRetryShareTest {
@@ -21,7 +22,7 @@
         int hosts = 6;
         int total = 0;
         for (int h = 0; h < hosts; h++) {
-            FleetRetryShare share = new FleetRetryShare(0.2, 52, WINDOW, hosts);
+            FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0.2, 52, WINDOW), hosts);
             for (int i = 0; i < 100; i++) {
                 share.onRequest("s", 0);
             }
@@ -33,7 +34,7 @@
 
     @Test
     void repeatsComeBackAfterTheWindow() {
-        FleetRetryShare share = new FleetRetryShare(0, 10, WINDOW, 1);
+        FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0, 10, WINDOW), 1);
         assertThat(repeats(share, 0)).isEqualTo(8);
         assertThat(repeats(share, WINDOW / 2)).isEqualTo(0);
         assertThat(repeats(share, WINDOW + 1)).isEqualTo(8);
@@ -41,7 +42,7 @@
 
     @Test
     void servicesDoNotShareABudget() {
-        FleetRetryShare share = new FleetRetryShare(0, 2, WINDOW, 1);
+        FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0, 2, WINDOW), 1);
         assertThat(share.tryRepeat("a", 0)).isTrue();
         assertThat(share.tryRepeat("b", 0)).isTrue();
     }
--- a/core/src/test/java/org/dragonflygw/core/storenews/NewsFuzzTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/NewsFuzzTest.java
@@ -92,7 +92,7 @@
         private final EndpointRegistry registry = new EndpointRegistry(new EndpointLoads(), new NoLog());
         private final EndpointChangeLog log = new EndpointChangeLog();
         private final NewsTaker taker = new NewsTaker(
-                registry, log, new StoreContact(1, clock, MutableClock.of(Instant.EPOCH, ZoneOffset.UTC)), clock);
+                registry, log, new StoreContact(() -> 1, clock, MutableClock.of(Instant.EPOCH, ZoneOffset.UTC)), clock);
         private long version;
 
         Host(Store store) {
--- a/core/src/test/java/org/dragonflygw/core/storenews/NewsTakerTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/NewsTakerTest.java
@@ -19,8 +19,8 @@
 final class NewsTakerTest {
     private final ManualMonotonicClock clock = new ManualMonotonicClock();
     private final EndpointRegistry registry = new EndpointRegistry(new EndpointLoads(), new NoLog());
-    private final StoreContact contact =
-            new StoreContact(4_000_000_000L, clock, MutableClock.of(Instant.ofEpochSecond(1_000), ZoneOffset.UTC));
+    private final StoreContact contact = new StoreContact(
+            () -> 4_000_000_000L, clock, MutableClock.of(Instant.ofEpochSecond(1_000), ZoneOffset.UTC));
     private final EndpointChangeLog changeLog = new EndpointChangeLog();
     private final NewsTaker taker = new NewsTaker(registry, changeLog, contact, clock);
     private final FakeTable endpoints = new FakeTable(10);
--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -7,11 +7,13 @@
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostBounds;
+import org.dragonflygw.core.settings.HostIdentity;
 import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.core.settings.RetryBounds;
+import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 
 /**
@@ -23,6 +25,7 @@
     private static final int REQUESTS = 60;
     private static final int MAX_WAIT_ROUNDS = 200;
     private static final long WAIT_MS = 25;
+    private static final long RETRY_WINDOW_NANOS = 10_000_000_000L;
 
     private ArchiveTraining() {}
 
@@ -31,14 +34,14 @@
         int served = 0;
         try (LoopbackPlatform platform = new LoopbackPlatform()) {
             HostSettings settings = settings(platform.port());
-            EdgeNode node = new EdgeNode(settings, log);
+            EdgeNode node = new EdgeNode(new SettingsHolder(settings), log);
             node.start(freePort());
             for (int i = 0; i < MAX_WAIT_ROUNDS && !node.ready(); i++) {
                 Thread.sleep(WAIT_MS);
             }
             for (int i = 0; i < REQUESTS; i++) {
                 String prefix = i % 3 == 0 ? LoopbackPlatform.PLAIN_PREFIX : LoopbackPlatform.STREAM_PREFIX;
-                served += request(settings.callers(), prefix, i) ? 1 : 0;
+                served += request(settings.identity().callers(), prefix, i) ? 1 : 0;
             }
         }
         return served;
@@ -63,17 +66,15 @@
     }
 
     private static HostSettings settings(int storePort) throws IOException {
-        HostBounds bounds = new HostBounds(2_000, 8_000, 2_000, 5_000, 1_200, 0.2, 52, 10_000, 2);
-        return new HostSettings(
+        HostBounds bounds = new HostBounds(2_000, 8_000, 2_000, 5_000, new RetryBounds(0.2, 52, RETRY_WINDOW_NANOS), 2);
+        HostIdentity identity = new HostIdentity(
                 "training",
                 LOOPBACK,
                 "zone-a",
                 new HostAddress(LOOPBACK, freePort()),
                 new HostAddress(LOOPBACK, freePort()),
-                Optional.empty(),
-                freePort(),
-                new HostAddress(LOOPBACK, storePort),
-                bounds);
+                freePort());
+        return new HostSettings(identity, new HostAddress(LOOPBACK, storePort), bounds);
     }
 
     private static int freePort() throws IOException {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -11,8 +11,8 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import org.dragonflygw.core.error.CodedException;
-import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.edge.log.JsonLog;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 
@@ -20,6 +20,9 @@
 public final class EdgeMain {
     private static final int EXIT_BAD_SETTINGS = 2;
 
+    /** Pause between looks at the settings file in milliseconds; each is one read of a small file. */
+    private static final long SETTINGS_CHECK_MS = 4_000;
+
     /** Part of the ids of channels, which only logs of the network library show; hosts have no hardware address. */
     private static final String MACHINE_ID = "02:00:00:00:00:01";
 
@@ -44,20 +47,27 @@
             System.exit(0);
         }
         Path path = Path.of(options.valueOf(file));
+        byte[] bytes = Files.readAllBytes(path);
+        SettingsDecoder decoder = new SettingsDecoder(new ObjectMapper());
         HostSettings settings;
         try {
-            settings = new SettingsDecoder(new ObjectMapper()).decode(Files.readAllBytes(path));
+            settings = decoder.decode(bytes);
         } catch (CodedException e) {
             System.err.println(e.getMessage());
             System.exit(EXIT_BAD_SETTINGS);
             return;
         }
-        JsonLog log =
-                new JsonLog(new FileOutputStream(FileDescriptor.out), InstantSource.system(), settings.hostName());
-        EdgeNode node = new EdgeNode(settings, log);
+        JsonLog log = new JsonLog(
+                new FileOutputStream(FileDescriptor.out),
+                InstantSource.system(),
+                settings.identity().hostName());
+        SettingsHolder holder = new SettingsHolder(settings);
+        SettingsReload reload = new SettingsReload(path, bytes, decoder, holder, log);
+        EdgeNode node = new EdgeNode(holder, log);
         node.start(options.valueOf(metricsPort));
         Signals.onTerminate(() -> stop(node, log));
-        Signals.onHangUp(() -> reload(path, settings, log));
+        Signals.onHangUp(reload::onSignal);
+        node.every(SETTINGS_CHECK_MS, reload::check);
     }
 
     private static void stop(EdgeNode node, JsonLog log) {
@@ -69,18 +79,4 @@
         log.close();
         Runtime.getRuntime().halt(0);
     }
-
-    private static void reload(Path path, HostSettings current, JsonLog log) {
-        try {
-            HostSettings next = new SettingsDecoder(new ObjectMapper()).decode(Files.readAllBytes(path));
-            log.line(LogTopic.RELOAD)
-                    .with("outcome", next.equals(current) ? "unchanged" : "changed, in force at the next start")
-                    .end();
-        } catch (CodedException | IOException e) {
-            log.line(LogTopic.RELOAD)
-                    .with("outcome", "rejected")
-                    .with("reason", e.getMessage())
-                    .end();
-        }
-    }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -26,7 +26,9 @@
 import org.dragonflygw.core.peers.ReportMaker;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.core.settings.HostBounds;
+import org.dragonflygw.core.settings.HostIdentity;
+import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.edge.front.FrontGate;
 import org.dragonflygw.edge.front.FrontParts;
 import org.dragonflygw.edge.front.FrontServer;
@@ -47,12 +49,14 @@
     /** Hosts that are assumed to share the retry budget until their number is known. */
     private static final int ASSUMED_HOSTS = 8;
 
-    private final HostSettings settings;
+    private final SettingsHolder settings;
+    private final HostIdentity identity;
     private final EventLog log;
     private final EventLoopGroup group;
     private final CatalogHolder catalogs = new CatalogHolder();
     private final FrontGate gate = new FrontGate();
     private final EdgeMetrics metrics;
+    private final EndpointHeaders endpointHeaders = new EndpointHeaders();
     private final EndpointPool pool;
     private final StoreContact contact;
     private final EndpointLoads loads = new EndpointLoads();
@@ -65,22 +69,17 @@
     private volatile boolean toldReady;
 
     /** Makes a node that does not run yet. */
-    public EdgeNode(HostSettings settings, EventLog log) {
+    public EdgeNode(SettingsHolder settings, EventLog log) {
         this.settings = settings;
+        this.identity = settings.current().identity();
         this.log = log;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.metrics = new EdgeMetrics(new MetricRegistry());
-        this.pool = new EndpointPool(group, new EndpointHeaders(), metrics);
-        long keyAgeNanos =
-                TimeUnit.MILLISECONDS.toNanos((long) (settings.bounds().revokeMs() * KEY_AGE_SHARE));
-        this.contact = new StoreContact(keyAgeNanos, System::nanoTime, InstantSource.system());
-        this.retries = new FleetRetryShare(
-                settings.bounds().retryRatio(),
-                settings.bounds().retrySlack(),
-                TimeUnit.MILLISECONDS.toNanos(settings.bounds().retryWindowMs()),
-                ASSUMED_HOSTS);
+        this.pool = new EndpointPool(group, endpointHeaders, metrics);
+        this.contact = new StoreContact(this::maxKeyAgeNanos, System::nanoTime, InstantSource.system());
+        this.retries = new FleetRetryShare(() -> settings.bounds().retries(), ASSUMED_HOSTS);
         this.registry = new EndpointRegistry(new EndpointChanges(), log);
-        this.peers = new PeerTable(settings.hostName(), loads, log, System::nanoTime);
+        this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
         this.store = new StoreView(group, settings, catalogs, registry, contact, peers, metrics, log, this::tellPeers);
     }
 
@@ -91,26 +90,42 @@
         metrics.gauge("config_version", catalogs::version);
         metrics.gauge("config_age_ms", contact::ageMs);
         OpsServer ops = new OpsServer(group, this::ready, metrics::text);
-        ops.listen(settings.readiness());
-        ops.listen(new HostAddress(settings.ip(), metricsPort));
+        ops.listen(identity.readiness());
+        ops.listen(new HostAddress(identity.ip(), metricsPort));
         followStore();
-        listener = new FrontServer(group, frontParts()).listen(settings.callers());
+        listener = new FrontServer(group, frontParts()).listen(identity.callers());
+        logStart();
+    }
+
+    private void logStart() {
+        HostBounds bounds = settings.bounds();
         log.line(LogTopic.START)
-                .with("zone", settings.zone())
-                .with("callers", settings.callers().toString())
+                .with("zone", identity.zone())
+                .with("callers", identity.callers().toString())
                 .with("store", settings.store().toString())
-                .with("drainMs", settings.bounds().drainMs())
-                .with("revokeMs", settings.bounds().revokeMs())
+                .with("drainMs", bounds.drainMs())
+                .with("configApplyMs", bounds.configApplyMs())
+                .with("revokeMs", bounds.revokeMs())
+                .with("graceMs", bounds.graceMs())
                 .end();
     }
 
+    private long maxKeyAgeNanos() {
+        return TimeUnit.MILLISECONDS.toNanos((long) (settings.bounds().revokeMs() * KEY_AGE_SHARE));
+    }
+
     private void followStore() {
-        HostAddress internal = new HostAddress(settings.ip(), settings.firstInternalPort());
         long startedMs = InstantSource.system().instant().toEpochMilli();
-        ReportMaker maker = new ReportMaker(settings.hostName(), internal, startedMs, loads);
+        ReportMaker maker = new ReportMaker(identity.hostName(), identity.internal(), startedMs, loads);
         reports = new PeerReports(group, peers, maker, retries, log, store::news, store::take);
-        reports.listen(internal);
-        store.start(internal);
+        reports.listen(identity.internal());
+        store.start();
+    }
+
+    /** Runs a short task again and again, beside the requests. */
+    @SuppressWarnings("FutureReturnValueIgnored") // The loop ends with the process.
+    public void every(long periodMs, Runnable task) {
+        group.next().scheduleWithFixedDelay(task, periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
     private void tellPeers() {
@@ -120,7 +135,7 @@
     private FrontParts frontParts() {
         EndpointChooser chooser = new EndpointChooser(
                 loads,
-                new DispatchSettings(settings.zone(), settings.bounds().capFactor()),
+                () -> new DispatchSettings(identity.zone(), settings.bounds().capFactor()),
                 new FleetSizedSampling(peers::hostCount, new SplittableRandom()));
         ExchangeParts exchanges = new ExchangeParts(
                 chooser, loads, retries, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
@@ -130,7 +145,7 @@
                 exchanges,
                 pool,
                 new CallerHeaders(),
-                new EndpointHeaders(),
+                endpointHeaders,
                 gate,
                 metrics);
     }
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -24,6 +24,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 
@@ -39,15 +40,16 @@
     private static final byte[] NO_BYTES = {};
 
     private final EventLoopGroup group;
-    private final HostAddress address;
+    private final Supplier<HostAddress> address;
     private final EdgeMetrics metrics;
 
     private Channel channel;
+    private HostAddress connectedTo;
     private Consumer<StoreAnswer> waiting;
     private ScheduledFuture<?> timeout;
     private long sentNanos;
 
-    StoreClient(EventLoopGroup group, HostAddress address, EdgeMetrics metrics) {
+    StoreClient(EventLoopGroup group, Supplier<HostAddress> address, EdgeMetrics metrics) {
         this.group = group;
         this.address = address;
         this.metrics = metrics;
@@ -67,11 +69,16 @@
         waiting = answer;
         sentNanos = System.nanoTime();
         metrics.storeCalled();
+        HostAddress to = address.get();
+        if (!to.equals(connectedTo)) {
+            close();
+            connectedTo = to;
+        }
         if (channel != null && channel.isActive()) {
             write(method, path, body, timeoutMs);
             return;
         }
-        bootstrap().connect(address.ip(), address.port()).addListener((ChannelFuture f) -> {
+        bootstrap().connect(to.ip(), to.port()).addListener((ChannelFuture f) -> {
             if (!f.isSuccess()) {
                 end(StoreAnswer.failed("no connection", sentNanos));
                 return;
@@ -103,7 +110,7 @@
     private void write(HttpMethod method, String path, byte[] body, long timeoutMs) {
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
-        request.headers().set(HttpHeaderNames.HOST, address.toString());
+        request.headers().set(HttpHeaderNames.HOST, connectedTo.toString());
         if (body.length > 0) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreFeeds.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreFeeds.java
@@ -3,9 +3,10 @@
 import io.netty.channel.EventLoopGroup;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
-import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.core.storenews.ReadDuty;
 import org.dragonflygw.core.storenews.ReadPace;
+import org.dragonflygw.core.storenews.ReadTimes;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.StoreCalls;
 
@@ -33,7 +34,7 @@
     private static final long RETRY_MS = 250;
 
     private final EventLoopGroup group;
-    private final HostSettings settings;
+    private final SettingsHolder settings;
     private final StoreCalls calls;
     private final EdgeMetrics metrics;
     private final EventLog log;
@@ -41,7 +42,7 @@
 
     StoreFeeds(
             EventLoopGroup group,
-            HostSettings settings,
+            SettingsHolder settings,
             StoreCalls calls,
             EdgeMetrics metrics,
             EventLog log,
@@ -56,29 +57,36 @@
 
     /** Follows the operator's table. */
     TableFollower configuration(TableListener listener, Runnable afterRead) {
-        double boundMs = settings.bounds().configApplyMs();
-        ReadPace pace = new ReadPace(
-                duty, 0, (long) (boundMs * CONFIG_WAIT_SHARE), (long) (boundMs * CONFIG_FOLLOWER_SHARE), (long)
-                        (boundMs * STAGGER_SHARE));
+        ReadPace pace = new ReadPace(duty, this::configurationTimes);
         return follower(new FollowSettings(StoreCalls.OPERATOR_TABLE, pace, TIMEOUT_MS, RETRY_MS), listener, afterRead);
     }
 
+    private ReadTimes configurationTimes() {
+        double boundMs = settings.bounds().configApplyMs();
+        return new ReadTimes(0, (long) (boundMs * CONFIG_WAIT_SHARE), (long) (boundMs * CONFIG_FOLLOWER_SHARE), (long)
+                (boundMs * STAGGER_SHARE));
+    }
+
     /** Follows the list of endpoints. */
     TableFollower endpoints(TableListener listener, Runnable afterRead) {
+        ReadPace pace = new ReadPace(duty, this::endpointTimes);
+        return follower(new FollowSettings(StoreCalls.ENDPOINT_TABLE, pace, TIMEOUT_MS, RETRY_MS), listener, afterRead);
+    }
+
+    private ReadTimes endpointTimes() {
         double boundMs = settings.bounds().drainMs();
-        ReadPace pace = new ReadPace(
-                duty, (long) (boundMs * ENDPOINT_READER_SHARE), 0, (long) (boundMs * ENDPOINT_FOLLOWER_SHARE), (long)
+        return new ReadTimes(
+                (long) (boundMs * ENDPOINT_READER_SHARE), 0, (long) (boundMs * ENDPOINT_FOLLOWER_SHARE), (long)
                         (boundMs * STAGGER_SHARE));
-        return follower(new FollowSettings(StoreCalls.ENDPOINT_TABLE, pace, TIMEOUT_MS, RETRY_MS), listener, afterRead);
     }
 
     /** Makes this host and the others known to each other. */
     HostDirectory hosts(PeerTable peers) {
-        return new HostDirectory(new StoreClient(group, settings.store(), metrics), calls, group.next(), peers, log);
+        return new HostDirectory(new StoreClient(group, settings::store, metrics), calls, group.next(), peers, log);
     }
 
     private TableFollower follower(FollowSettings follow, TableListener listener, Runnable afterRead) {
-        StoreClient client = new StoreClient(group, settings.store(), metrics);
+        StoreClient client = new StoreClient(group, settings::store, metrics);
         return new TableFollower(follow, calls, client, group.next(), listener, log, afterRead);
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -7,8 +7,8 @@
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
-import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.settings.HostSettings;
+import org.dragonflygw.core.settings.HostIdentity;
+import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.core.storenews.EndpointChangeLog;
 import org.dragonflygw.core.storenews.NewsTaker;
 import org.dragonflygw.core.storenews.ReadDuty;
@@ -20,7 +20,7 @@
 
 /** What this host knows of the store: read by itself, or heard from a host that reads for others. */
 public final class StoreView {
-    private final HostSettings settings;
+    private final SettingsHolder settings;
     private final StoreContact contact;
     private final ConfigurationFeed configurationFeed;
     private final EndpointChangeLog changes = new EndpointChangeLog();
@@ -36,7 +36,7 @@
      */
     public StoreView(
             EventLoopGroup group,
-            HostSettings settings,
+            SettingsHolder settings,
             CatalogHolder catalogs,
             EndpointRegistry registry,
             StoreContact contact,
@@ -47,7 +47,7 @@
         this.settings = settings;
         this.contact = contact;
         ObjectMapper mapper = new ObjectMapper();
-        ReadDuty duty = new ReadDuty(settings.hostName(), peers);
+        ReadDuty duty = new ReadDuty(settings.current().identity().hostName(), peers);
         StoreFeeds feeds = new StoreFeeds(group, settings, new StoreCalls(mapper), metrics, log, duty);
         configurationFeed = new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log);
         configuration = feeds.configuration(configurationFeed, afterRead);
@@ -57,10 +57,11 @@
     }
 
     /** Begins to read, and makes this host known to the others. */
-    public void start(HostAddress internal) {
+    public void start() {
+        HostIdentity identity = settings.current().identity();
         configuration.start();
         endpoints.start();
-        hosts.start(settings.hostName(), internal);
+        hosts.start(identity.hostName(), identity.internal());
     }
 
     /** What this host can tell the others. */
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -37,6 +37,7 @@
 import org.dragonflygw.core.log.NoLog;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.settings.RetryBounds;
 import org.dragonflygw.edge.front.FrontGate;
 import org.dragonflygw.edge.front.FrontParts;
 import org.dragonflygw.edge.front.FrontServer;
@@ -61,11 +62,12 @@
     EdgeFixture(RawEndpoint... endpoints) {
         CatalogHolder catalogs = new CatalogHolder();
         catalogs.offer(catalog());
-        StoreContact contact = new StoreContact(TimeUnit.MINUTES.toNanos(5), System::nanoTime, InstantSource.system());
+        StoreContact contact =
+                new StoreContact(() -> TimeUnit.MINUTES.toNanos(5), System::nanoTime, InstantSource.system());
         contact.onRead(System.nanoTime());
         EdgeMetrics metrics = new EdgeMetrics(new MetricRegistry());
-        EndpointChooser chooser = new EndpointChooser(loads, new DispatchSettings("a", 2), all -> all);
-        FleetRetryShare retries = new FleetRetryShare(1, 100, TimeUnit.SECONDS.toNanos(10), 1);
+        EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), all -> all);
+        FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(1, 100, TimeUnit.SECONDS.toNanos(10)), 1);
         ExchangeParts exchanges = new ExchangeParts(
                 chooser, loads, retries, new ReturnTimes(new SplittableRandom(1)), new NoLog(), System::nanoTime);
         for (int i = 0; i < endpoints.length; i++) {
