Order engines and find cached prompts once a choice, not once a candidate

Cause: each choice compared every engine with every other, hashing both ids for each pair, and looked through all caches for each candidate; the time grew with the square of the engines (600 at the target). Ruled out: two random engines of all, since the order for a shared part must be the same on every host.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
-import org.dragonflygw.core.routing.RoutingHash;
 
 /**
  * Chooses the endpoint at which a request's answer is expected to begin first. The expected time is made of the prompt
@@ -47,9 +47,6 @@
     /** Cost of each fetched token, in milliseconds; transfers are fast, but charged by their size. */
     private static final double FETCH_MS_PER_TOKEN = 0.01;
 
-    /** Failure score from which an engine is not asked for cached tokens. */
-    private static final double MAX_SOURCE_FAILURES = 1;
-
     /** Load that is allowed beside the multiple of the mean: half a request below the platform's 3. */
     private static final double BOUND_SLACK = 2.5;
 
@@ -86,17 +83,7 @@
         if (!request.service().modelEngines()) {
             candidates = sampling.sample(candidates);
         }
-        long key = request.prompt().sharedKey();
-        Scored best = null;
-        for (EndpointLoadState e : candidates) {
-            if (full(request, e, nowNanos)) {
-                continue;
-            }
-            Scored s = score(request, e, rank(candidates, e, key), bound, nowNanos);
-            if (best == null || s.cost < best.cost) {
-                best = s;
-            }
-        }
+        Scored best = best(request, candidates, bound, nowNanos);
         if (best == null) {
             return Choice.none(Unserved.BUSY, 0);
         }
@@ -111,6 +98,30 @@
                 Unserved.NONE);
     }
 
+    private Scored best(ChoiceRequest request, List<EndpointLoadState> candidates, double bound, long nowNanos) {
+        EndpointOrder order = new EndpointOrder(candidates, request.prompt().sharedKey());
+        PromptHolders holders = holders(request, nowNanos);
+        Scored best = null;
+        for (int i = 0; i < candidates.size(); i++) {
+            EndpointLoadState e = candidates.get(i);
+            if (full(request, e, nowNanos)) {
+                continue;
+            }
+            Scored s = score(request, e, order.rank(i), holders, bound, nowNanos);
+            if (best == null || s.cost < best.cost) {
+                best = s;
+            }
+        }
+        return best;
+    }
+
+    private PromptHolders holders(ChoiceRequest request, long nowNanos) {
+        CatalogService service = request.service();
+        boolean mayFetch = service.modelEngines() && service.bytesPerToken() > 0;
+        List<EndpointLoadState> engines = mayFetch ? loads.ofService(service.name()) : List.of();
+        return new PromptHolders(engines, request.prompt(), nowNanos);
+    }
+
     private List<EndpointLoadState> candidates(ChoiceRequest request) {
         List<EndpointLoadState> usable = new ArrayList<>();
         for (EndpointLoadState e : loads.ofService(request.service().name())) {
@@ -138,23 +149,11 @@
         return e.load(nowNanos) >= places;
     }
 
-    private static int rank(List<EndpointLoadState> candidates, EndpointLoadState e, long key) {
-        if (key == 0) {
-            return 0;
-        }
-        long own = affinity(e, key);
-        int above = 0;
-        for (EndpointLoadState c : candidates) {
-            if (affinity(c, key) > own) {
-                above++;
-            }
-        }
-        return above;
-    }
-
-    private Scored score(ChoiceRequest request, EndpointLoadState e, int rank, double bound, long nowNanos) {
+    private Scored score(
+            ChoiceRequest request, EndpointLoadState e, int rank, PromptHolders holders, double bound, long nowNanos) {
         double load = e.load(nowNanos);
-        Reading reading = request.service().modelEngines() ? reading(request, e, rank, nowNanos) : Reading.NONE;
+        Reading reading =
+                request.service().modelEngines() ? reading(request.prompt(), e, rank, holders, nowNanos) : Reading.NONE;
         double expected = request.service().modelEngines()
                 ? (e.unread(nowNanos) + reading.tokens) / EndpointLoadState.READ_TOKENS_PER_MS + load * RUNNING_MS
                 : plainMs(e, load);
@@ -179,8 +178,7 @@
     }
 
     /** What an engine has to read for a prompt, and from where it can fetch the rest. */
-    private Reading reading(ChoiceRequest request, EndpointLoadState e, int rank, long nowNanos) {
-        Prompt prompt = request.prompt();
+    private static Reading reading(Prompt prompt, EndpointLoadState e, int rank, PromptHolders holders, long nowNanos) {
         int shared = prompt.sharedTokens();
         int cached = e.cached().cachedTokens(prompt);
         int uncachedShared = Math.max(0, shared - cached);
@@ -188,53 +186,15 @@
         if (uncachedShared == 0) {
             return new Reading(own, 0, Optional.empty());
         }
-        Optional<EndpointLoadState> holder = holder(request, e, cached, nowNanos);
+        Optional<EndpointLoadState> holder = holders.holder(e, cached);
         int held = holder.map(h -> h.cached().cachedTokens(prompt, nowNanos)).orElse(cached);
         int fetched = Math.max(0, Math.min(held, shared) - cached);
         int unread = uncachedShared - fetched;
         double extraMs = fetched > 0 ? FETCH_MS + fetched * FETCH_MS_PER_TOKEN : 0;
         double readMs = unread / EndpointLoadState.READ_TOKENS_PER_MS;
         extraMs += rank == 0 ? -(1 - FIRST_RANK_UNCACHED) * readMs : readMs;
-        Optional<DiscoveredEndpoint> source =
-                unread > fetched ? likelyHolder(request, e) : holder.map(EndpointLoadState::entry);
-        return new Reading(own + unread, extraMs, source);
-    }
-
-    /** The engine that is known to cache most of the prompt beyond a number of tokens. */
-    private Optional<EndpointLoadState> holder(
-            ChoiceRequest request, EndpointLoadState target, int cached, long nowNanos) {
-        if (request.service().bytesPerToken() == 0) {
-            return Optional.empty();
-        }
-        EndpointLoadState best = null;
-        int most = cached;
-        for (EndpointLoadState e : loads.ofService(request.service().name())) {
-            int tokens = e == target ? 0 : e.cached().cachedTokens(request.prompt(), nowNanos);
-            if (tokens > most && !e.blocked(nowNanos) && e.failures(nowNanos) < MAX_SOURCE_FAILURES) {
-                most = tokens;
-                best = e;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    /** The engine that other hosts are likely to have sent such prompts to: the first of the order but the target. */
-    private Optional<DiscoveredEndpoint> likelyHolder(ChoiceRequest request, EndpointLoadState target) {
-        long key = request.prompt().sharedKey();
-        if (key == 0 || request.service().bytesPerToken() == 0) {
-            return Optional.empty();
-        }
-        EndpointLoadState best = null;
-        for (EndpointLoadState e : loads.ofService(request.service().name())) {
-            if (e != target && (best == null || affinity(e, key) > affinity(best, key))) {
-                best = e;
-            }
-        }
-        return Optional.ofNullable(best).map(EndpointLoadState::entry);
-    }
-
-    private static long affinity(EndpointLoadState e, long key) {
-        return RoutingHash.mix(key, RoutingHash.of(e.entry().id()));
+        Optional<EndpointLoadState> source = unread > fetched ? holders.likelyHolder(e) : holder;
+        return new Reading(own + unread, extraMs, source.map(EndpointLoadState::entry));
     }
 
     private static double plainMs(EndpointLoadState e, double load) {
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.routing.RoutingHash;
 
 /** What this host knows of one endpoint beside its entry: its load, its failures, and what it caches. */
 public final class EndpointLoadState {
@@ -19,6 +20,7 @@
     private static final long REPORT_LIFE_NANOS = 2_500_000_000L;
 
     private final CachedParts cached;
+    private final long idHash;
     private DiscoveredEndpoint entry;
     private int inFlight;
     private long unreadTokens;
@@ -34,6 +36,12 @@
     EndpointLoadState(DiscoveredEndpoint entry, long cacheTokens) {
         this.entry = entry;
         this.cached = new CachedParts(cacheTokens);
+        this.idHash = RoutingHash.of(entry.id());
+    }
+
+    /** Hash of the endpoint's id. */
+    long idHash() {
+        return idHash;
     }
 
     /** The endpoint's entry. */
