--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -1,15 +1,10 @@
 package org.dragonflygw.core.exchange;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
-import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.Unserved;
-import org.dragonflygw.core.log.LogLine;
-import org.dragonflygw.core.log.LogTopic;
 
 /**
  * One request of a caller from its arrival to the end of its answer, as a state machine without network or threads.
@@ -21,12 +16,6 @@
 public final class Exchange {
     private static final long NANOS_PER_MS = 1_000_000;
 
-    /** Connections that may fail for one request before it is refused; each costs a connect timeout. */
-    private static final int MAX_CONNECT_FAILURES = 3;
-
-    /** Attempts that endpoints may reject without running them, for one request. */
-    private static final int MAX_REJECTIONS = 2;
-
     /** Least time left for which sending again makes sense, in milliseconds. */
     private static final long MIN_RESEND_MS = 30;
 
@@ -49,22 +38,19 @@
     private final ExchangeRequest request;
     private final ExchangeParts parts;
     private final ExchangeOutput out;
-    private final Set<String> excluded = new HashSet<>();
     private final AnswerBuffer answer;
+    private final AttemptTally tally;
+    private final ExchangeLog log;
 
     private Phase phase = Phase.CHOOSING;
     private EndpointLoadState endpoint;
     private int uncachedTokens;
     private boolean firstPartSeen;
     private boolean skipAnswer;
-    private int runs;
-    private int connectFailures;
-    private int rejections;
     private boolean mayHaveRun;
     private long attemptNanos;
     private long quietSinceNanos;
     private long firstPartNanos;
-    private RunLimit runLimit;
 
     /** Makes an exchange; {@link #start} begins it. */
     public Exchange(ExchangeRequest request, ExchangeParts parts, ExchangeOutput out) {
@@ -72,7 +58,8 @@
         this.parts = parts;
         this.out = out;
         this.answer = new AnswerBuffer(request.route(), out);
-        this.runLimit = new RunLimit(request.route());
+        this.tally = new AttemptTally(request.route());
+        this.log = new ExchangeLog(request, parts.log());
     }
 
     /** Sends the request or refuses it. */
@@ -81,11 +68,6 @@
         sendOrRefuse();
     }
 
-    /** Id of the caller's attempt. */
-    public String id() {
-        return request.id();
-    }
-
     /** Whether the exchange has ended. */
     public boolean ended() {
         return phase == Phase.ENDED;
@@ -103,7 +85,11 @@
 
     private ChoiceRequest choiceRequest(long now) {
         return new ChoiceRequest(
-                request.service(), request.prompt(), request.route().objectiveMs(), remainingMs(now), excluded);
+                request.service(),
+                request.prompt(),
+                request.route().objectiveMs(),
+                remainingMs(now),
+                tally.failedEndpoints());
     }
 
     private static RejectReason reasonOf(Unserved reason) {
@@ -122,22 +108,7 @@
         phase = Phase.SENT;
         attemptNanos = now;
         quietSinceNanos = now;
-        parts.log()
-                .line(LogTopic.DISPATCH)
-                .with("request", request.id())
-                .with("route", request.route().name())
-                .with("team", request.team())
-                .with("endpoint", endpoint.entry().id())
-                .with("loadTenths", (long) (endpoint.load(now) * 10))
-                .with("promptKey", Long.toHexString(request.prompt().sharedKey()))
-                .with("uncachedTokens", uncachedTokens)
-                .with(
-                        "cacheSource",
-                        choice.cacheSource().map(DiscoveredEndpoint::id).orElse(null))
-                .with("expectedMs", choice.expectedMs())
-                .with("remainingMs", remainingMs(now))
-                .with("attempt", runs + rejections + connectFailures + 1)
-                .end();
+        log.dispatched(choice, tally.nextAttempt(), remainingMs(now), now);
         parts.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
         arm();
         out.send(new Dispatch(
@@ -175,15 +146,16 @@
 
     private void onRejected(AnswerHead head, long now) {
         skipAnswer = true;
-        rejections++;
+        tally.onRejection(endpoint.entry().id());
         endpoint.onFailure(head.status() == 421 ? 4 : 0.5, now);
-        logFailure("rejected", head.status(), now);
+        log.attemptFailed(endpoint, "rejected", head.status(), now - attemptNanos);
         endAttempt();
         out.cancel();
         if (head.status() == 421) {
             endpoint.block(now + BLOCK_NANOS);
         }
-        resendOrGiveUp(RejectReason.ENDPOINT_REJECTED, false);
+        resendOrGiveUp(
+                RejectReason.ENDPOINT_REJECTED, tally.mayAskAnother() && hasTimeToResend(now) && takeRepeat(now));
     }
 
     /** A part of the body of the endpoint's answer was read. */
@@ -238,34 +210,16 @@
 
     private void onFailureAnswer(AnswerHead head, long now) {
         endpoint.onFailure(head.status() >= 500 ? 1 : 0, now);
-        logFailure("failure answer", head.status(), now);
+        log.attemptFailed(endpoint, "failure answer", head.status(), now - attemptNanos);
         endAttempt();
-        runs++;
+        tally.onRun(endpoint.entry().id());
         if (head.status() >= 500 && maySendAgain(now)) {
-            excluded.add(endpoint.entry().id());
-            answer.dropUnsent();
-            sendOrPass(head);
+            resendOrGiveUp(RejectReason.ENDPOINT_FAILED, true);
             return;
         }
         passFailure(head);
     }
 
-    private void sendOrPass(AnswerHead failure) {
-        long now = now();
-        Choice choice = parts.chooser().choose(choiceRequest(now), now);
-        if (choice.endpoint().isEmpty()) {
-            reject(RejectReason.ENDPOINT_FAILED, 0);
-            return;
-        }
-        parts.log()
-                .line(LogTopic.ATTEMPT_FAILED)
-                .with("request", request.id())
-                .with("status", failure.status())
-                .with("outcome", "sent again")
-                .end();
-        send(choice, now);
-    }
-
     private void passFailure(AnswerHead head) {
         if (head.promisesNotRun() || answer.started()) {
             failAfterRun(RejectReason.ENDPOINT_FAILED);
@@ -281,26 +235,23 @@
             return;
         }
         long now = now();
-        logFailure(cause.name(), 0, now);
+        log.attemptFailed(endpoint, cause.name(), 0, now - attemptNanos);
         endAttempt();
         if (cause.beforeSending()) {
-            connectFailures++;
+            tally.onConnectFailure(endpoint.entry().id());
             endpoint.onFailure(1, now);
             endpoint.block(now + BLOCK_NANOS);
-            resendOrGiveUp(RejectReason.UNREACHABLE, false);
+            resendOrGiveUp(RejectReason.UNREACHABLE, tally.mayConnectAgain() && hasTimeToResend(now));
             return;
         }
         out.cancel();
         endpoint.onFailure(cause == BreakCause.SILENT ? 0.7 : 1, now);
         mayHaveRun = true;
-        runs++;
-        resendOrGiveUp(RejectReason.ENDPOINT_FAILED, true);
+        tally.onRun(endpoint.entry().id());
+        resendOrGiveUp(RejectReason.ENDPOINT_FAILED, maySendAgain(now));
     }
 
-    private void resendOrGiveUp(RejectReason reason, boolean ran) {
-        long now = now();
-        excluded.add(endpoint.entry().id());
-        boolean allowed = ran ? maySendAgain(now) : maySendElsewhere(reason, now);
+    private void resendOrGiveUp(RejectReason reason, boolean allowed) {
         if (!allowed) {
             giveUp(reason, 0);
             return;
@@ -309,22 +260,12 @@
         sendOrRefuse();
     }
 
-    private boolean maySendElsewhere(RejectReason reason, long now) {
-        if (remainingMs(now) < MIN_RESEND_MS) {
-            return false;
-        }
-        if (reason == RejectReason.UNREACHABLE) {
-            return connectFailures < MAX_CONNECT_FAILURES;
-        }
-        return rejections < MAX_REJECTIONS && takeRepeat(now);
+    private boolean maySendAgain(long now) {
+        return tally.mayRunAgain(0) && answer.resumable() && hasTimeToResend(now) && takeRepeat(now);
     }
 
-    private boolean maySendAgain(long now) {
-        return request.route().repeatable()
-                && answer.resumable()
-                && runLimit.allows(runs)
-                && remainingMs(now) >= MIN_RESEND_MS
-                && takeRepeat(now);
+    private boolean hasTimeToResend(long now) {
+        return remainingMs(now) >= MIN_RESEND_MS;
     }
 
     private boolean takeRepeat(long now) {
@@ -336,17 +277,9 @@
             failAfterRun(RejectReason.ENDPOINT_FAILED);
             return;
         }
-        long now = now();
-        parts.log()
-                .line(LogTopic.REFUSE)
-                .with("request", request.id())
-                .with("route", request.route().name())
-                .with("team", request.team())
-                .with("reason", reason.name())
-                .with("expectedMs", expectedMs)
-                .with("remainingMs", remainingMs(now))
-                .end();
-        reject(reason, parts.returnTimes().afterMs(remainingMs(now)));
+        long remainingMs = remainingMs(now());
+        log.refused(reason, expectedMs, remainingMs);
+        reject(reason, parts.returnTimes().afterMs(remainingMs));
     }
 
     private void failAfterRun(RejectReason reason) {
@@ -381,14 +314,13 @@
     }
 
     private boolean mayRetrySilent(long now) {
-        return request.route().repeatable()
+        return tally.mayRunAgain(1)
                 && answer.resumable()
-                && runLimit.allows(runs + 1)
                 && remainingMs(now) > request.route().objectiveMs();
     }
 
     private void onTimeout(long now) {
-        logFailure("timeout", 0, now);
+        log.attemptFailed(endpoint, "timeout", 0, now - attemptNanos);
         endpoint.onFailure(0.5, now);
         endAttempt();
         out.cancel();
@@ -431,33 +363,9 @@
         phase = Phase.CHOOSING;
     }
 
-    private void logFailure(String outcome, int status, long now) {
-        parts.log()
-                .line(LogTopic.ATTEMPT_FAILED)
-                .with("request", request.id())
-                .with("endpoint", endpoint.entry().id())
-                .with("outcome", outcome)
-                .with("status", status)
-                .with("attemptMs", (now - attemptNanos) / NANOS_PER_MS)
-                .end();
-    }
-
     private void end(String outcome, int status) {
         phase = Phase.ENDED;
-        long now = now();
-        LogLine line = parts.log()
-                .line(LogTopic.END)
-                .with("request", request.id())
-                .with("route", request.route().name())
-                .with("outcome", outcome)
-                .with("status", status)
-                .with("totalMs", (now - request.arrivedNanos()) / NANOS_PER_MS);
-        if (firstPartNanos != 0) {
-            line.with("firstPartMs", (firstPartNanos - request.arrivedNanos()) / NANOS_PER_MS);
-        }
-        Optional.ofNullable(endpoint)
-                .ifPresent(e -> line.with("endpoint", e.entry().id()));
-        line.end();
+        log.ended(outcome, status, Optional.ofNullable(endpoint), firstPartNanos, now());
     }
 
     private long remainingMs(long now) {
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -0,0 +1,77 @@
+package org.dragonflygw.core.exchange;
+
+import java.util.Optional;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.Choice;
+import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogLine;
+import org.dragonflygw.core.log.LogTopic;
+
+/** Writes the lines of one exchange: each choice of an endpoint, each failed attempt, a refusal, and the end. */
+final class ExchangeLog {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private final ExchangeRequest request;
+    private final EventLog log;
+
+    ExchangeLog(ExchangeRequest request, EventLog log) {
+        this.request = request;
+        this.log = log;
+    }
+
+    void dispatched(Choice choice, int attempt, long remainingMs, long nowNanos) {
+        EndpointLoadState endpoint = choice.endpoint().orElseThrow();
+        log.line(LogTopic.DISPATCH)
+                .with("request", request.id())
+                .with("route", request.route().name())
+                .with("team", request.team())
+                .with("endpoint", endpoint.entry().id())
+                .with("loadTenths", (long) (endpoint.load(nowNanos) * 10))
+                .with("promptKey", Long.toHexString(request.prompt().sharedKey()))
+                .with("uncachedTokens", choice.uncachedTokens())
+                .with(
+                        "cacheSource",
+                        choice.cacheSource().map(DiscoveredEndpoint::id).orElse(null))
+                .with("expectedMs", choice.expectedMs())
+                .with("remainingMs", remainingMs)
+                .with("attempt", attempt)
+                .end();
+    }
+
+    void attemptFailed(EndpointLoadState endpoint, String outcome, int status, long attemptNanos) {
+        log.line(LogTopic.ATTEMPT_FAILED)
+                .with("request", request.id())
+                .with("endpoint", endpoint.entry().id())
+                .with("outcome", outcome)
+                .with("status", status)
+                .with("attemptMs", attemptNanos / NANOS_PER_MS)
+                .end();
+    }
+
+    void refused(RejectReason reason, long expectedMs, long remainingMs) {
+        log.line(LogTopic.REFUSE)
+                .with("request", request.id())
+                .with("route", request.route().name())
+                .with("team", request.team())
+                .with("reason", reason.name())
+                .with("expectedMs", expectedMs)
+                .with("remainingMs", remainingMs)
+                .end();
+    }
+
+    /** Logs the end; the first part's time is 0 if none was read. */
+    void ended(String outcome, int status, Optional<EndpointLoadState> endpoint, long firstPartNanos, long nowNanos) {
+        LogLine line = log.line(LogTopic.END)
+                .with("request", request.id())
+                .with("route", request.route().name())
+                .with("outcome", outcome)
+                .with("status", status)
+                .with("totalMs", (nowNanos - request.arrivedNanos()) / NANOS_PER_MS);
+        if (firstPartNanos != 0) {
+            line.with("firstPartMs", (firstPartNanos - request.arrivedNanos()) / NANOS_PER_MS);
+        }
+        endpoint.ifPresent(e -> line.with("endpoint", e.entry().id()));
+        line.end();
+    }
+}
