Explain a request from the log files of several hosts

Cause: explain only asked daemons; after a failure the engineers have only the routers' logs. The configuration line now says its size and time to decode.

--- a/cli/src/main/java/org/dragonflygw/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/dragonflygw/cli/command/ExplainCommand.java
@@ -1,8 +1,11 @@
 package org.dragonflygw.cli.command;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Path;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
+import joptsimple.OptionParser;
 import org.dragonflygw.cli.CliException;
 import org.dragonflygw.cli.Command;
 import org.dragonflygw.cli.ExitCode;
@@ -10,6 +13,8 @@
 import org.dragonflygw.cli.Invocation;
 import org.dragonflygw.cli.Output;
 import org.dragonflygw.cli.OutputFormat;
+import org.dragonflygw.cli.logs.LogReader;
+import org.dragonflygw.cli.logs.RequestStory;
 import org.dragonflygw.core.inspect.TimelineView;
 import org.dragonflygw.core.timeline.Event;
 import org.dragonflygw.core.timeline.EventKey;
@@ -18,6 +23,7 @@
 /** Explains one request: the candidates and their scores, what was waited for, refused or retried, and the end. */
 public final class ExplainCommand implements Command {
     private static final int LIMIT = 10_000;
+    private static final String LOGS = "logs";
     private static final Set<EventType> CHOICE = EnumSet.of(EventType.CANDIDATES_RANKED);
     private static final Set<EventType> WAITING = EnumSet.of(
             EventType.GRANT_REQUESTED,
@@ -53,9 +59,19 @@
         return "why a request went where it went, and what was waited for, refused or retried";
     }
 
+    @Override
+    public void declareOptions(OptionParser parser) {
+        parser.accepts(LOGS, "read log files of routers instead of asking daemons; may be given more than once")
+                .withRequiredArg()
+                .describedAs("FILE");
+    }
+
     @Override
     public ExitCode run(Invocation invocation) {
         String request = invocation.argument(0, "request id");
+        if (invocation.options().has(LOGS)) {
+            return explainFromLogs(invocation, request);
+        }
         String path = TimelineCommand.query(EventKey.REQUEST, request, LIMIT);
         FleetAnswers<TimelineView> views = invocation.fleet().getFromAll(path, TimelineView.class);
         List<Event> events = TimelineCommand.merge(views.answers(), LIMIT);
@@ -71,6 +87,24 @@
         return views.exitCode();
     }
 
+    private static ExitCode explainFromLogs(Invocation invocation, String request) {
+        List<Path> files = invocation.options().valuesOf(LOGS).stream()
+                .map(f -> Path.of(String.valueOf(f)))
+                .toList();
+        LogReader reader = new LogReader(new ObjectMapper());
+        RequestStory story = new RequestStory(request);
+        files.forEach(f -> reader.read(f, story::noteRequest));
+        if (reader.unreadable() > 0) {
+            invocation.output().note(reader.unreadable() + " lines are no log lines and were passed over");
+        }
+        if (!story.found()) {
+            throw new CliException(ExitCode.FAILED, "no line of these logs is about request " + request);
+        }
+        files.forEach(f -> reader.read(f, story::noteContext));
+        LogStoryPrinter.print(invocation.output(), request, story);
+        return ExitCode.OK;
+    }
+
     private static void print(Output output, String request, List<Event> events) {
         Event first = events.get(0);
         Event last = events.get(events.size() - 1);
--- a/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.edge.store;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.catalog.Catalog;
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
@@ -50,6 +51,7 @@
     }
 
     private boolean take(VersionedRow row) {
+        long startNanos = System.nanoTime();
         try {
             Catalog next = decoder.decode(row.data());
             boolean inForce = catalogs.offer(next);
@@ -58,6 +60,8 @@
                     .with("configVersion", next.version())
                     .with("rowVersion", row.version())
                     .with("routes", next.routeCount())
+                    .with("bytes", row.data().length)
+                    .with("decodeMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
                     .with("outcome", inForce ? "in force" : "older than the one in force")
                     .end();
             return true;
