--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -28,6 +28,11 @@
         holdings = List.copyOf(holdings);
     }
 
+    /** The same report without the prompts, for a message that would grow too large. */
+    public HostReport withoutHoldings() {
+        return new HostReport(host, address, startedMs, sequence, uses, List.of(), news);
+    }
+
     /** Whether this report was made after another of the same host. */
     public boolean newerThan(HostReport other) {
         return startedMs != other.startedMs ? startedMs > other.startedMs : sequence > other.sequence;
--- a/core/src/main/java/org/dragonflygw/core/storenews/NewsTaker.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/NewsTaker.java
@@ -44,7 +44,7 @@
         long now = clock.nanos();
         for (EndpointChange c : news.changes()) {
             if (c.version() > endpoints.version()) {
-                changes.add(c);
+                changes.add(c, now);
                 apply(c, now);
             }
         }
--- a/core/src/test/java/org/dragonflygw/core/storenews/NewsFuzzTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/NewsFuzzTest.java
@@ -30,6 +30,7 @@
     private static final int HOSTS = 4;
     private static final int IDS = 6;
     private static final int STEPS = 120;
+    private static final int TELL_MS = 700;
 
     @Property(tries = 600, seed = "20261204")
     void hostsKnowTheListOfTheVersionTheyName(@ForAll long seed) {
@@ -119,7 +120,7 @@
                             ? registry.onEntry(c.entry().get())
                             : registry.onRemoved(c.id(), clock.nanos());
                     if (changed) {
-                        log.add(c);
+                        log.add(c, clock.nanos());
                     }
                 }
             }
@@ -127,6 +128,8 @@
         }
 
         void hear(Host other) {
+            other.clock.advanceMs(TELL_MS);
+            other.log.expire(other.clock.nanos());
             StoreNews news =
                     new StoreNews(true, other.version, 0, other.log.completeFrom(), other.log.changes(), 0, -1);
             taker.take(news, this, this, 0);
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -40,6 +42,9 @@
     /** Hosts that are told at once what was read of the store: a group of hosts that share one reader. */
     private static final int MAX_TOLD_AT_ONCE = 80;
 
+    /** Largest report in bytes: what a host of a large fleet has at several hundred endpoints. */
+    private static final int MAX_REPORT_BYTES = 16_384;
+
     /** Pause of this process after which waiting messages may be older than they say, in nanoseconds. */
     private static final long MAX_STALL_NANOS = 600_000_000L;
 
@@ -84,6 +89,7 @@
         channel = new Bootstrap()
                 .group(group)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_REPORT_BYTES))
                 .handler(new Receiver())
                 .bind(address.ip(), address.port())
                 .syncUninterruptibly()
@@ -109,7 +115,7 @@
     }
 
     private void send(List<HostAddress> targets, int count, int rounds) {
-        byte[] bytes = codec.encode(reports.next(rounds, news.get()));
+        byte[] bytes = encode(reports.next(rounds, news.get()));
         for (int i = 0; i < count; i++) {
             HostAddress to = targets.get(nextTarget++ % targets.size());
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.ip(), to.port())));
@@ -117,6 +123,18 @@
         channel.flush();
     }
 
+    private byte[] encode(HostReport report) {
+        byte[] bytes = codec.encode(report);
+        if (bytes.length <= MAX_REPORT_BYTES) {
+            return bytes;
+        }
+        log.line(LogTopic.PEER)
+                .with("outcome", "report cut")
+                .with("bytes", bytes.length)
+                .end();
+        return codec.encode(report.withoutHoldings());
+    }
+
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
--- a/edge/src/main/java/org/dragonflygw/edge/store/EndpointFeed.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/EndpointFeed.java
@@ -41,7 +41,7 @@
             Optional<DiscoveredEndpoint> entry = r.deleted() ? Optional.empty() : decoder.decode(r.key(), r.data());
             boolean changed = entry.isPresent() ? registry.onEntry(entry.get()) : registry.onRemoved(r.key(), now);
             if (changed) {
-                changes.add(new EndpointChange(r.key(), entry, r.version()));
+                changes.add(new EndpointChange(r.key(), entry, r.version()), now);
             }
         }
     }
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -66,6 +66,7 @@
 
     /** What this host can tell the others. */
     public StoreNews news() {
+        changes.expire(System.nanoTime());
         return new StoreNews(
                 configuration.reachable() && endpoints.reachable(),
                 endpoints.version(),
--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -0,0 +1,103 @@
+package org.dragonflygw.edge;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.Prompt;
+import org.dragonflygw.core.dispatch.PromptPart;
+import org.dragonflygw.core.log.NoLog;
+import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.peers.ReportMaker;
+import org.dragonflygw.core.retry.FleetRetryShare;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.settings.RetryBounds;
+import org.dragonflygw.core.storenews.EndpointChange;
+import org.dragonflygw.core.storenews.StoreNews;
+import org.dragonflygw.edge.peers.PeerReports;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Reports between two hosts on loopback. */
+final class PeerReportsTest {
+    private static final int ENDPOINTS = 100;
+    private static final int CHANGES = 32;
+    private static final int WAIT_S = 10;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final BlockingQueue<StoreNews> taken = new ArrayBlockingQueue<>(1_000);
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private static HostAddress freeAddress() throws SocketException {
+        try (DatagramSocket s = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return new HostAddress("127.0.0.1", s.getLocalPort());
+        }
+    }
+
+    private static DiscoveredEndpoint endpoint(int number) {
+        return new DiscoveredEndpoint(
+                "i-" + (1_000_000_000L + number), "service", "10.10.10.10", 8_309, "zone-a", 64, false, 0, number);
+    }
+
+    private PeerReports host(
+            String name,
+            HostAddress own,
+            HostAddress other,
+            EndpointLoads loads,
+            StoreNews news,
+            Consumer<StoreNews> taker) {
+        PeerTable peers = new PeerTable(name, loads, new NoLog(), System::nanoTime);
+        peers.onListed("other-than-" + name, other);
+        FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(0.2, 52, 1), 2);
+        ReportMaker maker = new ReportMaker(name, own, 1, loads);
+        return new PeerReports(group, peers, maker, retries, new NoLog(), () -> news, taker);
+    }
+
+    private static EndpointLoads busyLoads() {
+        EndpointLoads loads = new EndpointLoads();
+        for (int i = 0; i < ENDPOINTS; i++) {
+            loads.onEntry(endpoint(i));
+            Prompt prompt = new Prompt(
+                    List.of(new PromptPart(Long.MAX_VALUE - i, 5_000), new PromptPart(Long.MAX_VALUE / 2 - i, 300)),
+                    5_300,
+                    100);
+            loads.onSent(loads.get(endpoint(i).id()).orElseThrow(), prompt, 5_300, 0);
+        }
+        return loads;
+    }
+
+    private static StoreNews newsOfManyChanges() {
+        List<EndpointChange> changes = new ArrayList<>();
+        for (int i = 0; i < CHANGES; i++) {
+            changes.add(new EndpointChange(endpoint(i).id(), Optional.of(endpoint(i)), i + 1));
+        }
+        return new StoreNews(true, CHANGES, 0, 0, changes, 1, 0);
+    }
+
+    /** Hosts of a large fleet have requests at many endpoints, and many entries change during a release. */
+    @Test
+    void reportsOfALargeFleetArriveWhole() throws Exception {
+        HostAddress a = freeAddress();
+        HostAddress b = freeAddress();
+        host("b", b, a, new EndpointLoads(), StoreNews.NONE, taken::add).listen(b);
+        host("a", a, b, busyLoads(), newsOfManyChanges(), n -> {}).listen(a);
+        assertThat(taken.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(newsOfManyChanges());
+    }
+}
