Tell other hosts which endpoints fail, and log the longest pause of an answer

Ruled out: summing the scores of all hosts, since engines that fail 10 in 100 of their requests for good would be shunned by a large fleet; the mean over the hosts that use the endpoint is what one host's own score would be. A host now takes the higher of its own score and that mean, and tells only its own. PeerTableTest holds both. The END line has longestGapMs, since answers were late by pauses and the log did not show it.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -26,9 +26,8 @@
     private long unreadTokens;
     private int othersAtReport;
     private long reportNanos = Long.MIN_VALUE;
-    private int peersInFlight;
-    private long peersUnreadTokens;
-    private long peersNanos = Long.MIN_VALUE;
+    private OthersUse others = OthersUse.NONE;
+    private long othersNanos = Long.MIN_VALUE;
     private double failures;
     private long failuresNanos;
     private long blockedUntilNanos = Long.MIN_VALUE;
@@ -98,24 +97,23 @@
         reportNanos = nowNanos;
     }
 
-    /** Notes the sum of what other hosts have at this endpoint. */
-    public void onPeers(int othersInFlight, long othersUnreadTokens, long nowNanos) {
-        peersInFlight = othersInFlight;
-        peersUnreadTokens = othersUnreadTokens;
-        peersNanos = nowNanos;
+    /** Notes what other hosts have at this endpoint. */
+    public void onPeers(OthersUse use, long nowNanos) {
+        others = use;
+        othersNanos = nowNanos;
     }
 
     /** Estimated requests of all hosts at the endpoint. */
     public double load(long nowNanos) {
-        if (fresh(peersNanos, nowNanos)) {
-            return inFlight + peersInFlight;
+        if (fresh(othersNanos, nowNanos)) {
+            return inFlight + others.inFlight();
         }
         return inFlight + (fresh(reportNanos, nowNanos) ? othersAtReport : 0);
     }
 
     /** Estimated prompt tokens that the endpoint has still to read. */
     public double unread(long nowNanos) {
-        return unreadTokens + (fresh(peersNanos, nowNanos) ? peersUnreadTokens : 0);
+        return unreadTokens + (fresh(othersNanos, nowNanos) ? others.unreadTokens() : 0);
     }
 
     private static boolean fresh(long atNanos, long nowNanos) {
@@ -124,19 +122,25 @@
 
     /** Notes a failed attempt. */
     public void onFailure(double weight, long nowNanos) {
-        failures = Math.min(MAX_FAILURE_SCORE, failures(nowNanos) + weight);
+        failures = Math.min(MAX_FAILURE_SCORE, ownFailures(nowNanos) + weight);
         failuresNanos = nowNanos;
     }
 
     /** Notes a good answer. */
     public void onSuccess(long nowNanos) {
-        failures = failures(nowNanos) * 0.7;
+        failures = ownFailures(nowNanos) * 0.7;
         failuresNanos = nowNanos;
         blockedUntilNanos = Long.MIN_VALUE;
     }
 
-    /** Failure score, which halves every few seconds. */
+    /** Failure score: that of this host, or of the others if they have seen it fail more. */
     public double failures(long nowNanos) {
+        double own = ownFailures(nowNanos);
+        return fresh(othersNanos, nowNanos) ? Math.max(own, others.failures()) : own;
+    }
+
+    /** Failure score of this host, which halves every few seconds. */
+    public double ownFailures(long nowNanos) {
         return failures == 0 ? 0 : failures * Math.pow(0.5, (nowNanos - failuresNanos) / FAILURE_HALF_LIFE_NANOS);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -51,6 +51,7 @@
     private long attemptNanos;
     private long quietSinceNanos;
     private long firstPartNanos;
+    private long longestGapNanos;
 
     /** Makes an exchange; {@link #start} begins it. */
     public Exchange(ExchangeRequest request, ExchangeParts parts, ExchangeOutput out) {
@@ -164,6 +165,9 @@
             return;
         }
         long now = now();
+        if (firstPartSeen) {
+            longestGapNanos = Math.max(longestGapNanos, now - quietSinceNanos);
+        }
         quietSinceNanos = now;
         onFirstPart(now);
         if (!answer.onBody(body)) {
@@ -365,7 +369,7 @@
 
     private void end(String outcome, int status) {
         phase = Phase.ENDED;
-        log.ended(outcome, status, Optional.ofNullable(endpoint), firstPartNanos, now());
+        log.ended(outcome, status, Optional.ofNullable(endpoint), firstPartNanos, longestGapNanos, now());
     }
 
     private long remainingMs(long now) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -61,7 +61,13 @@
     }
 
     /** Logs the end; the first part's time is 0 if none was read. */
-    void ended(String outcome, int status, Optional<EndpointLoadState> endpoint, long firstPartNanos, long nowNanos) {
+    void ended(
+            String outcome,
+            int status,
+            Optional<EndpointLoadState> endpoint,
+            long firstPartNanos,
+            long longestGapNanos,
+            long nowNanos) {
         LogLine line = log.line(LogTopic.END)
                 .with("request", request.id())
                 .with("route", request.route().name())
@@ -70,6 +76,7 @@
                 .with("totalMs", (nowNanos - request.arrivedNanos()) / NANOS_PER_MS);
         if (firstPartNanos != 0) {
             line.with("firstPartMs", (firstPartNanos - request.arrivedNanos()) / NANOS_PER_MS);
+            line.with("longestGapMs", longestGapNanos / NANOS_PER_MS);
         }
         endpoint.ifPresent(e -> line.with("endpoint", e.entry().id()));
         line.end();
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.OthersUse;
 import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
@@ -80,8 +81,7 @@
     public void refresh() {
         long now = clock.nanos();
         forgetSilent(now);
-        Map<String, int[]> inFlight = new HashMap<>();
-        Map<String, long[]> unread = new HashMap<>();
+        Map<String, Sum> sums = new HashMap<>();
         boolean any = false;
         for (Map.Entry<String, Peer> e : peers.entrySet()) {
             Peer p = e.getValue();
@@ -92,23 +92,18 @@
             }
             any |= fresh;
             if (fresh) {
-                add(p.report, inFlight, unread);
+                p.report
+                        .uses()
+                        .forEach(u -> sums.computeIfAbsent(u.endpoint(), x -> new Sum())
+                                .add(u));
             }
         }
         if (!any) {
             return;
         }
         for (EndpointLoadState s : loads.all()) {
-            int[] count = inFlight.getOrDefault(s.entry().id(), new int[1]);
-            long[] tokens = unread.getOrDefault(s.entry().id(), new long[1]);
-            s.onPeers(count[0], tokens[0], now);
-        }
-    }
-
-    private static void add(HostReport report, Map<String, int[]> inFlight, Map<String, long[]> unread) {
-        for (EndpointUse u : report.uses()) {
-            inFlight.computeIfAbsent(u.endpoint(), x -> new int[1])[0] += u.inFlight();
-            unread.computeIfAbsent(u.endpoint(), x -> new long[1])[0] += u.unreadTokens();
+            Sum sum = sums.get(s.entry().id());
+            s.onPeers(sum == null ? OthersUse.NONE : sum.use(), now);
         }
     }
 
@@ -160,6 +155,24 @@
         return addresses;
     }
 
+    private static final class Sum {
+        private int hosts;
+        private int inFlight;
+        private long unreadTokens;
+        private double failures;
+
+        void add(EndpointUse use) {
+            hosts++;
+            inFlight += use.inFlight();
+            unreadTokens += use.unreadTokens();
+            failures += use.failures();
+        }
+
+        OthersUse use() {
+            return new OthersUse(inFlight, unreadTokens, failures / hosts);
+        }
+    }
+
     private static final class Peer {
         private HostAddress address;
         private HostReport report;
--- a/core/src/main/java/org/dragonflygw/core/peers/ReportMaker.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportMaker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 
@@ -17,19 +18,24 @@
     /** Reports in which each prompt is told to the same host. */
     private static final int REPEATS = 2;
 
+    /** Failure score from which an endpoint is told of although nothing is under way there. */
+    private static final double MIN_FAILURES = 0.2;
+
     private final String host;
     private final HostAddress address;
     private final long startedMs;
     private final EndpointLoads loads;
+    private final MonotonicClock clock;
     private final Deque<Told> recent = new ArrayDeque<>();
     private long sequence;
 
     /** Makes a maker of reports. */
-    public ReportMaker(String host, HostAddress address, long startedMs, EndpointLoads loads) {
+    public ReportMaker(String host, HostAddress address, long startedMs, EndpointLoads loads, MonotonicClock clock) {
         this.host = host;
         this.address = address;
         this.startedMs = startedMs;
         this.loads = loads;
+        this.clock = clock;
     }
 
     /**
@@ -52,9 +58,11 @@
 
     private List<EndpointUse> uses() {
         List<EndpointUse> uses = new ArrayList<>();
+        long now = clock.nanos();
         for (EndpointLoadState e : loads.all()) {
-            if (e.inFlight() > 0) {
-                uses.add(new EndpointUse(e.entry().id(), e.inFlight(), e.unreadTokens()));
+            double failures = e.ownFailures(now);
+            if (e.inFlight() > 0 || failures >= MIN_FAILURES) {
+                uses.add(new EndpointUse(e.entry().id(), e.inFlight(), e.unreadTokens(), failures));
             }
         }
         return uses;
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizedSamplingTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizedSamplingTest.java
@@ -34,7 +34,7 @@
                 EndpointLoads loads = loads();
                 List<EndpointLoadState> all = new ArrayList<>(loads.ofService("app"));
                 for (int i = 0; i < ENDPOINTS; i++) {
-                    all.get(i).onPeers(i == 0 ? 0 : 1, 0, NOW);
+                    all.get(i).onPeers(new OthersUse(i == 0 ? 0 : 1, 0, 0), NOW);
                 }
                 FleetSizedSampling sampling = new FleetSizedSampling(() -> hosts, new SplittableRandom(host));
                 EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), sampling);
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -25,12 +25,16 @@
     }
 
     private static HostReport report(String host, long started, long sequence, int inFlight) {
+        return report(host, started, sequence, inFlight, 0);
+    }
+
+    private static HostReport report(String host, long started, long sequence, int inFlight, double failures) {
         return new HostReport(
                 host,
                 ADDRESS,
                 started,
                 sequence,
-                List.of(new EndpointUse("e1", inFlight, 100)),
+                List.of(new EndpointUse("e1", inFlight, 100, failures)),
                 List.of(),
                 StoreNews.NONE);
     }
@@ -63,6 +67,26 @@
         assertThat(load()).isEqualTo(1.0);
     }
 
+    /** Pattern: an engine takes requests and never answers; a host alone learns of it one timeout at a time. */
+    @Test
+    void anEndpointThatFailsForTheOthersIsAvoidedHere() {
+        peers.onReport(report("h1", 1, 1, 1, 0.5));
+        peers.onReport(report("h2", 1, 1, 1, 0.3));
+        peers.refresh();
+        assertThat(loads.get("e1").orElseThrow().failures(clock.nanos()))
+                .isWithin(1e-9)
+                .of(0.4);
+        assertThat(loads.get("e1").orElseThrow().ownFailures(clock.nanos())).isEqualTo(0.0);
+    }
+
+    @Test
+    void whatTheOthersSawIsNotToldOnAsSeenHere() {
+        peers.onReport(report("h1", 1, 1, 0, 2));
+        peers.refresh();
+        HostReport own = new ReportMaker("me", ADDRESS, 1, loads, clock).next(1, StoreNews.NONE);
+        assertThat(own.uses()).isEmpty();
+    }
+
     @Test
     void aSilentHostNoLongerCountsButIsStillTold() {
         peers.onReport(report("h1", 1, 1, 3));
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -116,7 +116,8 @@
 
     private void followStore() {
         long startedMs = InstantSource.system().instant().toEpochMilli();
-        ReportMaker maker = new ReportMaker(identity.hostName(), identity.internal(), startedMs, loads);
+        ReportMaker maker =
+                new ReportMaker(identity.hostName(), identity.internal(), startedMs, loads, System::nanoTime);
         reports = new PeerReports(group, peers, maker, retries, log, store::news, store::take);
         reports.listen(identity.internal());
         store.start();
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
@@ -187,10 +187,7 @@
             closing = true;
             return;
         }
-        while (call == null && !closing && !queued.isEmpty()) {
-            onMessage(queued.poll());
-        }
-        while (reading && !queued.isEmpty()) {
+        while (!closing && !queued.isEmpty() && (call == null || reading)) {
             onMessage(queued.poll());
         }
     }
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -67,7 +67,7 @@
         PeerTable peers = new PeerTable(name, loads, new NoLog(), System::nanoTime);
         peers.onListed("other-than-" + name, other);
         FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(0.2, 52, 1), 2);
-        ReportMaker maker = new ReportMaker(name, own, 1, loads);
+        ReportMaker maker = new ReportMaker(name, own, 1, loads, System::nanoTime);
         return new PeerReports(group, peers, maker, retries, new NoLog(), () -> news, taker);
     }
 
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -18,6 +18,8 @@
 
 /** Turns reports of hosts into bytes and back. */
 public final class HostReportCodec {
+    private static final double HUNDREDTHS = 100;
+
     private final TSerializer serializer;
     private final TDeserializer deserializer;
 
@@ -34,7 +36,7 @@
     /** Encodes a report. */
     public byte[] encode(HostReport report) {
         List<EndpointUseMessage> uses = new ArrayList<>();
-        report.uses().forEach(u -> uses.add(new EndpointUseMessage(u.endpoint(), u.inFlight(), u.unreadTokens())));
+        report.uses().forEach(u -> uses.add(encode(u)));
         List<PromptHoldingMessage> holdings = new ArrayList<>();
         for (PromptHolding h : report.holdings()) {
             List<PromptPartMessage> parts = new ArrayList<>();
@@ -57,6 +59,17 @@
         }
     }
 
+    private static EndpointUseMessage encode(EndpointUse use) {
+        EndpointUseMessage m = new EndpointUseMessage(use.endpoint(), use.inFlight(), use.unreadTokens());
+        int hundredths = (int) Math.round(use.failures() * HUNDREDTHS);
+        return hundredths > 0 ? m.setFailureHundredths(hundredths) : m;
+    }
+
+    private static EndpointUse decode(EndpointUseMessage m) {
+        double failures = m.isSetFailureHundredths() ? Math.max(0, m.getFailureHundredths()) / HUNDREDTHS : 0;
+        return new EndpointUse(m.getEndpoint(), m.getInFlight(), m.getUnreadTokens(), failures);
+    }
+
     /** Decodes a report. */
     public HostReport decode(byte[] bytes) {
         HostReportMessage m = new HostReportMessage();
@@ -71,7 +84,7 @@
 
     private static HostReport decode(HostReportMessage m) {
         List<EndpointUse> uses = new ArrayList<>();
-        m.getUses().forEach(u -> uses.add(new EndpointUse(u.getEndpoint(), u.getInFlight(), u.getUnreadTokens())));
+        m.getUses().forEach(u -> uses.add(decode(u)));
         List<PromptHolding> holdings = new ArrayList<>();
         for (PromptHoldingMessage h : m.getHoldings()) {
             List<PromptPart> parts = new ArrayList<>();
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -7,6 +7,8 @@
   2: required i32 inFlight
   /** Prompt tokens that the endpoint has still to read for them. */
   3: required i64 unreadTokens
+  /** Failure score of the endpoint at that host, times 100. */
+  4: optional i32 failureHundredths
 }
 
 /** One part of a prompt. */
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -73,7 +73,7 @@
                 new HostAddress("10.0.0.2", 7_000),
                 1,
                 2,
-                List.of(new EndpointUse("i-1", 3, 4)),
+                List.of(new EndpointUse("i-1", 3, 4, 0.25)),
                 List.of(new PromptHolding("i-1", List.of(new PromptPart(5, 6)))),
                 news);
     }
