--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.core.dispatch;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -13,7 +12,7 @@
  * add to it. All hosts rank engines for a shared prompt part in the same order, so that the part stays on one engine
  * until waiting there would cost more than reading it elsewhere. Used by one thread.
  */
-public final class EndpointChooser {
+public final class EndpointChooser implements EndpointChoice {
     /** How much each running request delays the first token, in milliseconds. */
     private static final double RUNNING_MS = 2.5;
 
@@ -59,23 +58,22 @@
     /** Cost of an endpoint to which connections failed just now, in milliseconds. */
     private static final double BLOCKED_MS = 20_000;
 
-    /** Requests a plain endpoint takes beyond its slots, as a multiple of the slots. */
-    private static final double PLAIN_QUEUE = 1.5;
-
     private final EndpointLoads loads;
+    private final UsableEndpoints usable;
     private final Supplier<DispatchSettings> settings;
     private final CandidateSampling sampling;
 
     /** Makes a chooser over the known endpoints. */
     public EndpointChooser(EndpointLoads loads, Supplier<DispatchSettings> settings, CandidateSampling sampling) {
         this.loads = loads;
+        this.usable = new UsableEndpoints(loads);
         this.settings = settings;
         this.sampling = sampling;
     }
 
-    /** Chooses an endpoint or says why there is none. */
+    @Override
     public Choice choose(ChoiceRequest request, long nowNanos) {
-        List<EndpointLoadState> candidates = candidates(request);
+        List<EndpointLoadState> candidates = usable.all(request);
         if (candidates.isEmpty()) {
             return Choice.none(Unserved.NO_ENDPOINT, 0);
         }
@@ -104,7 +102,7 @@
         Scored best = null;
         for (int i = 0; i < candidates.size(); i++) {
             EndpointLoadState e = candidates.get(i);
-            if (full(request, e, nowNanos)) {
+            if (UsableEndpoints.full(request, e, nowNanos)) {
                 continue;
             }
             Scored s = score(request, e, order.rank(i), holders, bound, nowNanos);
@@ -122,31 +120,8 @@
         return new PromptHolders(engines, request.prompt(), nowNanos);
     }
 
-    private List<EndpointLoadState> candidates(ChoiceRequest request) {
-        List<EndpointLoadState> usable = new ArrayList<>();
-        for (EndpointLoadState e : loads.ofService(request.service().name())) {
-            if (!e.entry().draining() && !request.excluded().contains(e.entry().id())) {
-                usable.add(e);
-            }
-        }
-        return usable;
-    }
-
     private double loadBound(List<EndpointLoadState> candidates, long nowNanos) {
-        double sum = 0;
-        for (EndpointLoadState e : candidates) {
-            sum += e.load(nowNanos);
-        }
-        return BOUND_SHARE * settings.get().capFactor() * sum / candidates.size() + BOUND_SLACK;
-    }
-
-    private boolean full(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
-        int slots = e.entry().slots();
-        if (slots <= 0) {
-            return false;
-        }
-        double places = request.service().modelEngines() ? slots : slots * (1 + PLAIN_QUEUE);
-        return e.load(nowNanos) >= places;
+        return BOUND_SHARE * settings.get().capFactor() * UsableEndpoints.meanLoad(candidates, nowNanos) + BOUND_SLACK;
     }
 
     private Scored score(
--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import org.dragonflygw.core.dispatch.ChoicePolicy;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostBounds;
@@ -34,7 +35,7 @@
         int served = 0;
         try (LoopbackPlatform platform = new LoopbackPlatform()) {
             HostSettings settings = settings(platform.port());
-            EdgeNode node = new EdgeNode(new SettingsHolder(settings), log);
+            EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, log);
             node.start(freePort());
             for (int i = 0; i < MAX_WAIT_ROUNDS && !node.ready(); i++) {
                 Thread.sleep(WAIT_MS);
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -10,6 +10,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
+import org.dragonflygw.core.dispatch.ChoicePolicy;
 import org.dragonflygw.core.error.CodedException;
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.core.settings.SettingsHolder;
@@ -39,6 +40,10 @@
                 .withRequiredArg()
                 .ofType(Integer.class)
                 .defaultsTo(9464);
+        OptionSpec<ChoicePolicy> policy = parser.accepts("choice", "how endpoints are chosen")
+                .withRequiredArg()
+                .ofType(ChoicePolicy.class)
+                .defaultsTo(ChoicePolicy.EXPECTED_TIME);
         OptionSpec<Void> train = parser.accepts("train", "serve a few requests on loopback and end");
         OptionSet options = parser.parse(args);
         if (options.has(train)) {
@@ -63,7 +68,7 @@
                 settings.identity().hostName());
         SettingsHolder holder = new SettingsHolder(settings);
         SettingsReload reload = new SettingsReload(path, bytes, decoder, holder, log);
-        EdgeNode node = new EdgeNode(holder, log);
+        EdgeNode node = new EdgeNode(holder, options.valueOf(policy), log);
         node.start(options.valueOf(metricsPort));
         Signals.onTerminate(() -> stop(node, log));
         Signals.onHangUp(reload::onSignal);
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -13,10 +13,15 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
 import org.dragonflygw.core.discovery.EndpointRegistry;
+import org.dragonflygw.core.dispatch.BoundedHashChoice;
+import org.dragonflygw.core.dispatch.ChoicePolicy;
 import org.dragonflygw.core.dispatch.DispatchSettings;
+import org.dragonflygw.core.dispatch.EndpointChoice;
 import org.dragonflygw.core.dispatch.EndpointChooser;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.FleetSizedSampling;
+import org.dragonflygw.core.dispatch.RoundRobinChoice;
+import org.dragonflygw.core.dispatch.TwoChoicesChoice;
 import org.dragonflygw.core.exchange.ExchangeParts;
 import org.dragonflygw.core.exchange.RequestResolver;
 import org.dragonflygw.core.limits.ReturnTimes;
@@ -51,6 +56,7 @@
 
     private final SettingsHolder settings;
     private final HostIdentity identity;
+    private final ChoicePolicy policy;
     private final EventLog log;
     private final EventLoopGroup group;
     private final CatalogHolder catalogs = new CatalogHolder();
@@ -69,8 +75,9 @@
     private volatile boolean toldReady;
 
     /** Makes a node that does not run yet. */
-    public EdgeNode(SettingsHolder settings, EventLog log) {
+    public EdgeNode(SettingsHolder settings, ChoicePolicy policy, EventLog log) {
         this.settings = settings;
+        this.policy = policy;
         this.identity = settings.current().identity();
         this.log = log;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -133,13 +140,23 @@
         reports.tellAll();
     }
 
+    private EndpointChoice choice() {
+        return switch (policy) {
+            case EXPECTED_TIME ->
+                new EndpointChooser(
+                        loads,
+                        () -> new DispatchSettings(
+                                identity.zone(), settings.bounds().capFactor()),
+                        new FleetSizedSampling(peers::hostCount, new SplittableRandom()));
+            case ROUND_ROBIN -> new RoundRobinChoice(loads);
+            case TWO_CHOICES -> new TwoChoicesChoice(loads, new SplittableRandom());
+            case BOUNDED_HASH -> new BoundedHashChoice(loads);
+        };
+    }
+
     private FrontParts frontParts() {
-        EndpointChooser chooser = new EndpointChooser(
-                loads,
-                () -> new DispatchSettings(identity.zone(), settings.bounds().capFactor()),
-                new FleetSizedSampling(peers::hostCount, new SplittableRandom()));
         ExchangeParts exchanges = new ExchangeParts(
-                chooser, loads, retries, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
+                choice(), loads, retries, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
         return new FrontParts(
                 catalogs,
                 new RequestResolver(catalogs, contact),
