Use idle connections shorter at endpoints that dropped one

Ruled out: a fixed limit under 300 ms, which would cost calm sites a new connection for most requests.

--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -50,6 +50,7 @@
     private boolean reset;
     private boolean answered;
     private long idleSinceNanos;
+    private long restedNanos;
     private long keepAliveNanos = Long.MAX_VALUE;
 
     EndpointConnection(EndpointPool pool, EndpointHeaders headers) {
@@ -82,6 +83,7 @@
     void send(EndpointRequest r, PendingAttempt a) {
         request = r;
         attempt = a;
+        restedNanos = idleSinceNanos == 0 ? 0 : System.nanoTime() - idleSinceNanos;
         headSeen = false;
         passingOver = false;
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -229,12 +231,19 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.onClosed(this);
-        fail(BreakCause.CONNECTION_LOST);
+        failLost();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         reset = true;
+        failLost();
+    }
+
+    private void failLost() {
+        if (attempt != null && !headSeen && restedNanos > 0) {
+            pool.onLostReuse(endpoint, restedNanos);
+        }
         fail(BreakCause.CONNECTION_LOST);
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointPool.java
@@ -39,6 +39,7 @@
     private final Bootstrap bootstrap;
     private final EndpointHeaders headers;
     private final EdgeMetrics metrics;
+    private final IdleLimits idleLimits = new IdleLimits();
     private final Map<String, Deque<EndpointConnection>> idle = new HashMap<>();
 
     /** Makes an empty pool. */
@@ -107,7 +108,8 @@
         Deque<EndpointConnection> connections =
                 idle.get(request.dispatch().endpoint().id());
         long now = System.nanoTime();
-        long maxIdle = request.dispatch().freshConnection() ? MAX_IDLE_UNREPEATABLE_NANOS : MAX_IDLE_NANOS;
+        long usual = request.dispatch().freshConnection() ? MAX_IDLE_UNREPEATABLE_NANOS : MAX_IDLE_NANOS;
+        long maxIdle = idleLimits.limitNanos(request.dispatch().endpoint().id(), usual, now);
         while (connections != null && !connections.isEmpty()) {
             EndpointConnection c = connections.peekLast();
             if (c.usable(request.dispatch().endpoint(), now, MAX_IDLE_NANOS)) {
@@ -133,6 +135,11 @@
         }
     }
 
+    /** A request was lost on a connection that was used again, before any answer. */
+    void onLostReuse(DiscoveredEndpoint endpoint, long restedNanos) {
+        idleLimits.onLost(endpoint.id(), restedNanos, System.nanoTime());
+    }
+
     void onClosed(EndpointConnection connection) {
         if (connection.endpoint() == null) {
             return;
@@ -148,6 +155,7 @@
 
     /** Closes the idle connections to an endpoint that is gone. */
     public void forget(DiscoveredEndpoint endpoint) {
+        idleLimits.forget(endpoint.id());
         Deque<EndpointConnection> connections = idle.remove(endpoint.id());
         if (connections != null) {
             connections.forEach(EndpointConnection::close);
