Hold requests that crash the endpoints that run them

Cause: a request may crash each engine that begins to run it, and comes again under new ids through any host; the edge sent it each time. A whole answer clears it. Requests without a body are all alike and are not followed. While building it, an error in a caller's handler closed the connection without a line; it is logged now.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -66,6 +66,10 @@
     /** Sends the request or refuses it. */
     public void start() {
         parts.retries().onRequest(request.service().name(), now());
+        if (held() > 0) {
+            giveUp(RejectReason.CRASHES_ENDPOINTS, 0);
+            return;
+        }
         sendOrRefuse();
     }
 
@@ -204,6 +208,7 @@
         AnswerHead head = answer.head();
         if (head.success()) {
             endpoint.onSuccess(now);
+            parts.crashes().onAnswered(request.fingerprint());
             endAttempt();
             answer.complete();
             end("ok", head.status());
@@ -250,6 +255,9 @@
         }
         out.cancel();
         endpoint.onFailure(cause == BreakCause.SILENT ? 0.7 : 1, now);
+        if (cause == BreakCause.CONNECTION_LOST) {
+            parts.crashes().onLost(request.fingerprint(), endpoint.entry().id(), now);
+        }
         mayHaveRun = true;
         tally.onRun(endpoint.entry().id());
         resendOrGiveUp(RejectReason.ENDPOINT_FAILED, maySendAgain(now));
@@ -264,8 +272,12 @@
         sendOrRefuse();
     }
 
+    private long held() {
+        return parts.crashes().heldNanos(request.fingerprint(), now());
+    }
+
     private boolean maySendAgain(long now) {
-        return tally.mayRunAgain(0) && answer.resumable() && hasTimeToResend(now) && takeRepeat(now);
+        return held() == 0 && tally.mayRunAgain(0) && answer.resumable() && hasTimeToResend(now) && takeRepeat(now);
     }
 
     private boolean hasTimeToResend(long now) {
@@ -283,7 +295,8 @@
         }
         long remainingMs = remainingMs(now());
         log.refused(reason, expectedMs, remainingMs);
-        reject(reason, parts.returnTimes().afterMs(remainingMs));
+        long heldMs = held() / NANOS_PER_MS;
+        reject(reason, heldMs > 0 ? heldMs : parts.returnTimes().afterMs(remainingMs));
     }
 
     private void failAfterRun(RejectReason reason) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeParts.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeParts.java
@@ -5,6 +5,7 @@
 import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.limits.ReturnTimes;
 import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
 
 /**
@@ -13,6 +14,7 @@
  * @param chooser chooses endpoints
  * @param loads loads of endpoints
  * @param retries this host's share of the retry budget
+ * @param crashes requests that may crash endpoints
  * @param returnTimes says when refused callers may come again
  * @param log decisions are recorded here
  * @param clock monotonic time
@@ -21,6 +23,7 @@
         EndpointChoice chooser,
         EndpointLoads loads,
         FleetRetryShare retries,
+        CrashSuspects crashes,
         ReturnTimes returnTimes,
         EventLog log,
         MonotonicClock clock) {}
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
@@ -15,6 +15,7 @@
  * @param prompt its prompt
  * @param arrivedNanos when its head was read, on the monotonic clock
  * @param deadlineMs how long the caller waits, in milliseconds
+ * @param fingerprint hash of what the caller sends again under another id; 0 if it is not followed
  */
 public record ExchangeRequest(
         String id,
@@ -24,7 +25,8 @@
         int priority,
         Prompt prompt,
         long arrivedNanos,
-        long deadlineMs) {
+        long deadlineMs,
+        long fingerprint) {
     private static final long NANOS_PER_MS = 1_000_000;
 
     /** When an answer must have ended, on the monotonic clock. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
@@ -20,6 +20,8 @@
     ENDPOINT_REJECTED(503),
     /** No endpoint could be reached; nothing was sent. */
     UNREACHABLE(503),
+    /** Endpoints were lost while they worked on this request, so that it is not sent again for a while. */
+    CRASHES_ENDPOINTS(503),
     /** This host holds too many requests. */
     OVERLOADED(503),
     /** An endpoint failed after the request was sent; it may have run. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/RequestResolver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RequestResolver.java
@@ -25,8 +25,9 @@
      *
      * @param fields what its head says
      * @param arrivedNanos when the head was read, on the monotonic clock
+     * @param fingerprint hash of what the caller sends again under another id; 0 if it is not followed
      */
-    public Resolution resolve(CallerFields fields, long arrivedNanos) {
+    public Resolution resolve(CallerFields fields, long arrivedNanos, long fingerprint) {
         Optional<Catalog> catalog = catalogs.current();
         if (catalog.isEmpty()) {
             return Resolution.rejected(RejectReason.NO_CONFIGURATION);
@@ -38,10 +39,11 @@
         if (route.isEmpty()) {
             return Resolution.rejected(RejectReason.NO_ROUTE);
         }
-        return withTeam(catalog.get(), route.get(), fields, arrivedNanos);
+        return withTeam(catalog.get(), route.get(), fields, arrivedNanos, fingerprint);
     }
 
-    private Resolution withTeam(Catalog catalog, CatalogRoute route, CallerFields fields, long arrivedNanos) {
+    private Resolution withTeam(
+            Catalog catalog, CatalogRoute route, CallerFields fields, long arrivedNanos, long fingerprint) {
         Optional<CatalogTeam> team = fields.key().flatMap(catalog::teamOfKey);
         boolean keyed = catalog.keysRequired() && !route.anonymous();
         if (keyed && !contact.keysConfirmed()) {
@@ -65,6 +67,7 @@
                 priority,
                 fields.prompt(),
                 arrivedNanos,
-                fields.deadlineMs().orElse(route.timeoutMs())));
+                fields.deadlineMs().orElse(route.timeoutMs()),
+                fingerprint));
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -28,6 +28,8 @@
     END,
     /** What this host knows of its peers changed. */
     PEER,
+    /** A connection of a caller ended by an error of this process. */
+    CALLER_CONNECTION,
     /** Lines were dropped because the writer could not keep up. */
     LOG_DROPPED
 }
--- a/core/src/main/java/org/dragonflygw/core/peers/ReportMaker.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportMaker.java
@@ -7,6 +7,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.MonotonicClock;
+import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 
@@ -25,16 +26,24 @@
     private final HostAddress address;
     private final long startedMs;
     private final EndpointLoads loads;
+    private final CrashSuspects crashes;
     private final MonotonicClock clock;
     private final Deque<Told> recent = new ArrayDeque<>();
     private long sequence;
 
     /** Makes a maker of reports. */
-    public ReportMaker(String host, HostAddress address, long startedMs, EndpointLoads loads, MonotonicClock clock) {
+    public ReportMaker(
+            String host,
+            HostAddress address,
+            long startedMs,
+            EndpointLoads loads,
+            CrashSuspects crashes,
+            MonotonicClock clock) {
         this.host = host;
         this.address = address;
         this.startedMs = startedMs;
         this.loads = loads;
+        this.crashes = crashes;
         this.clock = clock;
     }
 
@@ -53,7 +62,7 @@
         }
         List<PromptHolding> holdings = new ArrayList<>();
         recent.forEach(t -> holdings.add(t.holding));
-        return new HostReport(host, address, startedMs, sequence, uses(), holdings, news);
+        return new HostReport(host, address, startedMs, sequence, uses(), holdings, crashes.news(clock.nanos()), news);
     }
 
     private List<EndpointUse> uses() {
--- a/core/src/main/java/org/dragonflygw/core/routing/RoutingHash.java
+++ b/core/src/main/java/org/dragonflygw/core/routing/RoutingHash.java
@@ -14,6 +14,11 @@
         return XX.hashChars(name);
     }
 
+    /** Hash of bytes. */
+    public static long ofBytes(byte[] bytes) {
+        return XX.hashBytes(bytes);
+    }
+
     /** Mixes two hashes into one; the order of the arguments matters. */
     public static long mix(long first, long second) {
         long z = first * GOLDEN_GAMMA + second;
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -18,6 +18,7 @@
 import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.limits.ReturnTimes;
 import org.dragonflygw.core.log.NoLog;
+import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.RetryBounds;
 
@@ -36,6 +37,8 @@
     boolean aborted;
     long wakeNanos;
 
+    final CrashSuspects crashes = new CrashSuspects();
+    long fingerprint = CrashSuspects.NO_FINGERPRINT;
     private final FleetRetryShare retries;
 
     ExchangeFixture() {
@@ -76,11 +79,11 @@
 
     Exchange start(CatalogRoute route, long deadlineMs) {
         CatalogService service = new CatalogService(SERVICE, "/", 100, 4, 0, 0);
-        ExchangeRequest request =
-                new ExchangeRequest("id", "team", route, service, 1, Prompt.NONE, clock.nanos(), deadlineMs);
+        ExchangeRequest request = new ExchangeRequest(
+                "id", "team", route, service, 1, Prompt.NONE, clock.nanos(), deadlineMs, fingerprint);
         EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), all -> all);
         ExchangeParts parts = new ExchangeParts(
-                chooser, loads, retries, new ReturnTimes(new SplittableRandom(1)), new NoLog(), clock);
+                chooser, loads, retries, crashes, new ReturnTimes(new SplittableRandom(1)), new NoLog(), clock);
         Exchange exchange = new Exchange(request, parts, this);
         exchange.start();
         return exchange;
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
@@ -7,7 +7,9 @@
 import static org.dragonflygw.core.exchange.ExchangeFixture.unsigned;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.retry.CrashSuspect;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -211,4 +213,46 @@
             assertThat(empty.rejections.get(0).retryAfterMs()).isGreaterThan(0L);
         }
     }
+
+    @Nested
+    final class RequestsThatCrashEndpoints {
+        private final ExchangeFixture f = new ExchangeFixture();
+
+        private void loseAtThree() {
+            f.fingerprint = 7;
+            for (int i = 0; i < 3; i++) {
+                Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+                x.onBroken(BreakCause.CONNECTION_LOST);
+                f.loads.onGone(f.sent.get(i).endpoint());
+                f.loads.onEntry(f.sent.get(i).endpoint());
+            }
+        }
+
+        @Test
+        void areRefusedAfterTheThirdWithTheTimeUntilWhichTheyAreHeld() {
+            loseAtThree();
+            f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            assertThat(f.sent).hasSize(3);
+            Rejection last = f.rejections.get(f.rejections.size() - 1);
+            assertThat(last.reason()).isEqualTo(RejectReason.CRASHES_ENDPOINTS);
+            assertThat(last.retryAfterMs()).isGreaterThan(50_000L);
+        }
+
+        @Test
+        void doNotKeepOthersFromBeingSent() {
+            loseAtThree();
+            f.fingerprint = 8;
+            f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            assertThat(f.sent).hasSize(4);
+        }
+
+        @Test
+        void areNotSentElsewhereOnceAnotherHostSawTheThird() {
+            f.fingerprint = 7;
+            f.crashes.accept(new CrashSuspect(7, Set.of("x1", "x2")), f.clock.nanos());
+            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            x.onBroken(BreakCause.CONNECTION_LOST);
+            assertThat(f.sent).hasSize(1);
+        }
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -7,6 +7,7 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.log.NoLog;
+import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 import org.junit.jupiter.api.BeforeEach;
@@ -36,6 +37,7 @@
                 sequence,
                 List.of(new EndpointUse("e1", inFlight, 100, failures)),
                 List.of(),
+                List.of(),
                 StoreNews.NONE);
     }
 
@@ -83,7 +85,7 @@
     void whatTheOthersSawIsNotToldOnAsSeenHere() {
         peers.onReport(report("h1", 1, 1, 0, 2));
         peers.refresh();
-        HostReport own = new ReportMaker("me", ADDRESS, 1, loads, clock).next(1, StoreNews.NONE);
+        HostReport own = new ReportMaker("me", ADDRESS, 1, loads, new CrashSuspects(), clock).next(1, StoreNews.NONE);
         assertThat(own.uses()).isEmpty();
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.catalog.CatalogHolder;
@@ -29,6 +30,8 @@
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.peers.ReportMaker;
+import org.dragonflygw.core.retry.CrashSuspect;
+import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostBounds;
@@ -68,6 +71,7 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointRegistry registry;
     private final FleetRetryShare retries;
+    private final CrashSuspects crashes = new CrashSuspects();
     private final PeerTable peers;
     private final StoreView store;
     private PeerReports reports;
@@ -124,8 +128,8 @@
     private void followStore() {
         long startedMs = InstantSource.system().instant().toEpochMilli();
         ReportMaker maker =
-                new ReportMaker(identity.hostName(), identity.internal(), startedMs, loads, System::nanoTime);
-        reports = new PeerReports(group, peers, maker, retries, log, store::news, store::take);
+                new ReportMaker(identity.hostName(), identity.internal(), startedMs, loads, crashes, System::nanoTime);
+        reports = new PeerReports(group, peers, maker, retries, log, this::takeCrashes, store::news, store::take);
         reports.listen(identity.internal());
         store.start();
     }
@@ -136,6 +140,10 @@
         group.next().scheduleWithFixedDelay(task, periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
+    private void takeCrashes(List<CrashSuspect> suspects) {
+        suspects.forEach(s -> crashes.accept(s, System.nanoTime()));
+    }
+
     private void tellPeers() {
         reports.tellAll();
     }
@@ -156,7 +164,7 @@
 
     private FrontParts frontParts() {
         ExchangeParts exchanges = new ExchangeParts(
-                choice(), loads, retries, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
+                choice(), loads, retries, crashes, new ReturnTimes(new SplittableRandom()), log, System::nanoTime);
         return new FrontParts(
                 catalogs,
                 new RequestResolver(catalogs, contact),
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.edge.front;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -32,6 +33,8 @@
 import org.dragonflygw.core.exchange.Rejection;
 import org.dragonflygw.core.exchange.Resolution;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.retry.CrashSuspects;
+import org.dragonflygw.core.routing.RoutingHash;
 import org.dragonflygw.edge.upstream.Attempt;
 import org.dragonflygw.edge.upstream.AttemptListener;
 import org.dragonflygw.edge.upstream.EndpointRequest;
@@ -93,7 +96,7 @@
 
     /** The request is read in whole. */
     void start() {
-        Resolution resolution = parts.resolver().resolve(fields, arrivedNanos);
+        Resolution resolution = parts.resolver().resolve(fields, arrivedNanos, fingerprint());
         if (resolution.reason().isPresent()) {
             refuseUnrouted(resolution.reason().get());
             return;
@@ -104,6 +107,17 @@
         exchange.start();
     }
 
+    /** Requests without a body are all alike, and are not followed. */
+    private long fingerprint() {
+        if (!body.isReadable()) {
+            return CrashSuspects.NO_FINGERPRINT;
+        }
+        long head = RoutingHash.of(
+                method + ' ' + fields.host() + target + ' ' + fields.key().orElse(""));
+        return RoutingHash.mix(
+                head, RoutingHash.ofBytes(ByteBufUtil.getBytes(body, body.readerIndex(), body.readableBytes(), false)));
+    }
+
     private void refuseUnrouted(RejectReason reason) {
         parts.exchanges()
                 .log()
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -26,6 +27,7 @@
 import org.dragonflygw.core.catalog.Catalog;
 import org.dragonflygw.core.exchange.RejectReason;
 import org.dragonflygw.core.exchange.Rejection;
+import org.dragonflygw.core.log.LogTopic;
 
 /** One connection of a caller: reads requests one after the other and hands each to a {@link Call}. */
 @SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
@@ -225,6 +227,14 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         parts.metrics().callerConnectionError();
+        if (!(cause instanceof IOException)) { // Callers may reset their connections at any time.
+            parts.exchanges()
+                    .log()
+                    .line(LogTopic.CALLER_CONNECTION)
+                    .with("outcome", "closed after an unexpected error")
+                    .with("reason", cause.toString())
+                    .end();
+        }
         ctx.close();
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -22,6 +22,7 @@
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.peers.ReportMaker;
+import org.dragonflygw.core.retry.CrashSuspect;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -53,6 +54,7 @@
     private final ReportMaker reports;
     private final FleetRetryShare retries;
     private final EventLog log;
+    private final Consumer<List<CrashSuspect>> crashTaker;
     private final Supplier<StoreNews> news;
     private final Consumer<StoreNews> newsTaker;
     private final HostReportCodec codec = new HostReportCodec();
@@ -64,6 +66,7 @@
     /**
      * Makes an exchange; {@link #listen} starts it.
      *
+     * @param crashTaker takes which requests may crash endpoints
      * @param news what this host has read of the store
      * @param newsTaker takes what others have read
      */
@@ -73,6 +76,7 @@
             ReportMaker reports,
             FleetRetryShare retries,
             EventLog log,
+            Consumer<List<CrashSuspect>> crashTaker,
             Supplier<StoreNews> news,
             Consumer<StoreNews> newsTaker) {
         this.group = group;
@@ -80,6 +84,7 @@
         this.reports = reports;
         this.retries = retries;
         this.log = log;
+        this.crashTaker = crashTaker;
         this.news = news;
         this.newsTaker = newsTaker;
     }
@@ -141,7 +146,11 @@
             try {
                 HostReport report = codec.decode(ByteBufUtil.getBytes(packet.content()));
                 boolean stalled = System.nanoTime() - lastRoundNanos > MAX_STALL_NANOS;
-                if (peers.onReport(report) && !stalled) {
+                boolean taken = peers.onReport(report);
+                if (taken) {
+                    crashTaker.accept(report.crashes());
+                }
+                if (taken && !stalled) {
                     newsTaker.accept(report.news());
                 }
             } catch (CodedException e) {
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -35,6 +35,7 @@
 import org.dragonflygw.core.exchange.RequestResolver;
 import org.dragonflygw.core.limits.ReturnTimes;
 import org.dragonflygw.core.log.NoLog;
+import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.RetryBounds;
@@ -69,7 +70,13 @@
         EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), all -> all);
         FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(1, 100, TimeUnit.SECONDS.toNanos(10)), 1);
         ExchangeParts exchanges = new ExchangeParts(
-                chooser, loads, retries, new ReturnTimes(new SplittableRandom(1)), new NoLog(), System::nanoTime);
+                chooser,
+                loads,
+                retries,
+                new CrashSuspects(),
+                new ReturnTimes(new SplittableRandom(1)),
+                new NoLog(),
+                System::nanoTime);
         for (int i = 0; i < endpoints.length; i++) {
             loads.onEntry(
                     new DiscoveredEndpoint("i-" + i, SERVICE, "127.0.0.1", endpoints[i].port(), "a", 8, false, 0, 1));
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -22,6 +22,7 @@
 import org.dragonflygw.core.log.NoLog;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.peers.ReportMaker;
+import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.RetryBounds;
@@ -67,8 +68,8 @@
         PeerTable peers = new PeerTable(name, loads, new NoLog(), System::nanoTime);
         peers.onListed("other-than-" + name, other);
         FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(0.2, 52, 1), 2);
-        ReportMaker maker = new ReportMaker(name, own, 1, loads, System::nanoTime);
-        return new PeerReports(group, peers, maker, retries, new NoLog(), () -> news, taker);
+        ReportMaker maker = new ReportMaker(name, own, 1, loads, new CrashSuspects(), System::nanoTime);
+        return new PeerReports(group, peers, maker, retries, new NoLog(), c -> {}, () -> news, taker);
     }
 
     private static EndpointLoads busyLoads() {
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
@@ -10,7 +11,9 @@
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PromptHolding;
+import org.dragonflygw.core.retry.CrashSuspect;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.wire.hosts.CrashSuspectMessage;
 import org.dragonflygw.wire.hosts.EndpointUseMessage;
 import org.dragonflygw.wire.hosts.HostReportMessage;
 import org.dragonflygw.wire.hosts.PromptHoldingMessage;
@@ -51,7 +54,8 @@
                 report.sequence(),
                 uses,
                 holdings,
-                StoreNewsCodec.encode(report.news()));
+                StoreNewsCodec.encode(report.news()),
+                report.crashes().stream().map(HostReportCodec::encode).toList());
         try {
             return serializer.serialize(message);
         } catch (TException e) {
@@ -59,6 +63,14 @@
         }
     }
 
+    private static CrashSuspectMessage encode(CrashSuspect suspect) {
+        return new CrashSuspectMessage(suspect.fingerprint(), List.copyOf(suspect.endpoints()));
+    }
+
+    private static CrashSuspect decode(CrashSuspectMessage m) {
+        return new CrashSuspect(m.getFingerprint(), Set.copyOf(m.getEndpoints()));
+    }
+
     private static EndpointUseMessage encode(EndpointUse use) {
         EndpointUseMessage m = new EndpointUseMessage(use.endpoint(), use.inFlight(), use.unreadTokens());
         int hundredths = (int) Math.round(use.failures() * HUNDREDTHS);
@@ -99,6 +111,7 @@
                 m.getSequence(),
                 uses,
                 holdings,
+                m.getCrashes().stream().map(HostReportCodec::decode).toList(),
                 StoreNewsCodec.decode(m.getNews()));
     }
 }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -107,6 +107,12 @@
   8: required list<CatalogUpdateMessage> updates
 }
 
+/** A request at whose work connections to endpoints were lost. */
+struct CrashSuspectMessage {
+  1: required i64 fingerprint
+  2: required list<string> endpoints
+}
+
 /** What a host tells the others several times a second. */
 struct HostReportMessage {
   1: required string host
@@ -119,4 +125,5 @@
   6: required list<EndpointUseMessage> uses
   7: required list<PromptHoldingMessage> holdings
   8: required StoreNewsMessage news
+  9: required list<CrashSuspectMessage> crashes
 }
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.dragonflygw.core.catalog.CallerLimits;
 import org.dragonflygw.core.catalog.CatalogChange;
 import org.dragonflygw.core.catalog.CatalogRoute;
@@ -21,6 +22,7 @@
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PromptHolding;
+import org.dragonflygw.core.retry.CrashSuspect;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.CatalogUpdate;
 import org.dragonflygw.core.storenews.ConfigurationNews;
@@ -75,6 +77,7 @@
                 2,
                 List.of(new EndpointUse("i-1", 3, 4, 0.25)),
                 List.of(new PromptHolding("i-1", List.of(new PromptPart(5, 6)))),
+                List.of(new CrashSuspect(77, Set.of("i-1", "i-2"))),
                 news);
     }
 
