Draw endpoints of plain services by chance in large fleets

Cause: 63 hosts hear of each other's load up to 1.6 s late, while a request of the application takes 43 ms. Ruled out: too little room (9.4 of 12 places busy on average). An endpoint is now drawn, with more chance for more places, less load and fewer failures; failure scores of others count as the mean over all hosts heard of, not only over those that saw a failure, which made healthy endpoints look bad too.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/CandidateSampling.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/CandidateSampling.java
@@ -5,5 +5,5 @@
 /** Which endpoints of a plain service are compared for one request. */
 public interface CandidateSampling {
     /** The endpoints to compare, at least one of those given. */
-    List<EndpointLoadState> sample(List<EndpointLoadState> usable);
+    List<EndpointLoadState> sample(List<EndpointLoadState> usable, long nowNanos);
 }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointChooser.java
@@ -79,7 +79,7 @@
         }
         double bound = loadBound(candidates, nowNanos);
         if (!request.service().modelEngines()) {
-            candidates = sampling.sample(candidates);
+            candidates = sampling.sample(usable.withRoom(request, nowNanos), nowNanos);
         }
         Scored best = best(request, candidates, bound, nowNanos);
         if (best == null) {
--- a/core/src/main/java/org/dragonflygw/core/dispatch/OthersUse.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/OthersUse.java
@@ -5,7 +5,7 @@
  *
  * @param inFlight requests under way
  * @param unreadTokens prompt tokens that the endpoint has still to read for them
- * @param failures mean failure score at the hosts that use the endpoint or saw it fail
+ * @param failures mean failure score over the hosts that were heard of lately
  */
 public record OthersUse(int inFlight, long unreadTokens, double failures) {
     /** Of an endpoint that no other host uses. */
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -82,7 +82,7 @@
         long now = clock.nanos();
         forgetSilent(now);
         Map<String, Sum> sums = new HashMap<>();
-        boolean any = false;
+        int heard = 0;
         for (Map.Entry<String, Peer> e : peers.entrySet()) {
             Peer p = e.getValue();
             boolean fresh = p.report != null && now - p.heardNanos < maxReportAgeNanos();
@@ -90,20 +90,20 @@
                 p.counted = false;
                 logPeer(e.getKey(), "silent");
             }
-            any |= fresh;
             if (fresh) {
+                heard++;
                 p.report
                         .uses()
                         .forEach(u -> sums.computeIfAbsent(u.endpoint(), x -> new Sum())
                                 .add(u));
             }
         }
-        if (!any) {
+        if (heard == 0) {
             return;
         }
         for (EndpointLoadState s : loads.all()) {
             Sum sum = sums.get(s.entry().id());
-            s.onPeers(sum == null ? OthersUse.NONE : sum.use(), now);
+            s.onPeers(sum == null ? OthersUse.NONE : sum.use(heard), now);
         }
     }
 
@@ -156,19 +156,17 @@
     }
 
     private static final class Sum {
-        private int hosts;
         private int inFlight;
         private long unreadTokens;
         private double failures;
 
         void add(EndpointUse use) {
-            hosts++;
             inFlight += use.inFlight();
             unreadTokens += use.unreadTokens();
             failures += use.failures();
         }
 
-        OthersUse use() {
+        OthersUse use(int hosts) {
             return new OthersUse(inFlight, unreadTokens, failures / hosts);
         }
     }
--- a/core/src/test/java/org/dragonflygw/core/dispatch/EndpointChooserTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/EndpointChooserTest.java
@@ -19,7 +19,8 @@
     private static final long NOW = 1_000_000_000_000L;
 
     private final EndpointLoads loads = new EndpointLoads();
-    private final EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), all -> all);
+    private final EndpointChooser chooser =
+            new EndpointChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all);
 
     private void engines(int count) {
         for (int i = 0; i < count; i++) {
@@ -98,7 +99,8 @@
             engines(6);
             EndpointLoads other = new EndpointLoads();
             loads.all().forEach(e -> other.onEntry(e.entry()));
-            EndpointChooser elsewhere = new EndpointChooser(other, () -> new DispatchSettings("b", 2), all -> all);
+            EndpointChooser elsewhere =
+                    new EndpointChooser(other, () -> new DispatchSettings("b", 2), (all, now) -> all);
             for (int i = 0; i < 20; i++) {
                 Prompt p = prompt(300 + i, i);
                 String here = choose(p).endpoint().orElseThrow().entry().id();
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizedSamplingTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizedSamplingTest.java
@@ -59,4 +59,18 @@
             assertThat(busiest(6)).isEqualTo(6);
         }
     }
+
+    /** Pattern: an engine takes requests and never answers, and the hosts have told each other so. */
+    @Test
+    void aFailingEndpointGetsLittleOfALargeFleet() {
+        EndpointLoads loads = loads();
+        List<EndpointLoadState> all = loads.ofService("app");
+        all.get(0).onPeers(new OthersUse(0, 0, 0.6), NOW);
+        FleetSizedSampling sampling = new FleetSizedSampling(() -> 60, new SplittableRandom(1));
+        int drawn = 0;
+        for (int i = 0; i < 1_000; i++) {
+            drawn += sampling.sample(all, NOW).get(0) == all.get(0) ? 1 : 0;
+        }
+        assertThat(drawn).isAtMost(50);
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LargeFleetPlainServiceTest.java
@@ -0,0 +1,147 @@
+package org.dragonflygw.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: many hosts share a few endpoints of a plain service, and hear of each other's load up to 1.6 s late while a
+ * request takes 43 ms. Hosts that follow such reports all choose the same endpoint until the next ones. The simulation
+ * has hosts with reports as they are sent, and endpoints with places and a queue.
+ */
+final class LargeFleetPlainServiceTest {
+    private static final int HOSTS = 63;
+    private static final int FAN_OUT = 8;
+    private static final int SLOTS = 6;
+    private static final double WORK_MS = 43;
+    private static final double OBJECTIVE_MS = 201;
+    private static final double ROUND_MS = 200;
+    private static final double END_MS = 20_000;
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingDouble(Event::atMs));
+    private final SplittableRandom random = new SplittableRandom(7);
+    private final List<Host> hosts = new ArrayList<>();
+    private double[][] freeAtMs;
+    private int served;
+    private int late;
+    private int refused;
+
+    private record Event(double atMs, Runnable action) {}
+
+    private final class Host {
+        private final EndpointLoads loads = new EndpointLoads();
+        private final int[][] heard;
+        private final EndpointChooser chooser;
+        private int nextTarget;
+
+        Host(int number, int endpoints) {
+            heard = new int[HOSTS][endpoints];
+            nextTarget = number;
+            for (int i = 0; i < endpoints; i++) {
+                loads.onEntry(new DiscoveredEndpoint("p" + i, "app", "10.0.0.1", 80, "a", SLOTS, false, 0, 1));
+            }
+            FleetSizedSampling sampling = new FleetSizedSampling(() -> HOSTS, new SplittableRandom(number));
+            chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), sampling);
+        }
+
+        List<EndpointLoadState> endpoints() {
+            return loads.ofService("app");
+        }
+
+        void report(int number, double nowMs) {
+            for (int i = 0; i < FAN_OUT; i++) {
+                int target = nextTarget++ % HOSTS;
+                for (int e = 0; e < endpoints().size(); e++) {
+                    hosts.get(target).heard[number][e] = endpoints().get(e).inFlight();
+                }
+            }
+            for (int e = 0; e < endpoints().size(); e++) {
+                int sum = 0;
+                for (int h = 0; h < HOSTS; h++) {
+                    sum += h == number ? 0 : heard[h][e];
+                }
+                endpoints().get(e).onPeers(new OthersUse(sum, 0, 0), nanos(nowMs));
+            }
+            at(nowMs + ROUND_MS, () -> report(number, nowMs + ROUND_MS));
+        }
+
+        void send(double nowMs) {
+            CatalogService service = new CatalogService("app", "/", 440, SLOTS, 0, 0);
+            ChoiceRequest request = new ChoiceRequest(service, Prompt.NONE, 200, 2_600, Set.of());
+            Choice choice = chooser.choose(request, nanos(nowMs));
+            if (choice.endpoint().isEmpty()) {
+                refused++;
+                return;
+            }
+            EndpointLoadState chosen = choice.endpoint().get();
+            loads.onSent(chosen, Prompt.NONE, 0, nanos(nowMs));
+            double doneMs = workDoneMs(endpoints().indexOf(chosen), nowMs);
+            served++;
+            late += doneMs - nowMs > OBJECTIVE_MS ? 1 : 0;
+            at(doneMs, chosen::onEnded);
+        }
+    }
+
+    private static long nanos(double ms) {
+        return (long) (ms * NANOS_PER_MS);
+    }
+
+    private void at(double atMs, Runnable action) {
+        events.add(new Event(atMs, action));
+    }
+
+    private double workDoneMs(int endpoint, double nowMs) {
+        double[] places = freeAtMs[endpoint];
+        int first = 0;
+        for (int i = 1; i < places.length; i++) {
+            first = places[i] < places[first] ? i : first;
+        }
+        places[first] = Math.max(places[first], nowMs) + WORK_MS;
+        return places[first];
+    }
+
+    private void arrive(double perS, double nowMs) {
+        hosts.get(random.nextInt(HOSTS)).send(nowMs);
+        double next = nowMs - Math.log(1 - random.nextDouble()) * 1_000 / perS;
+        at(next, () -> arrive(perS, next));
+    }
+
+    private void run(int endpoints, double perS) {
+        freeAtMs = new double[endpoints][SLOTS];
+        for (int h = 0; h < HOSTS; h++) {
+            hosts.add(new Host(h, endpoints));
+        }
+        for (int h = 0; h < HOSTS; h++) {
+            int number = h;
+            double firstMs = random.nextDouble() * ROUND_MS;
+            at(firstMs, () -> hosts.get(number).report(number, firstMs));
+        }
+        at(0, () -> arrive(perS, 0));
+        while (events.peek().atMs() < END_MS) {
+            events.poll().action().run();
+        }
+    }
+
+    @Test
+    void threeEndpointsAtHalfLoadAnswerInTime() {
+        run(3, 220);
+        assertThat(late / (double) served).isLessThan(0.01);
+        assertThat(refused).isEqualTo(0);
+    }
+
+    @Test
+    void twoEndpointsAtFourFifthsOfTheirLoadAnswerInTime() {
+        run(2, 220);
+        assertThat(late / (double) served).isLessThan(0.03);
+        assertThat(refused / (double) (served + refused)).isLessThan(0.01);
+    }
+}
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -81,7 +81,7 @@
         CatalogService service = new CatalogService(SERVICE, "/", 100, 4, 0, 0);
         ExchangeRequest request = new ExchangeRequest(
                 "id", "team", route, service, 1, Prompt.NONE, clock.nanos(), deadlineMs, fingerprint);
-        EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), all -> all);
+        EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all);
         ExchangeParts parts = new ExchangeParts(
                 chooser, loads, retries, crashes, new ReturnTimes(new SplittableRandom(1)), new NoLog(), clock);
         Exchange exchange = new Exchange(request, parts, this);
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -81,6 +81,18 @@
         assertThat(loads.get("e1").orElseThrow().ownFailures(clock.nanos())).isEqualTo(0.0);
     }
 
+    @Test
+    void aFailureOfOneRequestAtOneHostOfManyCountsLittle() {
+        peers.onReport(report("h0", 1, 1, 1, 1));
+        for (int i = 1; i < 10; i++) {
+            peers.onReport(report("h" + i, 1, 1, 0, 0));
+        }
+        peers.refresh();
+        assertThat(loads.get("e1").orElseThrow().failures(clock.nanos()))
+                .isWithin(1e-9)
+                .of(0.1);
+    }
+
     @Test
     void whatTheOthersSawIsNotToldOnAsSeenHere() {
         peers.onReport(report("h1", 1, 1, 0, 2));
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -67,7 +67,7 @@
                 new StoreContact(() -> TimeUnit.MINUTES.toNanos(5), System::nanoTime, InstantSource.system());
         contact.onRead(System.nanoTime());
         EdgeMetrics metrics = new EdgeMetrics(new MetricRegistry());
-        EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), all -> all);
+        EndpointChooser chooser = new EndpointChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all);
         FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(1, 100, TimeUnit.SECONDS.toNanos(10)), 1);
         ExchangeParts exchanges = new ExchangeParts(
                 chooser,
