Show the edge in the demonstration, against a stand-in that keeps rows

Cause: the README's first command showed only the daemons; the edge ran nowhere but on the platform. The stand-in answered fixed rows. It now keeps rows with versions, waits for changes, and takes writes, so that edge processes find each other; it also writes their settings files.

--- a/standins/src/main/java/org/dragonflygw/standins/StandinsMain.java
+++ b/standins/src/main/java/org/dragonflygw/standins/StandinsMain.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.dragonflygw.standins.command.EngineCommand;
+import org.dragonflygw.standins.command.LoopbackCommand;
 import org.dragonflygw.standins.command.PlainCommand;
 import org.dragonflygw.standins.command.PlatformCommand;
 import org.dragonflygw.standins.command.RunningStandin;
@@ -20,8 +21,8 @@
     /** Runs the subcommand of the first argument. */
     public static void main(String[] arguments) throws InterruptedException {
         System.setProperty("slf4j.internal.verbosity", "ERROR");
-        StandinCommandLine commandLine =
-                new StandinCommandLine(List.of(new PlatformCommand(), new EngineCommand(), new PlainCommand()));
+        StandinCommandLine commandLine = new StandinCommandLine(
+                List.of(new PlatformCommand(), new EngineCommand(), new PlainCommand(), new LoopbackCommand()));
         try {
             RunningStandin standin = commandLine.start(List.of(arguments));
             CountDownLatch stopped = new CountDownLatch(1);
--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/command/LoopbackCommand.java
@@ -0,0 +1,41 @@
+package org.dragonflygw.standins.command;
+
+import java.nio.file.Path;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.dragonflygw.standins.loopback.EdgeSettingsFile;
+import org.dragonflygw.standins.loopback.LoopbackPlatform;
+
+/** Starts the stand-in of the users' platform, and writes the settings files of the edge processes that use it. */
+public final class LoopbackCommand implements StandinCommand {
+    /** Ports of one edge process: callers, readiness, other hosts, metrics. */
+    private static final int PORTS_OF_A_HOST = 10;
+
+    @Override
+    public String name() {
+        return "loopback";
+    }
+
+    @Override
+    public void declareOptions(OptionParser parser) {
+        Options.number(parser, "port", 0, "port; 0 for an ephemeral one");
+        Options.text(parser, "host-name", LoopbackPlatform.HOST, "host name of all routes");
+        Options.number(parser, "hosts", 2, "edge processes for which settings are written");
+        Options.number(parser, "first-port", 18_500, "first port of the first edge process; the next has ten more");
+        Options.text(parser, "settings-dir", ".", "directory of the settings files edge-N.json");
+    }
+
+    @Override
+    public RunningStandin start(OptionSet options) {
+        LoopbackPlatform platform =
+                new LoopbackPlatform(Options.integer(options, "port"), Options.text(options, "host-name"));
+        Path dir = Path.of(Options.text(options, "settings-dir"));
+        int firstPort = Options.integer(options, "first-port");
+        for (int i = 1; i <= Options.integer(options, "hosts"); i++) {
+            int port = firstPort + (i - 1) * PORTS_OF_A_HOST;
+            new EdgeSettingsFile("edge-" + i, "zone-a", port, platform.port())
+                    .write(dir.resolve("edge-" + i + ".json"));
+        }
+        return HostOptions.running(platform.port(), platform::close);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/EdgeSettingsFile.java
@@ -0,0 +1,48 @@
+package org.dragonflygw.standins.loopback;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.dragonflygw.standins.http.StandinCode;
+import org.dragonflygw.standins.http.StandinException;
+
+/**
+ * The settings file of one edge process on loopback, in the platform's format.
+ *
+ * @param hostName name of the host
+ * @param zone its availability zone
+ * @param firstPort port for callers; the two after it are for the readiness check and for other hosts
+ * @param storePort port of the store
+ */
+public record EdgeSettingsFile(String hostName, String zone, int firstPort, int storePort) {
+    private static final String LOOPBACK = "127.0.0.1";
+
+    /** Writes the file. */
+    public void write(Path file) {
+        ObjectNode root = new ObjectMapper().createObjectNode();
+        root.put("node_name", hostName);
+        root.put("ip", LOOPBACK);
+        root.put("zone", zone);
+        root.putObject("listen")
+                .put("frontend", LOOPBACK + ":" + firstPort)
+                .put("readiness", LOOPBACK + ":" + (firstPort + 1));
+        root.putArray("internal_ports").add(firstPort + 2).add(firstPort + 2);
+        root.putObject("platform").put("address", LOOPBACK + ":" + storePort);
+        root.putObject("bounds")
+                .put("drain_ms", 2_000)
+                .put("grace_s", 8)
+                .put("config_apply_ms", 2_000)
+                .put("revoke_ms", 5_000)
+                .put("retry_budget_ratio", 0.2)
+                .put("budget_slack", 52)
+                .put("retry_window_s", 10)
+                .put("cap_factor", 2);
+        try {
+            Files.writeString(file, root.toString());
+        } catch (IOException e) {
+            throw new StandinException(StandinCode.USAGE, "cannot write " + file, e);
+        }
+    }
+}
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
@@ -1,18 +1,15 @@
 package org.dragonflygw.standins.loopback;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -38,33 +35,56 @@
     /** Path prefix of the plain route. */
     public static final String PLAIN_PREFIX = "/plain/";
 
-    private static final String ENGINES = "engines";
-    private static final String APPLICATIONS = "applications";
+    /** Table of the operator's configuration. */
+    public static final String OPERATOR_TABLE = "op";
+
+    /** Table in which endpoints are registered. */
+    public static final String ENDPOINT_TABLE = "servers";
+
     private static final int EVENTS = 20;
     private static final int PLAIN_BYTES = 800;
     private static final int BACKLOG = 128;
     private static final long MAX_WAIT_MS = 500;
 
-    private final ObjectMapper mapper = new ObjectMapper();
+    private final LoopbackRows rows = new LoopbackRows();
+    private final LoopbackStore store = new LoopbackStore();
     private final HttpServer server;
     private final ExecutorService workers = Executors.newCachedThreadPool(LoopbackPlatform::daemonThread);
 
-    /** Opens a port. */
+    /** Opens any free port, with the usual host name. */
     public LoopbackPlatform() {
+        this(0, HOST);
+    }
+
+    /**
+     * Opens a port.
+     *
+     * @param port the port, 0 for any free one
+     * @param hostName host name of all routes
+     */
+    public LoopbackPlatform(int port, String hostName) {
         try {
-            server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+            server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         } catch (IOException e) {
             throw new StandinException(StandinCode.PORT, "open failed", e);
         }
         server.setExecutor(workers);
         server.createContext("/api/rows-get", this::list);
         server.createContext("/api/rows-feed", this::changes);
-        server.createContext("/api/rows-tx", e -> answerJson(e, page(List.of())));
+        server.createContext("/api/rows-tx", this::change);
         server.createContext(STREAM_PREFIX, this::stream);
         server.createContext(PLAIN_PREFIX, this::plain);
+        store.put(OPERATOR_TABLE, "config", new LoopbackConfiguration(1, hostName, KEY).json());
+        store.put(ENDPOINT_TABLE, "i-1", entry(LoopbackConfiguration.ENGINES));
+        store.put(ENDPOINT_TABLE, "i-2", entry(LoopbackConfiguration.APPLICATIONS));
         server.start();
     }
 
+    /** The rows, to be changed as the operator or an endpoint would. */
+    public LoopbackStore store() {
+        return store;
+    }
+
     private static Thread daemonThread(Runnable task) {
         Thread thread = new Thread(task, "loopback-platform");
         thread.setDaemon(true);
@@ -97,47 +117,35 @@
     }
 
     private void list(HttpExchange exchange) throws IOException {
-        String query = exchange.getRequestURI().getQuery();
-        if (query.contains("table=op&")) {
-            answerJson(exchange, page(List.of(row("config", configuration()))));
-        } else if (query.contains("table=servers&")) {
-            answerJson(exchange, page(List.of(row("i-1", entry(ENGINES)), row("i-2", entry(APPLICATIONS)))));
-        } else {
-            answerJson(exchange, page(List.of()));
-        }
+        String table = parameter(exchange, "table");
+        answerJson(exchange, rows.page(store.list(table), store.version()));
     }
 
     private void changes(HttpExchange exchange) throws IOException {
-        try {
-            Thread.sleep(MAX_WAIT_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        answerJson(exchange, page(List.of()));
+        long after = Long.parseLong(parameter(exchange, "after"));
+        long waitMs = Math.min(MAX_WAIT_MS, Long.parseLong(parameter(exchange, "wait_ms")));
+        List<StoredRow> changed = store.changes(parameter(exchange, "table"), after, waitMs);
+        long version =
+                changed.isEmpty() ? after : changed.get(changed.size() - 1).version();
+        answerJson(exchange, rows.page(changed, version));
     }
 
-    private ObjectNode page(List<ObjectNode> rows) {
-        ObjectNode page = mapper.createObjectNode();
-        ArrayNode list = page.putArray("rows");
-        rows.forEach(list::add);
-        page.put("has_more", false);
-        page.put("row_version", 10);
-        page.put("now_ms", 1_000);
-        return page;
+    private void change(HttpExchange exchange) throws IOException {
+        rows.apply(exchange.getRequestBody().readAllBytes(), store);
+        answerJson(exchange, rows.page(List.of(), store.version()));
     }
 
-    private ObjectNode row(String key, ObjectNode data) {
-        ObjectNode row = mapper.createObjectNode();
-        row.put("table", "t");
-        row.put("part", "");
-        row.put("key", key);
-        row.put("data", Base64.getEncoder().encodeToString(data.toString().getBytes(StandardCharsets.UTF_8)));
-        row.put("row_version", 5);
-        return row;
+    private static String parameter(HttpExchange exchange, String name) {
+        for (String p : exchange.getRequestURI().getQuery().split("&", -1)) {
+            if (p.startsWith(name + "=")) {
+                return p.substring(name.length() + 1);
+            }
+        }
+        return "0";
     }
 
-    private ObjectNode entry(String service) {
-        ObjectNode entry = mapper.createObjectNode();
+    private byte[] entry(String service) {
+        ObjectNode entry = new ObjectMapper().createObjectNode();
         entry.put("service", service);
         entry.put("address", "127.0.0.1:" + port());
         entry.put("zone", "zone-a");
@@ -145,43 +153,7 @@
         entry.put("state", "ready");
         entry.put("warmup_left_ms", 0);
         entry.put("born", 1);
-        return entry;
-    }
-
-    private ObjectNode configuration() {
-        ObjectNode root = mapper.createObjectNode();
-        root.put("version", 1);
-        ArrayNode routes = root.putArray("routes");
-        routes.add(route("stream", STREAM_PREFIX, "streaming", ENGINES));
-        routes.add(route("plain", PLAIN_PREFIX, "idempotent", APPLICATIONS));
-        ArrayNode services = root.putArray("services");
-        ObjectNode engines = services.addObject();
-        engines.put("name", ENGINES);
-        engines.putObject("backend")
-                .put("slots", 64)
-                .put("kv_capacity", 600_000)
-                .put("kv_bytes", 18_432);
-        services.addObject().put("name", APPLICATIONS).put("max_connections", 96);
-        ObjectNode team = root.putArray("tenants").addObject();
-        team.put("name", "team-1");
-        team.putArray("api_keys").add(KEY);
-        return root;
-    }
-
-    private ObjectNode route(String name, String prefix, String kind, String service) {
-        ObjectNode route = mapper.createObjectNode();
-        route.put("name", name);
-        route.put("host", HOST);
-        route.put("path_prefix", prefix);
-        route.put("route_kind", kind);
-        route.put("timeout_ms", 10_000);
-        route.put("slo_ms", 1_000);
-        route.put("priority", 1);
-        route.put("service", service);
-        route.put("max_attempts", 2);
-        route.put("stream_resume", true);
-        route.put("itl_target_ms", 400);
-        return route;
+        return entry.toString().getBytes(StandardCharsets.UTF_8);
     }
 
     private void stream(HttpExchange exchange) throws IOException {
@@ -210,14 +182,10 @@
         exchange.getResponseHeaders().set("Dragonflygw-Backend-Load", "1,0,64");
     }
 
-    private void answerJson(HttpExchange exchange, ObjectNode body) {
-        try {
-            exchange.getRequestBody().readAllBytes();
-            exchange.getResponseHeaders().set("Content-Type", "application/json");
-            answer(exchange, mapper.writeValueAsBytes(body));
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    private static void answerJson(HttpExchange exchange, byte[] body) throws IOException {
+        exchange.getRequestBody().readAllBytes();
+        exchange.getResponseHeaders().set("Content-Type", "application/json");
+        answer(exchange, body);
     }
 
     private static void answer(HttpExchange exchange, byte[] body) throws IOException {
--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackRows.java
@@ -0,0 +1,47 @@
+package org.dragonflygw.standins.loopback;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+
+/** The bodies of the store's calls, in the platform's format. */
+final class LoopbackRows {
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /** Body of an answer with rows as of a version. */
+    byte[] page(List<StoredRow> rows, long version) {
+        ObjectNode page = mapper.createObjectNode();
+        ArrayNode list = page.putArray("rows");
+        rows.forEach(r -> list.add(row(r)));
+        page.put("has_more", false);
+        page.put("row_version", version);
+        page.put("now_ms", System.nanoTime() / 1_000_000);
+        return page.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private ObjectNode row(StoredRow r) {
+        ObjectNode row = mapper.createObjectNode();
+        row.put("table", r.table());
+        row.put("part", "");
+        row.put("key", r.key());
+        row.put("data", Base64.getEncoder().encodeToString(r.data()));
+        row.put("row_version", r.version());
+        if (r.deleted()) {
+            row.put("deleted", true);
+        }
+        return row;
+    }
+
+    /** Applies the rows that a change writes. */
+    void apply(byte[] change, LoopbackStore store) throws IOException {
+        for (JsonNode r : mapper.readTree(change).path("write")) {
+            byte[] data = Base64.getDecoder().decode(r.path("data").asText(""));
+            store.put(r.path("table").asText(), r.path("key").asText(), data);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackStore.java
@@ -0,0 +1,74 @@
+package org.dragonflygw.standins.loopback;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The rows of the platform's store, in memory. A reader can wait for changes. Guarded by its own monitor. */
+public final class LoopbackStore {
+    private static final byte[] NO_BYTES = {};
+
+    private final Map<String, Map<String, StoredRow>> tables = new HashMap<>();
+    private long version;
+
+    /** Writes a row; returns its version. */
+    public synchronized long put(String table, String key, byte[] data) {
+        return change(new StoredRow(table, key, data, version + 1, false));
+    }
+
+    /** Removes a row; returns the version of the change. */
+    public synchronized long remove(String table, String key) {
+        return change(new StoredRow(table, key, NO_BYTES, version + 1, true));
+    }
+
+    private long change(StoredRow row) {
+        version = row.version();
+        tables.computeIfAbsent(row.table(), t -> new HashMap<>()).put(row.key(), row);
+        notifyAll();
+        return version;
+    }
+
+    /** Version of the newest change. */
+    public synchronized long version() {
+        return version;
+    }
+
+    /** The rows of a table by key, removed ones left out. */
+    public synchronized List<StoredRow> list(String table) {
+        return rows(table).stream()
+                .filter(r -> !r.deleted())
+                .sorted(Comparator.comparing(StoredRow::key))
+                .toList();
+    }
+
+    /** The rows of a table that changed after a version, oldest first; waits for the first one up to a time. */
+    public synchronized List<StoredRow> changes(String table, long after, long waitMs) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        List<StoredRow> changed = changed(table, after);
+        try {
+            long leftMs = waitMs;
+            while (changed.isEmpty() && leftMs > 0) {
+                wait(leftMs);
+                changed = changed(table, after);
+                leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt(); // The stand-in is closing.
+        }
+        return changed;
+    }
+
+    private List<StoredRow> changed(String table, long after) {
+        return rows(table).stream()
+                .filter(r -> r.version() > after)
+                .sorted(Comparator.comparingLong(StoredRow::version))
+                .toList();
+    }
+
+    private List<StoredRow> rows(String table) {
+        return new ArrayList<>(tables.getOrDefault(table, Map.of()).values());
+    }
+}
