Add a fault soak of real edge processes

It runs edge processes against stand-ins, disturbs them from a seed (kill, pause, planned stop, reload, links to the store and to endpoints delayed, silent, cut one way or reset, failing and leaving endpoints, changed configurations and a revoked key) and checks from what callers and endpoints saw: at most once, true refusals, whole answers, nothing unasked, runs bounded, no work for leaving endpoints or with revoked keys, no request lost beside planned stops, and service afterwards.

--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -0,0 +1,280 @@
+package org.dragonflygw.edge.soak;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.standins.loopback.EdgeSettingsFile;
+import org.dragonflygw.standins.loopback.LoopbackConfiguration;
+import org.dragonflygw.standins.loopback.LoopbackPlatform;
+
+/**
+ * Runs real edge processes on this machine and disturbs them from outside at times drawn from a seed: signals, the links
+ * to the store and to endpoints, endpoints that fail or leave, and changed configurations, settings and keys. What
+ * callers and endpoints see is recorded and checked at the end.
+ */
+final class Soak implements AutoCloseable {
+    private static final int CALLERS = 12;
+    private static final int ENDPOINTS_OF_A_SERVICE = 3;
+    private static final int PORTS_OF_A_HOST = 10;
+    private static final long READY_MS = 30_000;
+    private static final long GRACE_MS = 9_000;
+    private static final long CALM_END_MS = 4_000;
+    private static final long SETTLE_MS = 6_000;
+    private static final int MAX_FAULT_MS = 2_500;
+    private static final int MAX_PAUSE_MS = 700;
+    private static final String SPARE_KEY = "spare-key";
+    private static final List<FaultProxy.Mode> LINK_FAULTS =
+            List.of(FaultProxy.Mode.DELAY, FaultProxy.Mode.SILENT, FaultProxy.Mode.ONE_WAY, FaultProxy.Mode.RESET);
+    private static final List<SoakEndpoint.Mode> ENDPOINT_FAULTS =
+            List.of(SoakEndpoint.Mode.ERRORS, SoakEndpoint.Mode.CRASHES);
+
+    private final SplittableRandom random;
+    private final LoopbackPlatform platform = new LoopbackPlatform();
+    private final List<FaultProxy> storeLinks = new ArrayList<>();
+    private final List<EdgeProcess> hosts = new ArrayList<>();
+    private final List<FaultSpans> hostFaults = new ArrayList<>();
+    private final List<FaultSpans> hostStops = new ArrayList<>();
+    private final FaultSpans endpointFaults = new FaultSpans();
+    private final List<RunningEndpoint> endpoints = new CopyOnWriteArrayList<>();
+    private final List<SoakEndpoint> allEndpoints = new ArrayList<>();
+    private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
+    private final Map<String, Long> drained = new ConcurrentHashMap<>();
+    private final Map<String, Long> revoked = new ConcurrentHashMap<>();
+    private final List<Thread> restarts = new ArrayList<>();
+    private final List<String> actions = new ArrayList<>();
+    private long configVersion = 1;
+    private int endpointCount;
+
+    private record RunningEndpoint(SoakEndpoint endpoint, FaultProxy link, String service) {}
+
+    Soak(long seed, int hostCount, int firstPort, Path dir) {
+        this.random = new SplittableRandom(seed);
+        platform.store().remove(LoopbackPlatform.ENDPOINT_TABLE, "i-1");
+        platform.store().remove(LoopbackPlatform.ENDPOINT_TABLE, "i-2");
+        configure(List.of(LoopbackPlatform.KEY, SPARE_KEY));
+        for (int i = 0; i < ENDPOINTS_OF_A_SERVICE; i++) {
+            addEndpoint(LoopbackConfiguration.ENGINES);
+            addEndpoint(LoopbackConfiguration.APPLICATIONS);
+        }
+        for (int i = 0; i < hostCount; i++) {
+            FaultProxy link = new FaultProxy(platform.port());
+            storeLinks.add(link);
+            hostFaults.add(new FaultSpans());
+            hostStops.add(new FaultSpans());
+            hosts.add(new EdgeProcess(
+                    new EdgeSettingsFile("host-" + i, "zone-a", firstPort + i * PORTS_OF_A_HOST, link.port()), dir));
+        }
+    }
+
+    /** Runs for a time and returns what was seen. */
+    SoakRecord run(long millis) throws InterruptedException {
+        for (EdgeProcess h : hosts) {
+            h.awaitReady(READY_MS);
+        }
+        List<SoakCaller> callers = new ArrayList<>();
+        List<Thread> threads = new ArrayList<>();
+        int[] ports = hosts.stream().mapToInt(EdgeProcess::callersPort).toArray();
+        for (int i = 0; i < CALLERS; i++) {
+            SoakCaller caller = new SoakCaller(
+                    "c" + i + "-",
+                    ports,
+                    () -> List.of(LoopbackPlatform.KEY, SPARE_KEY),
+                    random.split(),
+                    outcomes::add);
+            callers.add(caller);
+            Thread thread = new Thread(caller, "soak-caller-" + i);
+            threads.add(thread);
+            thread.start();
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < end) {
+            disturb();
+            Thread.sleep(random.nextInt(MAX_PAUSE_MS));
+        }
+        for (Thread t : restarts) {
+            t.join(READY_MS);
+        }
+        Thread.sleep(SETTLE_MS);
+        long calmFrom = System.nanoTime();
+        Thread.sleep(CALM_END_MS);
+        callers.forEach(SoakCaller::stop);
+        for (Thread t : threads) {
+            t.join(READY_MS);
+        }
+        List<Run> runs = new ArrayList<>();
+        allEndpoints.forEach(e -> runs.addAll(e.runs()));
+        return new SoakRecord(
+                List.copyOf(outcomes), runs, hostFaults, hostStops, endpointFaults, drained, revoked, calmFrom);
+    }
+
+    /** What was done, in order. */
+    List<String> actions() {
+        return List.copyOf(actions);
+    }
+
+    private void disturb() {
+        int host = random.nextInt(hosts.size());
+        int durationMs = 200 + random.nextInt(MAX_FAULT_MS);
+        switch (random.nextInt(10)) {
+            case 0 -> inBackground("kill host " + host, hostFaults.get(host), () -> kill(host, durationMs));
+            case 1 -> inBackground("pause host " + host, hostFaults.get(host), () -> pause(host, durationMs));
+            case 2 -> inBackground("stop host " + host, hostStops.get(host), () -> stop(host));
+            case 3 -> reload(host);
+            case 4, 5 -> {
+                FaultProxy.Mode mode = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
+                FaultProxy link = storeLinks.get(host);
+                inBackground(
+                        "store " + mode + " for host " + host,
+                        hostFaults.get(host),
+                        () -> harm(link, mode, durationMs));
+            }
+            case 6 -> {
+                FaultProxy.Mode mode = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
+                FaultProxy link = anyEndpoint().link();
+                inBackground("endpoint link " + mode, endpointFaults, () -> harm(link, mode, durationMs));
+            }
+            case 7 -> {
+                SoakEndpoint.Mode mode = ENDPOINT_FAULTS.get(random.nextInt(ENDPOINT_FAULTS.size()));
+                SoakEndpoint endpoint = anyEndpoint().endpoint();
+                inBackground("endpoint " + mode, endpointFaults, () -> fail(endpoint, mode, durationMs));
+            }
+            case 8 -> replaceEndpoint();
+            default -> reconfigure();
+        }
+    }
+
+    private interface Action {
+        void run() throws InterruptedException;
+    }
+
+    private void inBackground(String what, FaultSpans spans, Action action) {
+        actions.add(what);
+        FaultSpans.Span span = spans.begin(what);
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        action.run();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    } finally {
+                        span.end();
+                    }
+                },
+                what);
+        restarts.add(thread);
+        thread.start();
+    }
+
+    private void kill(int host, int downMs) throws InterruptedException {
+        EdgeProcess h = hosts.get(host);
+        synchronized (h) {
+            h.signal("KILL");
+            h.awaitEnd(GRACE_MS);
+            Thread.sleep(downMs);
+            h.start();
+            h.awaitReady(READY_MS);
+        }
+    }
+
+    private void pause(int host, int durationMs) throws InterruptedException {
+        EdgeProcess h = hosts.get(host);
+        synchronized (h) {
+            h.signal("STOP");
+            Thread.sleep(durationMs);
+            h.signal("CONT");
+        }
+    }
+
+    private void stop(int host) throws InterruptedException {
+        EdgeProcess h = hosts.get(host);
+        synchronized (h) {
+            h.signal("TERM");
+            if (!h.awaitEnd(GRACE_MS)) {
+                h.signal("KILL");
+                h.awaitEnd(GRACE_MS);
+            }
+            h.start();
+            h.awaitReady(READY_MS);
+        }
+    }
+
+    private void reload(int host) {
+        actions.add("reload host " + host);
+        EdgeProcess h = hosts.get(host);
+        h.signal("HUP");
+    }
+
+    private static void harm(FaultProxy link, FaultProxy.Mode mode, int durationMs) throws InterruptedException {
+        link.mode(mode);
+        Thread.sleep(durationMs);
+        link.mode(FaultProxy.Mode.PASS);
+    }
+
+    private static void fail(SoakEndpoint endpoint, SoakEndpoint.Mode mode, int durationMs)
+            throws InterruptedException {
+        endpoint.mode(mode);
+        Thread.sleep(durationMs);
+        endpoint.mode(SoakEndpoint.Mode.WELL);
+    }
+
+    private RunningEndpoint anyEndpoint() {
+        return endpoints.get(random.nextInt(endpoints.size()));
+    }
+
+    private void addEndpoint(String service) {
+        SoakEndpoint endpoint = new SoakEndpoint("soak-" + endpointCount++);
+        RunningEndpoint running = new RunningEndpoint(endpoint, new FaultProxy(endpoint.port()), service);
+        endpoints.add(running);
+        allEndpoints.add(endpoint);
+        register(running, "ready");
+    }
+
+    /** A new endpoint starts, and an old one says that it leaves. */
+    private void replaceEndpoint() {
+        RunningEndpoint old = anyEndpoint();
+        actions.add("replace " + old.endpoint().id());
+        addEndpoint(old.service());
+        endpoints.remove(old);
+        register(old, "draining");
+        drained.put(old.endpoint().id(), System.nanoTime());
+    }
+
+    private void register(RunningEndpoint e, String state) {
+        String entry = "{\"service\":\"" + e.service() + "\",\"address\":\"127.0.0.1:"
+                + e.link().port()
+                + "\",\"zone\":\"zone-a\",\"slots\":64,\"state\":\"" + state + "\",\"warmup_left_ms\":0,\"born\":1}";
+        platform.store()
+                .put(LoopbackPlatform.ENDPOINT_TABLE, e.endpoint().id(), entry.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void reconfigure() {
+        boolean revoke = !revoked.containsKey(SPARE_KEY) && random.nextInt(4) == 0;
+        actions.add(revoke ? "take the spare key away" : "new version of the configuration");
+        boolean held = !revoke && !revoked.containsKey(SPARE_KEY);
+        configure(held ? List.of(LoopbackPlatform.KEY, SPARE_KEY) : List.of(LoopbackPlatform.KEY));
+        if (revoke) {
+            revoked.put(SPARE_KEY, System.nanoTime());
+        }
+    }
+
+    private void configure(List<String> keys) {
+        configVersion += 2;
+        LoopbackConfiguration next = new LoopbackConfiguration(configVersion, LoopbackPlatform.HOST, keys);
+        platform.store().put(LoopbackPlatform.OPERATOR_TABLE, "config", next.json());
+    }
+
+    @Override
+    public void close() {
+        hosts.forEach(EdgeProcess::close);
+        storeLinks.forEach(FaultProxy::close);
+        endpoints.forEach(e -> e.link().close());
+        allEndpoints.forEach(SoakEndpoint::close);
+        platform.close();
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakCaller.java
@@ -0,0 +1,155 @@
+package org.dragonflygw.edge.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.dragonflygw.standins.loopback.LoopbackPlatform;
+
+/** A caller that sends one request after the other on connections that it keeps until the host closes them. */
+final class SoakCaller implements Runnable {
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int READ_TIMEOUT_MS = 5_000;
+    private static final int DEADLINE_MS = 3_000;
+    private static final int MAX_PAUSE_MS = 60;
+    private static final List<RequestKind> KINDS = List.of(RequestKind.ONCE, RequestKind.AGAIN, RequestKind.STREAM);
+
+    private final String name;
+    private final int[] ports;
+    private final Supplier<List<String>> keys;
+    private final SplittableRandom random;
+    private final Consumer<Outcome> told;
+    private final Map<Integer, Socket> kept = new HashMap<>();
+    private volatile boolean stopped;
+    private int count;
+
+    SoakCaller(String name, int[] ports, Supplier<List<String>> keys, SplittableRandom random, Consumer<Outcome> told) {
+        this.name = name;
+        this.ports = ports.clone();
+        this.keys = keys;
+        this.random = random;
+        this.told = told;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!stopped) {
+                Thread.sleep(random.nextInt(MAX_PAUSE_MS));
+                attempt();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void attempt() {
+        int host = random.nextInt(ports.length);
+        RequestKind kind = KINDS.get(random.nextInt(KINDS.size()));
+        List<String> held = keys.get();
+        String key = held.get(random.nextInt(held.size()));
+        String id = name + Integer.toHexString(0x100000 + count++);
+        Socket socket;
+        try {
+            socket = connection(host);
+        } catch (IOException e) {
+            return; // The host is down.
+        }
+        long sent = System.nanoTime();
+        try {
+            String body = "body of " + id;
+            String request = "POST " + kind.target(id) + " HTTP/1.1\r\nHost: " + LoopbackPlatform.HOST
+                    + "\r\nDragonflygw-Attempt-Id: " + id + "\r\nDragonflygw-Deadline-Ms: " + DEADLINE_MS
+                    + "\r\nAuthorization: Bearer " + key + "\r\nDragonflygw-Tenant: forged\r\nContent-Length: "
+                    + body.length() + "\r\n\r\n" + body;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            sent = System.nanoTime();
+            told.accept(read(socket, host, id, kind, key, sent));
+        } catch (IOException e) {
+            drop(host);
+            told.accept(new Outcome(id, host, kind, key, sent, System.nanoTime(), 0, false, false, ""));
+        }
+    }
+
+    private Socket connection(int host) throws IOException {
+        Socket socket = kept.get(host);
+        if (socket != null && !socket.isClosed()) {
+            return socket;
+        }
+        Socket fresh = new Socket();
+        fresh.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), ports[host]), CONNECT_TIMEOUT_MS);
+        fresh.setSoTimeout(READ_TIMEOUT_MS);
+        kept.put(host, fresh);
+        return fresh;
+    }
+
+    private void drop(int host) {
+        Socket socket = kept.remove(host);
+        try {
+            if (socket != null) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            // It is no longer used.
+        }
+    }
+
+    private Outcome read(Socket socket, int host, String id, RequestKind kind, String key, long sent)
+            throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        SoakEndpoint.HttpHead head = SoakEndpoint.HttpHead.read(in);
+        if (head == null) {
+            throw new IOException("closed without an answer");
+        }
+        StringBuilder body = new StringBuilder();
+        boolean whole = head.field("transfer-encoding").equals("chunked")
+                ? readChunks(in, body)
+                : readLength(in, head.contentLength(), body);
+        if (!whole || head.field("connection").equalsIgnoreCase("close")) {
+            drop(host);
+        }
+        boolean signed = !head.field("dragonflygw-response-signature").isEmpty();
+        return new Outcome(id, host, kind, key, sent, System.nanoTime(), head.status(), signed, whole, body.toString());
+    }
+
+    private static boolean readLength(InputStream in, int length, StringBuilder body) throws IOException {
+        byte[] bytes = in.readNBytes(length);
+        body.append(new String(bytes, StandardCharsets.ISO_8859_1));
+        return bytes.length == length;
+    }
+
+    private static boolean readChunks(InputStream in, StringBuilder body) throws IOException {
+        try {
+            while (true) {
+                String size = SoakEndpoint.HttpHead.line(in);
+                if (size == null) {
+                    return false;
+                }
+                int length = Integer.parseInt(size, 16);
+                body.append(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+                if (SoakEndpoint.HttpHead.line(in) == null) {
+                    return false;
+                }
+                if (length == 0) {
+                    return true;
+                }
+            }
+        } catch (IOException e) {
+            return false; // The answer was cut, which the checks weigh.
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
@@ -0,0 +1,222 @@
+package org.dragonflygw.edge.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** An endpoint that records what it runs, and can fail. */
+final class SoakEndpoint implements AutoCloseable {
+    /** What the endpoint does with requests. */
+    enum Mode {
+        /** It answers. */
+        WELL,
+        /** It runs them and answers with an error. */
+        ERRORS,
+        /** It runs them and breaks off. */
+        CRASHES
+    }
+
+    static final int EVENTS = 10;
+    private static final int BACKLOG = 128;
+    private static final long WORK_MS = 15;
+    private static final long EVENT_PAUSE_MS = 10;
+
+    private final String id;
+    private final ServerSocket server;
+    private final List<Run> runs = new CopyOnWriteArrayList<>();
+    private volatile Mode mode = Mode.WELL;
+
+    SoakEndpoint(String id) {
+        this.id = id;
+        try {
+            server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        start(this::accept);
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "soak-endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String id() {
+        return id;
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
+    void mode(Mode next) {
+        mode = next;
+    }
+
+    /** Body of the plain answer to a request. */
+    static String answerTo(String requestId) {
+        return "answer to " + requestId;
+    }
+
+    /** One event of the stream that answers a request. */
+    static String event(String requestId, int number) {
+        return "id: " + number + "\ndata: " + requestId + "-" + number + "\n\n";
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket s = server.accept();
+                start(() -> serve(s));
+            }
+        } catch (IOException e) {
+            // The soak has closed the endpoint.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            for (HttpHead head = HttpHead.read(in); head != null; head = HttpHead.read(in)) {
+                String body = new String(in.readNBytes(head.contentLength()), StandardCharsets.ISO_8859_1);
+                if (!answer(head, body, out)) {
+                    return;
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            // The edge has closed the connection.
+        }
+    }
+
+    private boolean answer(HttpHead head, String body, OutputStream out) throws IOException, InterruptedException {
+        String requestId = head.field("dragonflygw-attempt-id");
+        if (!head.field("dragonflygw-expect-instance").equals(id)) {
+            write(
+                    out,
+                    "HTTP/1.1 421 Misdirected Request\r\n" + signature(requestId)
+                            + "Dragonflygw-Not-Executed: true\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        runs.add(new Run(
+                requestId,
+                id,
+                System.nanoTime(),
+                head.target(),
+                body,
+                head.field("dragonflygw-tenant"),
+                !head.field("authorization").isEmpty()));
+        Thread.sleep(WORK_MS);
+        if (mode == Mode.CRASHES) {
+            return false;
+        }
+        if (mode == Mode.ERRORS) {
+            write(out, "HTTP/1.1 500 Error\r\n" + signature(requestId) + "Content-Length: 0\r\n\r\n");
+            return true;
+        }
+        if (head.target().startsWith("/stream/")) {
+            stream(requestId, head.field("last-event-id"), out);
+            return true;
+        }
+        String answer = answerTo(requestId);
+        write(
+                out,
+                "HTTP/1.1 200 OK\r\n" + signature(requestId) + "Content-Length: " + answer.length() + "\r\n\r\n"
+                        + answer);
+        return true;
+    }
+
+    private void stream(String requestId, String after, OutputStream out) throws IOException, InterruptedException {
+        write(
+                out,
+                "HTTP/1.1 200 OK\r\n" + signature(requestId)
+                        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
+        for (int i = first; i <= EVENTS; i++) {
+            String event = event(requestId, i);
+            write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+            Thread.sleep(EVENT_PAUSE_MS);
+        }
+        write(out, "0\r\n\r\n");
+    }
+
+    private static String signature(String requestId) {
+        return "Dragonflygw-Attempt-Id: " + requestId + "\r\nDragonflygw-Response-Signature: by-endpoint\r\n";
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** The head of a message: its first line and its fields by their names in lower case. */
+    record HttpHead(String firstLine, Map<String, String> fields) {
+        static HttpHead read(InputStream in) throws IOException {
+            String first = line(in);
+            if (first == null || first.isEmpty()) {
+                return null;
+            }
+            Map<String, String> fields = new TreeMap<>();
+            for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+                int colon = line.indexOf(':');
+                fields.put(
+                        line.substring(0, colon).toLowerCase(Locale.ROOT),
+                        line.substring(colon + 1).strip());
+            }
+            return new HttpHead(first, fields);
+        }
+
+        static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            int b = in.read();
+            while (b >= 0 && b != '\n') {
+                if (b != '\r') {
+                    line.append((char) b);
+                }
+                b = in.read();
+            }
+            return b < 0 ? null : line.toString();
+        }
+
+        String field(String name) {
+            return fields.getOrDefault(name, "");
+        }
+
+        String target() {
+            return firstLine.split(" ", -1)[1];
+        }
+
+        int status() {
+            return Integer.parseInt(firstLine.split(" ", -1)[1]);
+        }
+
+        int contentLength() {
+            return Integer.parseInt(fields.getOrDefault("content-length", "0"));
+        }
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
@@ -0,0 +1,36 @@
+package org.dragonflygw.edge.soak;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Runs soaks with several seeds, one after the other. Arguments: first seed, number of seeds, seconds, hosts, first port. */
+public final class SoakMain {
+    private static final long MS_PER_S = 1_000;
+
+    private SoakMain() {}
+
+    /** Prints a line for each seed, and what was broken; the exit code is the number of seeds with a violation. */
+    public static void main(String[] args) throws Exception {
+        long first = Long.parseLong(args[0]);
+        int broken = 0;
+        for (long seed = first; seed < first + Long.parseLong(args[1]); seed++) {
+            Path dir = Files.createTempDirectory("soak-" + seed + "-");
+            try (Soak soak = new Soak(seed, Integer.parseInt(args[3]), Integer.parseInt(args[4]), dir)) {
+                SoakRecord record = soak.run(Long.parseLong(args[2]) * MS_PER_S);
+                List<String> violations = SoakChecks.violations(record);
+                long good = record.outcomes().stream().filter(Outcome::success).count();
+                System.out.println("seed " + seed + ": " + good + " of "
+                        + record.outcomes().size() + " attempts succeeded, "
+                        + soak.actions().size()
+                        + " disturbances, " + violations.size() + " violations; logs in " + dir);
+                violations.stream().limit(10).forEach(v -> System.out.println("  " + v));
+                if (!violations.isEmpty()) {
+                    System.out.println("  after " + soak.actions());
+                    broken++;
+                }
+            }
+        }
+        System.exit(broken);
+    }
+}
--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakTest.java
@@ -0,0 +1,29 @@
+package org.dragonflygw.edge.soak;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short soak with a fixed seed; {@link SoakMain} runs longer ones and others. */
+final class SoakTest {
+    private static final int HOSTS = 3;
+    private static final int FIRST_PORT = 23_400;
+    private static final long MILLIS = 8_000;
+
+    @TempDir
+    Path dir;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1})
+    void keepsItsPromises(long seed) throws Exception {
+        try (Soak soak = new Soak(seed, HOSTS, FIRST_PORT, dir)) {
+            SoakRecord record = soak.run(MILLIS);
+            assertWithMessage("seed %s after %s", seed, soak.actions())
+                    .that(SoakChecks.violations(record))
+                    .isEmpty();
+        }
+    }
+}
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackConfiguration.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackConfiguration.java
@@ -4,17 +4,25 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
- * The operator's configuration of the stand-in: one streaming route to engines and one plain route to an application.
+ * The operator's configuration of the stand-in: one streaming route to engines and two plain routes to an application.
  *
  * @param version version of the configuration
- * @param hostName host name of both routes
- * @param key key of the only team, empty if it holds none
+ * @param hostName host name of all routes
+ * @param keys keys of the only team
  */
-public record LoopbackConfiguration(long version, String hostName, String key) {
-    static final String ENGINES = "engines";
-    static final String APPLICATIONS = "applications";
+public record LoopbackConfiguration(long version, String hostName, List<String> keys) {
+    /** Service of the streaming route. */
+    public static final String ENGINES = "engines";
+
+    /** Service of the plain routes. */
+    public static final String APPLICATIONS = "applications";
+
+    public LoopbackConfiguration {
+        keys = List.copyOf(keys);
+    }
 
     /** The configuration in the platform's format. */
     public byte[] json() {
@@ -22,6 +30,7 @@
         root.put("version", version);
         ArrayNode routes = root.putArray("routes");
         route(routes.addObject(), "stream", LoopbackPlatform.STREAM_PREFIX, "streaming", ENGINES);
+        route(routes.addObject(), "once", LoopbackPlatform.ONCE_PREFIX, "non_idempotent", APPLICATIONS);
         route(routes.addObject(), "plain", LoopbackPlatform.PLAIN_PREFIX, "idempotent", APPLICATIONS);
         ArrayNode services = root.putArray("services");
         ObjectNode engines = services.addObject();
@@ -33,10 +42,8 @@
         services.addObject().put("name", APPLICATIONS).put("max_connections", 96);
         ObjectNode team = root.putArray("tenants").addObject();
         team.put("name", "team-1");
-        ArrayNode keys = team.putArray("api_keys");
-        if (!key.isEmpty()) {
-            keys.add(key);
-        }
+        ArrayNode held = team.putArray("api_keys");
+        keys.forEach(held::add);
         return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
@@ -35,6 +35,9 @@
     /** Path prefix of the plain route. */
     public static final String PLAIN_PREFIX = "/plain/";
 
+    /** Path prefix of the plain route whose requests may run only once. */
+    public static final String ONCE_PREFIX = "/once/";
+
     /** Table of the operator's configuration. */
     public static final String OPERATOR_TABLE = "op";
 
@@ -74,7 +77,8 @@
         server.createContext("/api/rows-tx", this::change);
         server.createContext(STREAM_PREFIX, this::stream);
         server.createContext(PLAIN_PREFIX, this::plain);
-        store.put(OPERATOR_TABLE, "config", new LoopbackConfiguration(1, hostName, KEY).json());
+        server.createContext(ONCE_PREFIX, this::plain);
+        store.put(OPERATOR_TABLE, "config", new LoopbackConfiguration(1, hostName, List.of(KEY)).json());
         store.put(ENDPOINT_TABLE, "i-1", entry(LoopbackConfiguration.ENGINES));
         store.put(ENDPOINT_TABLE, "i-2", entry(LoopbackConfiguration.APPLICATIONS));
         server.start();
