--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -31,6 +31,7 @@
 
     /** Runs until it is told to stop. */
     public static void main(String[] args) throws IOException, InterruptedException {
+        Signals.onHangUp(() -> {}); // Without a handler it would end the process; the settings are read below.
         System.setProperty("io.netty.machineId", MACHINE_ID);
         OptionParser parser = new OptionParser();
         OptionSpec<String> file = parser.accepts("settings", "settings file of the host")
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
@@ -3,6 +3,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** Runs soaks with several seeds, one after the other. Arguments: first seed, number of seeds, seconds, hosts, first port. */
 public final class SoakMain {
@@ -24,6 +26,7 @@
                         + record.outcomes().size() + " attempts succeeded, "
                         + soak.actions().size()
                         + " disturbances, " + violations.size() + " violations; logs in " + dir);
+                System.out.println("  ends: " + ends(record));
                 violations.stream().limit(10).forEach(v -> System.out.println("  " + v));
                 if (!violations.isEmpty()) {
                     System.out.println("  after " + soak.actions());
@@ -33,4 +36,11 @@
         }
         System.exit(broken);
     }
+
+    /** Number of attempts by the status of their answers, 0 for none, and whether these were whole. */
+    private static Map<String, Integer> ends(SoakRecord record) {
+        Map<String, Integer> ends = new TreeMap<>();
+        record.outcomes().forEach(o -> ends.merge(o.status() + (o.whole() ? "" : " cut"), 1, Integer::sum));
+        return ends;
+    }
 }
