Close the callers' port once the balancer knows of a planned stop

The port is now closed 2.9 s after the signal: the balancer has missed two checks by then, a caller whose connection is refused goes to another host at once, and what was taken before may take the rest of the grace time. The new test of GracefulStopTest failed before.

--- a/edge/src/main/java/org/dragonflygw/edge/stop/GracefulStop.java
+++ b/edge/src/main/java/org/dragonflygw/edge/stop/GracefulStop.java
@@ -9,12 +9,13 @@
 
 /**
  * Stops the process without cutting answers: it is not ready at once, goes on serving while the balancer learns of it,
- * then closes idle connections and ends when no request is open, or shortly before it would be killed.
+ * then closes its port and idle connections, since a request that comes later might not be answered before the kill. It
+ * ends when no request is open, or shortly before it would be killed.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // Failed writes and closes show as the end of the connection.
 public final class GracefulStop {
-    /** How long new connections may still arrive, in milliseconds: two missed checks a second apart, and some. */
-    private static final long BALANCER_LAG_MS = 3_200;
+    /** How long new connections are accepted, in milliseconds: two missed checks a second apart, and some. */
+    private static final long BALANCER_LAG_MS = 2_900;
 
     /** Time before the kill at which the process ends by itself, in milliseconds. */
     private static final long END_MARGIN_MS = 300;
@@ -65,9 +66,9 @@
             gate.closeIdle();
         }
         boolean timeOver = elapsedMs >= graceMs - END_MARGIN_MS;
-        boolean answered = lagOver && gate.openCalls() == 0 && gate.unwrittenAnswers() == 0;
-        if (answered && !portClosed) {
-            // Only the next check may end the process: a request that was accepted before the port closed is served.
+        boolean answered = portClosed && gate.openCalls() == 0 && gate.unwrittenAnswers() == 0;
+        if (lagOver && !portClosed) {
+            // Only a later check may end the process: a request that was accepted before the port closed is served.
             portClosed = true;
             stopAccepting.run();
         } else if (timeOver || answered) {
--- a/edge/src/test/java/org/dragonflygw/edge/GracefulStopTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/GracefulStopTest.java
@@ -15,6 +15,12 @@
     private static final long GRACE_MS = 6_000;
     private static final int CHUNK_BYTES = 65_536;
     private static final int CHUNKS = 128;
+    private static final int SLOW_PARTS = 21;
+    private static final long SLOW_PAUSE_MS = 110;
+    private static final long BEFORE_SLOW_MS = 1_000;
+
+    /** Time after which the balancer has taken a stopping host out, which the users' pages excuse, in milliseconds. */
+    private static final long BALANCER_KNOWS_MS = 3_000;
 
     private static String head(String requestHead) {
         int at = requestHead.indexOf("Attempt-Id: ");
@@ -81,4 +87,37 @@
             assertThrows(IOException.class, f::connect);
         }
     }
+
+    /** A request that comes late in the stop could not be answered before the process has to end. */
+    @Test
+    void acceptsNoConnectionsOnceTheBalancerKnowsAlthoughRequestsAreOpen() throws IOException, InterruptedException {
+        try (RawEndpoint e = new RawEndpoint((head, s, out) -> {
+                    write(out, head(head) + "Content-Length: " + SLOW_PARTS + "\r\n\r\n");
+                    for (int i = 0; i < SLOW_PARTS; i++) {
+                        write(out, "x");
+                        pause();
+                    }
+                    return true;
+                });
+                EdgeFixture f = new EdgeFixture(e);
+                Socket slow = f.connect()) {
+            Thread stop = stop(f);
+            Thread.sleep(BEFORE_SLOW_MS);
+            EdgeFixture.send(slow, request("/stream/x", "id1"));
+            EdgeFixture.readUntil(slow, "\r\n\r\n");
+            Thread.sleep(BALANCER_KNOWS_MS - BEFORE_SLOW_MS);
+            assertThrows(IOException.class, f::connect);
+            assertThat(EdgeFixture.readUntil(slow, "x".repeat(SLOW_PARTS))).endsWith("x");
+            stop.join(GRACE_MS);
+            assertThat(stop.isAlive()).isFalse();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(SLOW_PAUSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
