--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
@@ -19,6 +19,7 @@
         for (long seed = first; seed < first + Long.parseLong(args[1]); seed++) {
             Path dir = Files.createTempDirectory("soak-" + seed + "-");
             try (Soak soak = new Soak(seed, Integer.parseInt(args[3]), Integer.parseInt(args[4]), dir)) {
+                Runtime.getRuntime().addShutdownHook(new Thread(soak::close, "end-of-soak"));
                 SoakRecord record = soak.run(Long.parseLong(args[2]) * MS_PER_S);
                 List<String> violations = SoakChecks.violations(record);
                 long good = record.outcomes().stream().filter(Outcome::success).count();
