Drop the planned stops from the soak's record, which no check reads

Found on reading the change again: SoakRecord carried a list of planned stops for each host that was derived from nothing and used by nothing, since planned stops excuse nothing.

--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -38,7 +38,9 @@
     private final List<FaultProxy> storeLinks = new ArrayList<>();
     private final List<EdgeProcess> hosts = new ArrayList<>();
     private final List<FaultSpans> hostFaults = new ArrayList<>();
-    private final List<FaultSpans> hostStops = new ArrayList<>();
+    /** Not among the record: planned stops excuse nothing. */
+    private final FaultSpans plannedStops = new FaultSpans();
+
     private final FaultSpans endpointFaults = new FaultSpans();
     private final List<RunningEndpoint> endpoints = new CopyOnWriteArrayList<>();
     private final List<SoakEndpoint> allEndpoints = new ArrayList<>();
@@ -65,7 +67,6 @@
             FaultProxy link = new FaultProxy(platform.port());
             storeLinks.add(link);
             hostFaults.add(new FaultSpans());
-            hostStops.add(new FaultSpans());
             hosts.add(new EdgeProcess(
                     new EdgeSettingsFile("host-" + i, "zone-a", firstPort + i * FreePorts.OF_A_HOST, link.port()),
                     dir));
@@ -109,8 +110,7 @@
         }
         List<Run> runs = new ArrayList<>();
         allEndpoints.forEach(e -> runs.addAll(e.runs()));
-        return new SoakRecord(
-                List.copyOf(outcomes), runs, hostFaults, hostStops, endpointFaults, drained, revoked, calmFrom);
+        return new SoakRecord(List.copyOf(outcomes), runs, hostFaults, endpointFaults, drained, revoked, calmFrom);
     }
 
     /** What was done, in order. */
@@ -124,7 +124,7 @@
         switch (random.nextInt(10)) {
             case 0 -> inBackground("kill host " + host, hostFaults.get(host), () -> kill(host, durationMs));
             case 1 -> inBackground("pause host " + host, hostFaults.get(host), () -> pause(host, durationMs));
-            case 2 -> inBackground("stop host " + host, hostStops.get(host), () -> stop(host));
+            case 2 -> inBackground("stop host " + host, plannedStops, () -> stop(host));
             case 3 -> reload(host);
             case 4, 5 -> {
                 FaultProxy.Mode mode = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakRecord.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakRecord.java
@@ -9,7 +9,6 @@
  * @param outcomes what callers saw
  * @param runs what endpoints ran
  * @param hostFaults disturbances of each host, its links to the store included
- * @param hostStops planned stops of each host
  * @param endpointFaults disturbances of any endpoint or its link
  * @param drainedNanos when each leaving endpoint was said to leave
  * @param revokedNanos when each key was taken away
@@ -19,7 +18,6 @@
         List<Outcome> outcomes,
         List<Run> runs,
         List<FaultSpans> hostFaults,
-        List<FaultSpans> hostStops,
         FaultSpans endpointFaults,
         Map<String, Long> drainedNanos,
         Map<String, Long> revokedNanos,
