--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -1,5 +1,6 @@
 package org.dragonflygw.edge;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.HttpURLConnection;
@@ -10,25 +11,34 @@
 import org.dragonflygw.core.dispatch.ChoicePolicy;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.settings.HostBounds;
-import org.dragonflygw.core.settings.HostIdentity;
 import org.dragonflygw.core.settings.HostSettings;
-import org.dragonflygw.core.settings.RetryBounds;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.platform.adapter.SettingsDecoder;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 
 /**
- * Training run for the archive of the JVM's class data sharing. Starts a router and a loopback platform in this
- * process, sends requests through the router and returns. The build runs it once with the JVM option that archives the
+ * Training run for the archive of the JVM's class data sharing. Starts two routers and a loopback platform in
+ * this process, sends requests through the first router and returns. The build runs it once with the JVM option that archives the
  * loaded classes; a process that starts with the archive is ready in less than half the time and shares the memory of
  * the archived classes with other processes.
  */
 final class ArchiveTraining {
-    private static final String LOOPBACK = "127.0.0.1";
+    private static final String SETTINGS_TEMPLATE = """
+            {"node_name": "%s", "ip": "127.0.0.1", "zone": "zone-a",
+             "listen": {"frontend": "127.0.0.1:%d", "readiness": "127.0.0.1:%d"},
+             "internal_ports": [%d, %d], "heartbeat_ms": 1200,
+             "platform": {"address": "127.0.0.1:%d"},
+             "limits": {"link_mbps": 1000},
+             "bounds": {"drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000, "revoke_ms": 5000,
+               "retry_budget_ratio": 0.2, "retry_window_s": 10, "budget_slack": 52, "cap_factor": 2}}
+            """;
+
     private static final int REQUESTS = 60;
     private static final int MAX_READY_CHECKS = 200;
     private static final long READY_CHECK_MS = 25;
-    private static final long RETRY_WINDOW_NANOS = 10_000_000_000L;
+
+    /** Time for some rounds of reports between the two routers, in milliseconds. */
+    private static final long REPORT_EXCHANGE_MS = 700;
 
     private ArchiveTraining() {}
 
@@ -36,12 +46,9 @@
     static int run(EventLog log) throws IOException, InterruptedException {
         int served = 0;
         try (LoopbackPlatform platform = new LoopbackPlatform()) {
-            HostSettings settings = settings(platform.port());
-            EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, log);
-            node.start(freePort());
-            for (int i = 0; i < MAX_READY_CHECKS && !node.isReady(); i++) {
-                Thread.sleep(READY_CHECK_MS);
-            }
+            HostSettings settings = startNode("training-1", platform.port(), log);
+            startNode("training-2", platform.port(), log);
+            Thread.sleep(REPORT_EXCHANGE_MS);
             for (int i = 0; i < REQUESTS; i++) {
                 String prefix = i % 3 == 0 ? LoopbackPlatform.PLAIN_PREFIX : LoopbackPlatform.STREAM_PREFIX;
                 served += sendRequest(settings.identity().callers(), prefix, i) ? 1 : 0;
@@ -50,6 +57,18 @@
         return served;
     }
 
+    /** Starts a router and waits until it is ready; returns its settings. */
+    private static HostSettings startNode(String host, int storePort, EventLog log)
+            throws IOException, InterruptedException {
+        HostSettings settings = new SettingsDecoder(new ObjectMapper()).decode(settings(host, storePort));
+        EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, log);
+        node.start(freePort());
+        for (int i = 0; i < MAX_READY_CHECKS && !node.isReady(); i++) {
+            Thread.sleep(READY_CHECK_MS);
+        }
+        return settings;
+    }
+
     private static boolean sendRequest(HostAddress to, String prefix, int number) throws IOException {
         System.setProperty("sun.net.http.allowRestrictedHeaders", "true");
         HttpURLConnection connection = (HttpURLConnection)
@@ -68,17 +87,11 @@
         return true;
     }
 
-    private static HostSettings settings(int storePort) throws IOException {
-        HostBounds bounds =
-                new HostBounds(2_000, 8_000, 2_000, 5_000, new RetryBounds(0.2, 52, RETRY_WINDOW_NANOS), 2, 1_200);
-        HostIdentity identity = new HostIdentity(
-                "training",
-                LOOPBACK,
-                "zone-a",
-                new HostAddress(LOOPBACK, freePort()),
-                new HostAddress(LOOPBACK, freePort()),
-                freePort());
-        return new HostSettings(identity, 0, new HostAddress(LOOPBACK, storePort), bounds);
+    /** Settings in the platform's format, so that the training covers their decoding. */
+    private static byte[] settings(String host, int storePort) throws IOException {
+        int reportPort = freePort();
+        String text = SETTINGS_TEMPLATE.formatted(host, freePort(), freePort(), reportPort, reportPort, storePort);
+        return text.getBytes(StandardCharsets.UTF_8);
     }
 
     private static int freePort() throws IOException {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -1,6 +1,8 @@
 package org.dragonflygw.edge;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -32,7 +34,7 @@
     /** Starts the process, which runs until it receives the signal TERM. */
     public static void main(String[] args) throws IOException, InterruptedException {
         Signals.onHangUp(() -> {}); // Without a handler, HUP would end the process before the settings are read below.
-        System.setProperty("io.netty.machineId", MACHINE_ID);
+        configureNetty();
         OptionParser parser = new OptionParser();
         OptionSpec<String> settingsFile = parser.accepts("settings", "path of the settings file of the host")
                 .withRequiredArg()
@@ -76,6 +78,13 @@
         node.scheduleWithFixedDelay(SETTINGS_CHECK_MS, reloader::reloadIfChanged);
     }
 
+    /** Skips what Netty looks for at each start: a hardware address, logging libraries and the flight recorder. */
+    private static void configureNetty() {
+        System.setProperty("io.netty.machineId", MACHINE_ID);
+        System.setProperty("io.netty.jfr.enabled", "false");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
     private static void stop(EdgeNode node, JsonLog log) {
         try {
             node.stop();
