Tell a group of hosts of store news in short reports

The targets went round the whole fleet instead of the reader's group, and each such report used up the reader's prompt prefixes after two rounds, since it counted as the only round. Now these reports carry no prefixes, go to the reader's own group, and a listing, from which peers learn nothing, sends none: after the loss of all hosts each had sent one to every other.

--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -33,6 +33,7 @@
     private final MonotonicClock clock;
     private final Deque<RecentHolding> recentHoldings = new ArrayDeque<>();
     private long sequence;
+    private long round;
 
     /**
      * Creates a factory.
@@ -57,23 +58,35 @@
     }
 
     /**
-     * Creates the next report.
+     * Creates the report of the next round.
      *
      * @param rounds number of reports until each peer has received one
      * @param news what this host has read from the store
      */
     public HostReport next(int rounds, StoreNews news) {
-        sequence++;
-        loads.takeNewHoldings().forEach(h -> recentHoldings.addLast(new RecentHolding(h, sequence)));
+        round++;
+        loads.takeNewHoldings().forEach(h -> recentHoldings.addLast(new RecentHolding(h, round)));
         while (recentHoldings.size() > MAX_HOLDINGS
                 || (!recentHoldings.isEmpty()
-                        && sequence - recentHoldings.peekFirst().firstSequence >= (long) rounds * REPORTS_PER_PEER)) {
+                        && round - recentHoldings.peekFirst().firstRound >= (long) rounds * REPORTS_PER_PEER)) {
             recentHoldings.removeFirst();
         }
         List<PromptHolding> holdings = new ArrayList<>();
         recentHoldings.forEach(t -> holdings.add(t.holding));
+        return report(holdings, news);
+    }
+
+    /**
+     * Creates a report without prompt prefixes, to be sent to many hosts at once as soon as the store has news. Short
+     * messages are not lost on a narrow link. The prefixes stay in the next reports.
+     */
+    public HostReport nextWithoutHoldings(StoreNews news) {
+        return report(List.of(), news);
+    }
+
+    private HostReport report(List<PromptHolding> holdings, StoreNews news) {
         return new HostReport(
-                host, address, startedMs, sequence, uses(), holdings, crashes.recentLosses(clock.nanos()), news);
+                host, address, startedMs, ++sequence, uses(), holdings, crashes.recentLosses(clock.nanos()), news);
     }
 
     private List<EndpointUse> uses() {
@@ -88,5 +101,5 @@
         return uses;
     }
 
-    private record RecentHolding(PromptHolding holding, long firstSequence) {}
+    private record RecentHolding(PromptHolding holding, long firstRound) {}
 }
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.peers;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -158,8 +159,18 @@
 
     /** Returns the addresses of the peers. */
     public List<HostAddress> addresses() {
+        return addressesOf(peers.keySet());
+    }
+
+    /** Returns the addresses of those hosts that are known peers. */
+    public List<HostAddress> addressesOf(Collection<String> hosts) {
         List<HostAddress> addresses = new ArrayList<>();
-        peers.values().forEach(p -> addresses.add(p.address));
+        for (String host : hosts) {
+            Peer p = peers.get(host);
+            if (p != null) {
+                addresses.add(p.address);
+            }
+        }
         return addresses;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/storenews/ReaderSelection.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/ReaderSelection.java
@@ -35,16 +35,22 @@
 
     /** Number of hosts of this host's group that reach the store and come before it, at most 5; 0 for the reader. */
     public int rank() {
+        List<String> group = group();
+        int rank = 0;
+        for (String host : group.subList(0, group.indexOf(self))) {
+            rank += peers.reachesStore(host) ? 1 : 0;
+        }
+        return Math.min(MAX_RANK, rank);
+    }
+
+    /** The hosts of this host's group in the order in which they take over, including this host. */
+    public List<String> group() {
         List<String> sorted = new ArrayList<>(peers.hostNames());
         sorted.add(self);
         sorted.sort(Comparator.comparingLong(RoutingHash::of).thenComparing(Comparator.naturalOrder()));
         int ownIndex = sorted.indexOf(self);
-        int groupStart = ownIndex - ownIndex % GROUP_SIZE;
-        int rank = 0;
-        for (int i = groupStart; i < ownIndex; i++) {
-            rank += peers.reachesStore(sorted.get(i)) ? 1 : 0;
-        }
-        return Math.min(MAX_RANK, rank);
+        int start = ownIndex - ownIndex % GROUP_SIZE;
+        return sorted.subList(start, Math.min(start + GROUP_SIZE, sorted.size()));
     }
 
     /** Whether this host is the reader of its group. */
--- a/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
@@ -48,6 +48,17 @@
         assertThat(readers(400, "")).hasSize(7);
     }
 
+    /** Otherwise some hosts would learn of an endpoint's leave only by the reports that are sent in turn. */
+    @Test
+    void groupsOfReadersCoverEveryHostOnce() {
+        List<String> covered = new ArrayList<>();
+        for (String reader : readers(400, "")) {
+            covered.addAll(selection(reader, 400, "").group());
+        }
+        assertThat(covered).hasSize(400);
+        assertThat(covered).containsNoDuplicates();
+    }
+
     @Test
     void nextHostReadsWhenReaderCannotReachStore() {
         String first = readers(6, "").get(0);
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -164,7 +164,7 @@
     }
 
     private void reportToPeers() {
-        reports.reportNow();
+        reports.reportNow(store.groupAddresses());
     }
 
     private EndpointChooser endpointChoice() {
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -40,9 +41,6 @@
     /** Number of hosts that one round sends to. */
     private static final int FAN_OUT = 8;
 
-    /** Number of hosts that {@link #reportNow} sends to: covers a group of hosts that share one reader. */
-    private static final int MAX_IMMEDIATE_TARGETS = 80;
-
     /** Maximum report size in bytes: the report of a host in a large fleet with several hundred endpoints. */
     private static final int MAX_REPORT_BYTES = 16_384;
 
@@ -112,21 +110,23 @@
         retries.setHostCount(peers.hostCount());
         List<HostAddress> targets = peers.addresses();
         int rounds = Math.max(1, (targets.size() + FAN_OUT - 1) / FAN_OUT);
-        send(targets, Math.min(FAN_OUT, targets.size()), rounds);
+        List<HostAddress> inTurn = new ArrayList<>();
+        for (int i = 0; i < Math.min(FAN_OUT, targets.size()); i++) {
+            inTurn.add(targets.get(nextTarget++ % targets.size()));
+        }
+        send(reports.next(rounds, storeNews.get()), inTurn);
     }
 
-    /** Sends a report to up to {@link #MAX_IMMEDIATE_TARGETS} hosts at once, after a read of the store. */
-    public void reportNow() {
-        List<HostAddress> targets = peers.addresses();
+    /** Sends a short report to the given hosts at once, after a read of the store. */
+    public void reportNow(List<HostAddress> targets) {
         if (channel != null && !targets.isEmpty()) {
-            send(targets, Math.min(MAX_IMMEDIATE_TARGETS, targets.size()), 1);
+            send(reports.nextWithoutHoldings(storeNews.get()), targets);
         }
     }
 
-    private void send(List<HostAddress> targets, int count, int rounds) {
-        byte[] bytes = encode(reports.next(rounds, storeNews.get()));
-        for (int i = 0; i < count; i++) {
-            HostAddress to = targets.get(nextTarget++ % targets.size());
+    private void send(HostReport report, List<HostAddress> targets) {
+        byte[] bytes = encode(report);
+        for (HostAddress to : targets) {
             channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.ip(), to.port())));
         }
         channel.flush();
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -2,12 +2,14 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostIdentity;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.core.storenews.EndpointChangeLog;
@@ -30,6 +32,8 @@
     private final EventLoopGroup group;
     private final SettingsHolder settings;
     private final EndpointRegistry registry;
+    private final PeerTable peers;
+    private final ReaderSelection readerSelection;
     private final ConfigurationFeed configurationFeed;
     private final EndpointChangeLog changes = new EndpointChangeLog();
     private final TableFollower configuration;
@@ -40,7 +44,7 @@
     /**
      * Creates a view that does not read before {@link #start}.
      *
-     * @param afterRead called after each read by this host that was not requested by news from a peer
+     * @param afterRead called after each read of changes by this host that was not requested by news from a peer
      */
     public StoreView(
             EventLoopGroup group,
@@ -55,9 +59,9 @@
         this.group = group;
         this.settings = settings;
         this.registry = registry;
+        this.peers = peers;
         ObjectMapper mapper = new ObjectMapper();
-        ReaderSelection readerSelection =
-                new ReaderSelection(settings.current().identity().hostName(), peers);
+        readerSelection = new ReaderSelection(settings.current().identity().hostName(), peers);
         TableFollowerFactory followers =
                 new TableFollowerFactory(group, settings, new StoreApiCodec(mapper), metrics, log, readerSelection);
         configurationFeed = new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log);
@@ -94,6 +98,11 @@
                 configurationFeed.news());
     }
 
+    /** Returns the addresses of the hosts for which this host reads the store, if it is their reader. */
+    public List<HostAddress> groupAddresses() {
+        return peers.addressesOf(readerSelection.group());
+    }
+
     /** Applies news about the store received from a peer. */
     public void applyNews(StoreNews news) {
         newsApplier.apply(news, endpoints, configuration, configurationFeed);
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
@@ -136,7 +136,7 @@
         }
         onSuccess();
         listener.onListing(List.copyOf(listing), version(), response.sentNanos());
-        notifyAfterRead();
+        readRequestedByNews = false; // A listing holds no changes that peers could apply, so it is not announced.
         check();
     }
 
