--- a/edge/src/main/java/org/dragonflygw/edge/log/JsonLog.java
+++ b/edge/src/main/java/org/dragonflygw/edge/log/JsonLog.java
@@ -66,6 +66,7 @@
                 return;
             }
             buffer.writeBytes(line);
+            lock.notifyAll();
         }
     }
 
@@ -73,6 +74,7 @@
         long reported = 0;
         try {
             while (!closed) {
+                awaitLine();
                 Thread.sleep(WRITE_INTERVAL_MS);
                 flush();
                 long total = dropped.get();
@@ -86,6 +88,15 @@
         }
     }
 
+    /** Waits until there is something to write, so that the thread of an idle process sleeps. */
+    private void awaitLine() throws InterruptedException {
+        synchronized (lock) {
+            while (buffer.size() == 0 && !closed) {
+                lock.wait();
+            }
+        }
+    }
+
     private void flush() {
         byte[] bytes;
         synchronized (lock) {
@@ -107,6 +118,9 @@
     @Override
     public void close() {
         closed = true;
+        synchronized (lock) {
+            lock.notifyAll();
+        }
         flush();
     }
 
