Hold requests for a moment while a process that has just started reads its configuration

The archive's training decodes the settings file of the loopback deployment (EdgeSettingsFile), which now carries the heartbeat interval that the registry needs.

--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -18,6 +18,8 @@
     ENDPOINT,
     /** The readiness that is reported to the load balancer changed. */
     READINESS,
+    /** A request waits because the process has just started and knows no configuration or no endpoints yet. */
+    HOLD,
     /** A request was sent to an endpoint; the line has the figures behind the choice. */
     DISPATCH,
     /** A request was refused before it was sent; the line has the reason. */
--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -14,6 +14,7 @@
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
+import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 
 /**
@@ -23,19 +24,10 @@
  * the archived classes with other processes.
  */
 final class ArchiveTraining {
-    private static final String SETTINGS_TEMPLATE = """
-            {"node_name": "%s", "ip": "127.0.0.1", "zone": "zone-a",
-             "listen": {"frontend": "127.0.0.1:%d", "readiness": "127.0.0.1:%d"},
-             "internal_ports": [%d, %d], "heartbeat_ms": 1200,
-             "platform": {"address": "127.0.0.1:%d"},
-             "limits": {"link_mbps": 1000},
-             "bounds": {"drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000, "revoke_ms": 5000,
-               "retry_budget_ratio": 0.2, "retry_window_s": 10, "budget_slack": 52, "cap_factor": 2}}
-            """;
-
     private static final int REQUESTS = 60;
     private static final int MAX_READY_CHECKS = 200;
     private static final long READY_CHECK_MS = 25;
+    private static final int MAX_PORT_TRIES = 100;
 
     /** Time for some rounds of reports between the two routers, in milliseconds. */
     private static final long REPORT_EXCHANGE_MS = 700;
@@ -60,7 +52,9 @@
     /** Starts a router and waits until it is ready; returns its settings. */
     private static HostSettings startNode(String host, int storePort, EventLog log)
             throws IOException, InterruptedException {
-        HostSettings settings = new SettingsDecoder(new ObjectMapper()).decode(settings(host, storePort));
+        // Decoded as in a real start, so that the archive holds the classes of the decoder.
+        byte[] file = new EdgeSettingsFile(host, "zone-a", firstFreePort(), storePort).content();
+        HostSettings settings = new SettingsDecoder(new ObjectMapper()).decode(file);
         EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, log);
         node.start(freePort());
         for (int i = 0; i < MAX_READY_CHECKS && !node.isReady(); i++) {
@@ -87,11 +81,23 @@
         return true;
     }
 
-    /** Settings in the platform's format, so that the training covers their decoding. */
-    private static byte[] settings(String host, int storePort) throws IOException {
-        int reportPort = freePort();
-        String text = SETTINGS_TEMPLATE.formatted(host, freePort(), freePort(), reportPort, reportPort, storePort);
-        return text.getBytes(StandardCharsets.UTF_8);
+    /** Returns the first of the consecutive free ports that a router needs. */
+    private static int firstFreePort() throws IOException {
+        for (int i = 0; i < MAX_PORT_TRIES; i++) {
+            int first = freePort();
+            if (isFree(first + 1) && isFree(first + 2)) {
+                return first;
+            }
+        }
+        throw new IOException("no " + EdgeSettingsFile.PORT_COUNT + " consecutive ports are free");
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return s.isBound();
+        } catch (IOException | IllegalArgumentException e) {
+            return false; // Taken by another process, or above the highest port.
+        }
     }
 
     private static int freePort() throws IOException {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -26,6 +26,7 @@
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
 import org.dragonflygw.core.limits.RetryAfterDelays;
+import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.peers.HostReportFactory;
@@ -60,6 +61,9 @@
      */
     private static final double MAX_KEY_AGE_FRACTION = 0.85;
 
+    /** Interval in milliseconds at which held requests are checked while the process starts. */
+    private static final long HOLD_CHECK_MS = 10;
+
     /** Number of hosts that are assumed to share the retry budget until the actual number is known. */
     private static final int ASSUMED_HOST_COUNT = 8;
 
@@ -70,6 +74,7 @@
     private final EventLoopGroup group;
     private final CatalogHolder catalogs = new CatalogHolder();
     private final FrontState frontState = new FrontState();
+    private final StartupHold startupHold = new StartupHold(this::canRoute, System::nanoTime);
     private final EdgeMetrics metrics;
     private final EndpointHeaders endpointHeaders = new EndpointHeaders();
     private final EndpointConnectionPool pool;
@@ -116,9 +121,28 @@
         ops.listen(new HostAddress(identity.ip(), metricsPort));
         startStoreAndPeers();
         listener = new FrontServer(group, frontParts()).listen(identity.callers());
+        releaseHeldRequests();
         logStart();
     }
 
+    @SuppressWarnings("FutureReturnValueIgnored") // The loop ends with the process.
+    private void releaseHeldRequests() {
+        group.next()
+                .schedule(
+                        () -> {
+                            startupHold.release();
+                            if (!startupHold.isOver()) {
+                                releaseHeldRequests();
+                            }
+                        },
+                        HOLD_CHECK_MS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private boolean canRoute() {
+        return catalogs.current().isPresent() && registry.loaded();
+    }
+
     private void logStart() {
         HostBounds bounds = settings.bounds();
         log.line(LogTopic.START)
@@ -193,6 +217,7 @@
         return new FrontContext(
                 catalogs,
                 new RequestResolver(catalogs, contact),
+                startupHold,
                 exchanges,
                 pool,
                 new CallerHeaders(),
@@ -206,7 +231,7 @@
      * and the process is not stopping. Logs each change of the result.
      */
     public boolean isReady() {
-        boolean now = catalogs.current().isPresent() && registry.loaded() && !frontState.isStopping();
+        boolean now = canRoute() && !frontState.isStopping();
         if (now != lastLoggedReady) {
             lastLoggedReady = now;
             log.line(LogTopic.READINESS)
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -97,8 +97,23 @@
         return true;
     }
 
-    /** Routes the request, whose body is complete, and starts its exchange, or rejects it. */
+    /** Handles the request, whose body is complete, now or as soon as this host can route it. */
     void start() {
+        if (!front.startupHold().submit(this::startExchange)) {
+            front.exchanges()
+                    .log()
+                    .line(LogTopic.HOLD)
+                    .with("request", requestHead.attemptId())
+                    .with("configVersion", front.catalogs().version())
+                    .end();
+        }
+    }
+
+    /** Routes the request and starts its exchange, or rejects it. */
+    private void startExchange() {
+        if (ended) {
+            return; // The caller left while the request was held.
+        }
         Resolution resolution = front.resolver().resolve(requestHead, arrivedNanos, fingerprint());
         if (resolution.reason().isPresent()) {
             rejectUnrouted(resolution.reason().get());
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontContext.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontContext.java
@@ -3,6 +3,7 @@
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.upstream.EndpointConnectionPool;
 import org.dragonflygw.platform.adapter.CallerHeaders;
@@ -13,6 +14,7 @@
  *
  * @param catalogs configuration in force
  * @param resolver finds the route and the team of a request
+ * @param startupHold holds requests until this process can route them
  * @param exchanges objects shared by all exchanges
  * @param pool connections to endpoints
  * @param callerHeaders decodes the headers of callers' requests
@@ -23,6 +25,7 @@
 public record FrontContext(
         CatalogHolder catalogs,
         RequestResolver resolver,
+        StartupHold startupHold,
         ExchangeContext exchanges,
         EndpointConnectionPool pool,
         CallerHeaders callerHeaders,
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -34,6 +34,7 @@
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
 import org.dragonflygw.core.limits.RetryAfterDelays;
+import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
@@ -85,6 +86,7 @@
         FrontContext front = new FrontContext(
                 catalogs,
                 new RequestResolver(catalogs, contact),
+                new StartupHold(() -> true, System::nanoTime),
                 exchanges,
                 new EndpointConnectionPool(group, new EndpointHeaders(), metrics),
                 new CallerHeaders(),
--- a/edge/src/test/java/org/dragonflygw/edge/SettingsReloaderTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/SettingsReloaderTest.java
@@ -19,7 +19,7 @@
 final class SettingsReloaderTest {
     private static final String SETTINGS = "{\"node_name\":\"edge-1\",\"ip\":\"10.1.0.40\",\"zone\":\"se-a\","
             + "\"listen\":{\"frontend\":\"10.1.0.40:8227\",\"readiness\":\"10.1.0.40:8220\"},"
-            + "\"internal_ports\":[7340,7355],\"platform\":{\"address\":\"10.200.1.7:8223\"},"
+            + "\"internal_ports\":[7340,7355],\"heartbeat_ms\":1200,\"platform\":{\"address\":\"10.200.1.7:8223\"},"
             + "\"bounds\":{\"drain_ms\":2000,\"grace_s\":8,\"config_apply_ms\":2000,\"revoke_ms\":5000,"
             + "\"retry_budget_ratio\":0.2,\"budget_slack\":52,\"retry_window_s\":10,\"cap_factor\":2}}";
 
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/EdgeSettingsFile.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/EdgeSettingsFile.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.dragonflygw.standins.http.StandinCode;
@@ -19,8 +20,20 @@
 public record EdgeSettingsFile(String hostName, String zone, int firstPort, int storePort) {
     private static final String LOOPBACK = "127.0.0.1";
 
-    /** Writes the settings as JSON; throws {@link StandinException} when the file cannot be written. */
+    /** Number of consecutive ports that an edge process needs. */
+    public static final int PORT_COUNT = 3;
+
+    /** Writes the settings; throws {@link StandinException} when the file cannot be written. */
     public void write(Path file) {
+        try {
+            Files.write(file, content());
+        } catch (IOException e) {
+            throw new StandinException(StandinCode.USAGE, "cannot write settings file " + file, e);
+        }
+    }
+
+    /** Returns the settings as JSON. */
+    public byte[] content() {
         ObjectNode root = new ObjectMapper().createObjectNode();
         root.put("node_name", hostName);
         root.put("ip", LOOPBACK);
@@ -29,6 +42,7 @@
                 .put("frontend", LOOPBACK + ":" + firstPort)
                 .put("readiness", LOOPBACK + ":" + (firstPort + 1));
         root.putArray("internal_ports").add(firstPort + 2).add(firstPort + 2);
+        root.put("heartbeat_ms", 1_200);
         root.putObject("platform").put("address", LOOPBACK + ":" + storePort);
         root.putObject("bounds")
                 .put("drain_ms", 2_000)
@@ -39,10 +53,6 @@
                 .put("budget_slack", 52)
                 .put("retry_window_s", 10)
                 .put("cap_factor", 2);
-        try {
-            Files.writeString(file, root.toString());
-        } catch (IOException e) {
-            throw new StandinException(StandinCode.USAGE, "cannot write settings file " + file, e);
-        }
+        return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 }
