--- a/core/src/test/java/org/dragonflygw/core/DependencyDirectionTest.java
+++ b/core/src/test/java/org/dragonflygw/core/DependencyDirectionTest.java
@@ -20,6 +20,7 @@
                 .resideInAnyPackage(
                         "org.dragonflygw.wire..",
                         "org.dragonflygw.platform..",
+                        "org.dragonflygw.edge..",
                         "org.dragonflygw.daemon..",
                         "org.dragonflygw.cli..",
                         "org.dragonflygw.standins..",
@@ -32,7 +33,7 @@
         noClasses()
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage("java.net..", "java.nio.channels..", "jakarta..", "org.apache..")
+                .resideInAnyPackage("java.net..", "java.nio.channels..", "jakarta..", "org.apache..", "io.netty..")
                 .orShould()
                 .dependOnClassesThat()
                 .areAssignableTo(Thread.class)
