--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -24,10 +24,8 @@
     /** Smallest maximum age of a usable report, in nanoseconds; several reports must be lost to exceed it. */
     private static final long MIN_REPORT_EXPIRY_NANOS = 2_500_000_000L;
 
-    /** Maximum age of a usable report as a multiple of the time between two reports of the same peer. */
-    private static final double REPORT_EXPIRY_TURNS = 2.4;
-
-    private static final long NANOS_PER_MS = 1_000_000;
+    /** Maximum age of a usable report per known peer, in nanoseconds. In a large fleet, peers report less often. */
+    private static final long REPORT_AGE_PER_PEER_NANOS = 60_000_000L;
 
     /**
      * Time without reports after which a peer is removed, in nanoseconds; longer than typical host freezes and network
@@ -156,8 +154,7 @@
     }
 
     private long reportExpiryNanos() {
-        long turnNanos = ReportPacing.turnMs(peers.size()) * NANOS_PER_MS;
-        return Math.max(MIN_REPORT_EXPIRY_NANOS, (long) (REPORT_EXPIRY_TURNS * turnNanos));
+        return Math.max(MIN_REPORT_EXPIRY_NANOS, peers.size() * REPORT_AGE_PER_PEER_NANOS);
     }
 
     /** Returns the addresses of the peers. */
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -23,7 +23,6 @@
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
-import org.dragonflygw.core.peers.ReportPacing;
 import org.dragonflygw.core.retry.CrashSuspect;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
@@ -36,14 +35,20 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // The next report replaces a lost datagram.
 public final class PeerReports {
+    /** Interval between rounds in milliseconds: shorter than most requests, so that peers see a load while it lasts. */
+    private static final long ROUND_INTERVAL_MS = 200;
+
+    /** Number of hosts that one round sends to. */
+    private static final int FAN_OUT = 8;
+
     /** Maximum report size in bytes: the report of a host in a large fleet with several hundred endpoints. */
     private static final int MAX_REPORT_BYTES = 16_384;
 
     /**
-     * Delay of a round, in nanoseconds, above which received news are ignored: this process was paused, and queued
-     * datagrams may be older than they state.
+     * Time since the last round, in nanoseconds, above which received news are ignored: this process was paused, and
+     * queued datagrams may be older than they state.
      */
-    private static final long MAX_STALL_NANOS = 400_000_000L;
+    private static final long MAX_STALL_NANOS = 600_000_000L;
 
     private final EventLoopGroup group;
     private final PeerTable peers;
@@ -57,7 +62,7 @@
 
     private Channel channel;
     private int nextTarget;
-    private long nextRoundNanos;
+    private long lastRoundNanos;
 
     /**
      * Creates an exchange that {@link #listen} starts.
@@ -95,25 +100,21 @@
                 .bind(address.ip(), address.port())
                 .syncUninterruptibly()
                 .channel();
-        scheduleRound(0);
-    }
-
-    private void scheduleRound(int peerCount) {
-        long delayNanos = TimeUnit.MILLISECONDS.toNanos(ReportPacing.intervalMs(peerCount));
-        nextRoundNanos = System.nanoTime() + delayNanos;
-        channel.eventLoop().schedule(this::sendRound, delayNanos, TimeUnit.NANOSECONDS);
+        channel.eventLoop()
+                .scheduleWithFixedDelay(this::sendRound, ROUND_INTERVAL_MS, ROUND_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private void sendRound() {
+        lastRoundNanos = System.nanoTime();
         peers.refreshPeerLoads();
         retries.setHostCount(peers.hostCount());
         List<HostAddress> targets = peers.addresses();
-        scheduleRound(targets.size());
+        int rounds = Math.max(1, (targets.size() + FAN_OUT - 1) / FAN_OUT);
         List<HostAddress> inTurn = new ArrayList<>();
-        for (int i = 0; i < Math.min(ReportPacing.FAN_OUT, targets.size()); i++) {
+        for (int i = 0; i < Math.min(FAN_OUT, targets.size()); i++) {
             inTurn.add(targets.get(nextTarget++ % targets.size()));
         }
-        send(reports.next(ReportPacing.roundsPerPeer(targets.size()), storeNews.get()), inTurn);
+        send(reports.next(rounds, storeNews.get()), inTurn);
     }
 
     /** Sends a short report to the given hosts at once, after a read of the store. */
@@ -148,7 +149,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             try {
                 HostReport report = codec.decode(ByteBufUtil.getBytes(packet.content()));
-                boolean stalled = System.nanoTime() - nextRoundNanos > MAX_STALL_NANOS;
+                boolean stalled = System.nanoTime() - lastRoundNanos > MAX_STALL_NANOS;
                 boolean accepted = peers.onReport(report);
                 if (accepted) {
                     crashSuspectListener.accept(report.crashes());
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -27,7 +27,7 @@
  */
 public final class StoreView {
     /** Interval of the check for entries of endpoints whose grace period has ended, in milliseconds. */
-    private static final long LAPSE_CHECK_INTERVAL_MS = 1_000;
+    private static final long LAPSE_CHECK_INTERVAL_MS = 200;
 
     private final EventLoopGroup group;
     private final SettingsHolder settings;
