--- a/core/src/main/java/org/dragonflygw/core/storenews/TableProgress.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/TableProgress.java
@@ -45,17 +45,21 @@
     /**
      * Records a page of a full read. The copy is complete only up to the version of the first page, because rows of that
      * page may have changed before the later pages were read.
+     *
+     * @return whether the read is complete; it is also after a page without rows, which names no key to go on from
      */
-    public void onListingPage(RowPage page, long sentNanos) {
+    public boolean onListingPage(RowPage page, long sentNanos) {
         if (!listing) {
             listing = true;
             version = page.newestVersion();
         }
-        if (!page.more()) {
-            listing = false;
-            listed = true;
-            advance(version, sentNanos);
+        if (page.more() && !page.rows().isEmpty()) {
+            return false;
         }
+        listing = false;
+        listed = true;
+        advance(version, sentNanos);
+        return true;
     }
 
     /** Records a read of changes and returns its rows that are newer than the copy, in the order of the read. */
--- a/core/src/test/java/org/dragonflygw/core/storenews/TableProgressTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/TableProgressTest.java
@@ -54,6 +54,15 @@
             assertThat(progress.version()).isEqualTo(10);
         }
 
+        /** Such a page names no key to go on from; reading on would never end. */
+        @Test
+        void endsAtAPageWithoutRows() {
+            assertThat(progress.onListingPage(page(10, true, row("e1", 3)), 100))
+                    .isFalse();
+            assertThat(progress.onListingPage(page(12, true), 200)).isTrue();
+            assertThat(progress.listed()).isTrue();
+        }
+
         @Test
         void isRequiredAgainAfterLostHistory() {
             progress.onListingPage(page(10, false), 100);
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
@@ -128,9 +128,8 @@
         if (page == null) {
             return;
         }
-        progress.onListingPage(page, response.sentNanos());
         listing.addAll(page.rows());
-        if (page.more()) {
+        if (!progress.onListingPage(page, response.sentNanos())) {
             readListing(page.rows().get(page.rows().size() - 1).key() + "\u0000");
             return;
         }
