Drop lapsed entries in the round of reports, and share the search for ports and the simulated table

Found on reading the change again: the check of lapsed entries had a timer of its own, which woke every host five times a second beside the round of reports that comes at the same interval; the training run searched for free ports as the soak does; two simulations of hosts had the same copy of a table and the same target without a configuration. Now StoreView.news, called in each round, drops lapsed entries; LoopbackPorts and SimulatedTable serve both. Same intervals, same assertions.

--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -130,7 +130,7 @@
         }
     }
 
-    private static final class Host implements FollowedTable {
+    private static final class Host extends SimulatedTable {
         private final String name;
         private final Store store;
         private final ManualMonotonicClock clock;
@@ -138,7 +138,6 @@
         private final EndpointRegistry registry =
                 new EndpointRegistry(new EndpointLoads(), () -> HEARTBEAT_MS * 1_000_000, new NoOpEventLog());
         private final EndpointChangeLog changes = new EndpointChangeLog();
-        private final TableProgress progress = new TableProgress();
         private final PeerTable peers;
         private final ReadSchedule schedule;
         private final ReaderSelection selection;
@@ -247,41 +246,13 @@
 
         private void receive(HostReport report) {
             if (peers.onReport(report)) {
-                applier.apply(report.news(), this, this, NO_CATALOG);
+                applier.apply(report.news(), this, this, this);
             }
         }
 
-        @Override
-        public boolean listed() {
-            return progress.listed();
-        }
-
-        @Override
-        public long version() {
-            return progress.version();
-        }
-
-        @Override
-        public void markFresh(long upTo, long asOfNanos) {
-            progress.advance(upTo, asOfNanos);
-        }
-
         @Override
         public void readNow() {
             nextReadMs = 0;
         }
     }
-
-    /** Target for hosts that have no configuration. */
-    private static final CatalogUpdateTarget NO_CATALOG = new CatalogUpdateTarget() {
-        @Override
-        public long rowVersion() {
-            return 0;
-        }
-
-        @Override
-        public void apply(CatalogUpdate update) {
-            throw new AssertionError("the hosts of this test send no catalog updates");
-        }
-    };
 }
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
@@ -59,19 +59,6 @@
         }
     }
 
-    /** Target for hosts that have no configuration. */
-    private static final class NoCatalog implements CatalogUpdateTarget {
-        @Override
-        public long rowVersion() {
-            return 0;
-        }
-
-        @Override
-        public void apply(CatalogUpdate update) {
-            throw new AssertionError("the hosts of this test send no catalog updates");
-        }
-    }
-
     private static DiscoveredEndpoint endpoint(String id) {
         return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, 1);
     }
@@ -116,7 +103,7 @@
         }
     }
 
-    private static final class Host implements FollowedTable {
+    private static final class Host extends SimulatedTable {
         private final Store store;
         private final ManualMonotonicClock clock = new ManualMonotonicClock();
         private final EndpointRegistry registry =
@@ -124,7 +111,6 @@
         private final EndpointChangeLog log = new EndpointChangeLog();
         private final StoreNewsApplier applier = new StoreNewsApplier(
                 registry, log, new StoreContact(() -> 1, clock, MutableClock.of(Instant.EPOCH, ZoneOffset.UTC)), clock);
-        private final TableProgress progress = new TableProgress();
         private Optional<RowPage> response = Optional.empty();
 
         Host(Store store) {
@@ -153,11 +139,11 @@
         }
 
         void finishRead() {
-            response.ifPresent(page -> progress.onChanges(page, clock.nanos()).forEach(this::apply));
+            response.ifPresent(page -> progress.onChanges(page, clock.nanos()).forEach(this::applyRow));
             response = Optional.empty();
         }
 
-        private void apply(VersionedRow row) {
+        private void applyRow(VersionedRow row) {
             Optional<DiscoveredEndpoint> entry = row.deleted() ? Optional.empty() : Optional.of(endpoint(row.key()));
             boolean changed =
                     entry.isPresent() ? registry.onUpdated(entry.get()) : registry.onRemoved(row.key(), clock.nanos());
@@ -171,7 +157,7 @@
             other.log.expire(other.clock.nanos());
             StoreNews news = new StoreNews(
                     true, other.version(), 0, other.log.completeFrom(), other.log.changes(), ConfigurationNews.NONE);
-            applier.apply(news, this, this, new NoCatalog());
+            applier.apply(news, this, this, this);
         }
 
         Set<String> ids() {
@@ -180,21 +166,6 @@
             return ids;
         }
 
-        @Override
-        public boolean listed() {
-            return progress.listed();
-        }
-
-        @Override
-        public long version() {
-            return progress.version();
-        }
-
-        @Override
-        public void markFresh(long upTo, long asOfNanos) {
-            progress.advance(upTo, asOfNanos);
-        }
-
         @Override
         public void readNow() {
             startRead(false);
--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -4,8 +4,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import org.dragonflygw.core.dispatch.ChoicePolicy;
@@ -16,18 +14,18 @@
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
+import org.dragonflygw.standins.loopback.LoopbackPorts;
 
 /**
- * Training run for the archive of the JVM's class data sharing. Starts two routers and a loopback platform in
- * this process, sends requests through the first router and returns. The build runs it once with the JVM option that archives the
- * loaded classes; a process that starts with the archive is ready in less than half the time and shares the memory of
- * the archived classes with other processes.
+ * Training run for the archive of the JVM's class data sharing. Starts two routers and a loopback platform in this
+ * process, sends requests through the first router and returns. The build runs it once with the JVM option that archives
+ * the loaded classes; a process that starts with the archive is ready in less than half the time and shares the memory
+ * of the archived classes with other processes.
  */
 final class ArchiveTraining {
     private static final int REQUESTS = 60;
     private static final int MAX_READY_CHECKS = 200;
     private static final long READY_CHECK_MS = 25;
-    private static final int MAX_PORT_TRIES = 100;
 
     /** Time for some rounds of reports between the two routers, in milliseconds. */
     private static final long REPORT_EXCHANGE_MS = 700;
@@ -53,10 +51,12 @@
     private static HostSettings startNode(String host, int storePort, EventLog log)
             throws IOException, InterruptedException {
         // Decoded as in a real start, so that the archive holds the classes of the decoder.
-        byte[] file = new EdgeSettingsFile(host, "zone-a", firstFreePort(), storePort).content();
+        byte[] file = new EdgeSettingsFile(
+                        host, "zone-a", LoopbackPorts.firstFree(EdgeSettingsFile.PORT_COUNT), storePort)
+                .content();
         HostSettings settings = new SettingsDecoder(new ObjectMapper()).decode(file);
         EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, log);
-        node.start(freePort());
+        node.start(LoopbackPorts.free());
         for (int i = 0; i < MAX_READY_CHECKS && !node.isReady(); i++) {
             Thread.sleep(READY_CHECK_MS);
         }
@@ -80,29 +80,4 @@
         }
         return true;
     }
-
-    /** Returns the first of the consecutive free ports that a router needs. */
-    private static int firstFreePort() throws IOException {
-        for (int i = 0; i < MAX_PORT_TRIES; i++) {
-            int first = freePort();
-            if (isFree(first + 1) && isFree(first + 2)) {
-                return first;
-            }
-        }
-        throw new IOException("no " + EdgeSettingsFile.PORT_COUNT + " consecutive ports are free");
-    }
-
-    private static boolean isFree(int port) {
-        try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-            return s.isBound();
-        } catch (IOException | IllegalArgumentException e) {
-            return false; // Taken by another process, or above the highest port.
-        }
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.discovery.EndpointRegistry;
@@ -26,10 +25,6 @@
  * host that reads for its group.
  */
 public final class StoreView {
-    /** Interval of the check for entries of endpoints whose grace period has ended, in milliseconds. */
-    private static final long LAPSE_CHECK_INTERVAL_MS = 200;
-
-    private final EventLoopGroup group;
     private final SettingsHolder settings;
     private final EndpointRegistry registry;
     private final PeerTable peers;
@@ -56,7 +51,6 @@
             EdgeMetrics metrics,
             EventLog log,
             Runnable afterRead) {
-        this.group = group;
         this.settings = settings;
         this.registry = registry;
         this.peers = peers;
@@ -72,23 +66,21 @@
     }
 
     /** Starts to read the store and registers this host in it. */
-    @SuppressWarnings("FutureReturnValueIgnored") // The loop ends with the process.
     public void start() {
         HostIdentity identity = settings.current().identity();
         configuration.start();
         endpoints.start();
         peerDiscovery.start(identity.hostName(), identity.internal());
-        group.next()
-                .scheduleWithFixedDelay(
-                        () -> registry.removeLapsed(System.nanoTime()),
-                        LAPSE_CHECK_INTERVAL_MS,
-                        LAPSE_CHECK_INTERVAL_MS,
-                        TimeUnit.MILLISECONDS);
     }
 
-    /** Returns the state of the store as this host knows it, to be reported to peers. */
+    /**
+     * Returns the state of the store as this host knows it, to be reported to peers. Called in each round of reports, so
+     * that what has expired is dropped in time.
+     */
     public StoreNews news() {
-        changes.expire(System.nanoTime());
+        long now = System.nanoTime();
+        registry.removeLapsed(now);
+        changes.expire(now);
         return new StoreNews(
                 configuration.isReachable() && endpoints.isReachable(),
                 endpoints.version(),
--- a/edge/src/test/java/org/dragonflygw/edge/soak/FreePorts.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/FreePorts.java
@@ -1,8 +1,6 @@
 package org.dragonflygw.edge.soak;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
+import org.dragonflygw.standins.loopback.LoopbackPorts;
 
 /** Finds free ports for edge processes. */
 final class FreePorts {
@@ -18,27 +16,10 @@
     static int first(int hosts) {
         int count = hosts * PORTS_PER_HOST;
         for (int first = FIRST_PORT; first < LAST_PORT; first += count) {
-            if (allFree(first, count)) {
+            if (LoopbackPorts.areFree(first, count)) {
                 return first;
             }
         }
         throw new IllegalStateException("no " + count + " free ports from " + FIRST_PORT + " to " + LAST_PORT);
     }
-
-    private static boolean allFree(int first, int count) {
-        for (int port = first; port < first + count; port++) {
-            if (!isFree(port)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static boolean isFree(int port) {
-        try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-            return s.isBound();
-        } catch (IOException e) {
-            return false; // Another process listens on the port.
-        }
-    }
 }
