Log each decision of the retry budget with its inputs

Two counters on the metrics address. dragonflygw explain names a denied retry as part of the cause. No decision changes. Run: FleetRetryShareTest, RequestHistoryTest, the tests of the exchange.

--- a/cli/src/main/java/org/dragonflygw/cli/logs/LikelyCause.java
+++ b/cli/src/main/java/org/dragonflygw/cli/logs/LikelyCause.java
@@ -52,15 +52,25 @@
                         + describeOtherRequests(history, endpoint);
             case "ENDPOINT_FAILED", "cut" ->
                 "endpoint " + endpoint + " broke off" + after + ", and it may have run"
+                        + describeDeniedRetry(history)
                         + describeOtherRequests(history, endpoint);
             case "endpoint failed" ->
                 "endpoint " + endpoint + " answered " + end.text("status") + after
+                        + describeDeniedRetry(history)
                         + describeOtherRequests(history, endpoint);
             case "caller left" -> "its caller closed the connection" + after;
             default -> outcome + after;
         };
     }
 
+    private static String describeDeniedRetry(RequestHistory history) {
+        return lastRequestLine(history, "RETRY")
+                .filter(e -> e.text("granted").equals("false"))
+                .map(e -> "; the retry budget of its service was used up on this host (" + e.text("retries")
+                        + " retries, " + e.text("requests") + " requests)")
+                .orElse("");
+    }
+
     private static String describeOtherRequests(RequestHistory history, String endpoint) {
         int failed = history.otherFailedAttempts(endpoint).size();
         int succeeded = history.otherSuccesses(endpoint).size();
--- a/cli/src/test/java/org/dragonflygw/cli/logs/RequestHistoryTest.java
+++ b/cli/src/test/java/org/dragonflygw/cli/logs/RequestHistoryTest.java
@@ -72,6 +72,17 @@
         }
     }
 
+    @Test
+    void causeNamesAnExhaustedRetryBudget() throws IOException {
+        RequestHistory history = history(
+                "q",
+                attempt(3, "h1", "DISPATCH", "q", ""),
+                attempt(4, "h1", "ATTEMPT_FAILED", "q", ",\"outcome\":\"failure answer\",\"status\":500"),
+                line(4, "h1", "RETRY", ",\"request\":\"q\",\"granted\":false,\"requests\":60,\"retries\":9"),
+                attempt(4, "h1", "END", "q", ",\"outcome\":\"endpoint failed\",\"status\":500"));
+        assertThat(LikelyCause.describe(history)).contains("budget of its service was used up on this host (9 retries");
+    }
+
     @Test
     void causeSaysWhenNoEndWasLogged() throws IOException {
         assertThat(LikelyCause.describe(history("q", attempt(3, "h1", "DISPATCH", "q", ""))))
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -5,6 +5,7 @@
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.UnavailableReason;
+import org.dragonflygw.core.retry.RetryDecision;
 
 /**
  * State machine that handles one request of a caller, from its arrival to the end of the response. The machine does no
@@ -300,7 +301,9 @@
     }
 
     private boolean takeRetry(long now) {
-        return context.retries().tryRetry(request.service().name(), now);
+        RetryDecision decision = context.retries().tryRetry(request.service().name(), now);
+        log.retryDecided(decision);
+        return decision.granted();
     }
 
     private void refuseOrFail(RejectReason reason, long expectedMs) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -7,6 +7,7 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogLine;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.retry.RetryDecision;
 
 /** Writes the log lines of one exchange: each dispatch, each failed attempt, a refusal, and the end. */
 final class ExchangeLog {
@@ -49,6 +50,18 @@
                 .end();
     }
 
+    void retryDecided(RetryDecision decision) {
+        log.line(LogTopic.RETRY)
+                .with("request", request.id())
+                .with("service", request.service().name())
+                .with("granted", decision.granted())
+                .with("requests", decision.requests())
+                .with("retries", decision.retries())
+                .with("allowedTenths", (long) (decision.allowed() * 10))
+                .with("hosts", decision.hosts())
+                .end();
+    }
+
     void refused(RejectReason reason, long expectedMs, long remainingMs) {
         log.line(LogTopic.REFUSE)
                 .with("request", request.id())
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -26,6 +26,8 @@
     REFUSE,
     /** An attempt at an endpoint failed. */
     ATTEMPT_FAILED,
+    /** The retry budget granted or denied one more attempt; the line has the figures that decided it. */
+    RETRY,
     /** A request ended; the line has its outcome. */
     END,
     /** The state of a peer, as this host sees it, changed. */
--- a/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
@@ -19,6 +19,8 @@
     private final Supplier<RetryBounds> bounds;
     private final Map<String, Window> byService = new HashMap<>();
     private int hostCount;
+    private long grantedCount;
+    private long deniedCount;
 
     /**
      * @param bounds the current budget of all hosts together
@@ -39,16 +41,30 @@
         window(service, nowNanos).requests.addLast(nowNanos);
     }
 
-    /** Takes a retry from the share; returns false if the share is exhausted. */
-    public boolean tryRetry(String service, long nowNanos) {
+    /** Takes a retry from the share, unless the share is exhausted. */
+    public RetryDecision tryRetry(String service, long nowNanos) {
         Window window = window(service, nowNanos);
         RetryBounds budget = bounds.get();
         double allowed = USED_BUDGET_SHARE * (budget.ratio() * window.requests.size() + budget.slack() / hostCount);
-        if (window.retries.size() + 1 > allowed) {
-            return false;
+        int used = window.retries.size();
+        boolean granted = used + 1 <= allowed;
+        if (granted) {
+            window.retries.addLast(nowNanos);
+            grantedCount++;
+        } else {
+            deniedCount++;
         }
-        window.retries.addLast(nowNanos);
-        return true;
+        return new RetryDecision(granted, window.requests.size(), used, allowed, hostCount);
+    }
+
+    /** Returns the number of retries granted since the start. */
+    public long grantedCount() {
+        return grantedCount;
+    }
+
+    /** Returns the number of retries denied since the start. */
+    public long deniedCount() {
+        return deniedCount;
     }
 
     private Window window(String service, long nowNanos) {
--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/retry/RetryDecision.java
@@ -0,0 +1,12 @@
+package org.dragonflygw.core.retry;
+
+/**
+ * Whether a request may be sent once more, with the figures that decided it.
+ *
+ * @param granted whether a retry was taken from the budget
+ * @param requests requests of the service that this host counts for the budget
+ * @param retries retries of the service that this host made in the window before this one
+ * @param allowed retries that this host may make in the window
+ * @param hosts number of hosts that share the fixed part of the budget
+ */
+public record RetryDecision(boolean granted, int requests, int retries, double allowed, int hosts) {}
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
@@ -11,7 +11,7 @@
 
     private static int countRetries(FleetRetryShare share, long now) {
         int n = 0;
-        while (n < 1_000 && share.tryRetry("s", now)) {
+        while (n < 1_000 && share.tryRetry("s", now).granted()) {
             n++;
         }
         return n;
@@ -43,7 +43,7 @@
     @Test
     void servicesDoNotShareABudget() {
         FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0, 2, WINDOW), 1);
-        assertThat(share.tryRetry("a", 0)).isTrue();
-        assertThat(share.tryRetry("b", 0)).isTrue();
+        assertThat(share.tryRetry("a", 0).granted()).isTrue();
+        assertThat(share.tryRetry("b", 0).granted()).isTrue();
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -116,6 +116,8 @@
         metrics.registerGauge("caller_connections", frontState::connectionCount);
         metrics.registerGauge("config_version", catalogs::version);
         metrics.registerGauge("config_age_ms", contact::ageMs);
+        metrics.registerGauge("retries_granted_total", retries::grantedCount);
+        metrics.registerGauge("retries_denied_total", retries::deniedCount);
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
