--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -0,0 +1,148 @@
+package org.dragonflygw.core.retry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.log.NoOpEventLog;
+import org.dragonflygw.core.peers.HostReport;
+import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.settings.RetryBounds;
+import org.dragonflygw.core.storenews.StoreNews;
+
+/**
+ * Hosts on virtual time that receive requests of one service, most of which fail, and retry as far as their shares of
+ * the budget allow. Processes are killed and start again; reports between hosts can be cut off. Records the times of
+ * all requests and retries.
+ */
+final class SimulatedRetryFleet {
+    static final RetryBounds BUDGET = new RetryBounds(0.2, 52, TimeUnit.SECONDS.toNanos(10));
+
+    private static final String SERVICE = "s";
+    private static final int STEP_MS = 10;
+    private static final int ROUND_MS = 200;
+    private static final double FAILURE_RATIO = 0.9;
+
+    /** Number of hosts that a process assumes before its first round of reports. */
+    private static final int ASSUMED_HOSTS = 8;
+
+    private final ManualMonotonicClock clock = new ManualMonotonicClock();
+    private final SplittableRandom random;
+    private final List<Host> hosts = new ArrayList<>();
+    private final RetryTimes times = new RetryTimes(BUDGET);
+    private final int startMs;
+    private double requestsPerSecond;
+    private boolean failing;
+    private boolean reportsLost;
+    private int nowMs;
+
+    /** Creates a fleet whose processes have just started. */
+    SimulatedRetryFleet(int hostCount, double requestsPerSecond, int startMs, SplittableRandom random) {
+        this.requestsPerSecond = requestsPerSecond;
+        this.startMs = startMs;
+        this.random = random;
+        for (int i = 0; i < hostCount; i++) {
+            hosts.add(new Host("h" + i));
+        }
+        hosts.forEach(Host::start);
+    }
+
+    void setRequestsPerSecond(double rate) {
+        requestsPerSecond = rate;
+    }
+
+    void setFailing(boolean value) {
+        failing = value;
+    }
+
+    void setReportsLost(boolean value) {
+        reportsLost = value;
+    }
+
+    void killAll() {
+        hosts.forEach(Host::kill);
+    }
+
+    void kill(int host) {
+        hosts.get(host).kill();
+    }
+
+    RetryTimes times() {
+        return times;
+    }
+
+    void runForMs(int ms) {
+        for (int end = nowMs + ms; nowMs < end; nowMs += STEP_MS) {
+            clock.advanceMs(STEP_MS);
+            hosts.forEach(Host::step);
+            double expected = requestsPerSecond * STEP_MS / 1_000;
+            while (random.nextDouble() < expected) {
+                expected -= 1;
+                times.addRequest(clock.nanos());
+                hosts.get(random.nextInt(hosts.size())).onRequest();
+            }
+        }
+    }
+
+    private final class Host {
+        private final String name;
+        private PeerTable peers;
+        private FleetRetryShare share;
+        private int startsAtMs = -1;
+        private int nextRoundMs;
+        private long sequence;
+
+        Host(String name) {
+            this.name = name;
+        }
+
+        void kill() {
+            share = null;
+            startsAtMs = nowMs + startMs;
+        }
+
+        void start() {
+            peers = new PeerTable(name, new EndpointLoads(), new NoOpEventLog(), clock);
+            share = new FleetRetryShare(() -> BUDGET, ASSUMED_HOSTS);
+            nextRoundMs = nowMs + ROUND_MS;
+        }
+
+        void step() {
+            if (share == null && nowMs >= startsAtMs) {
+                start();
+            }
+            if (share != null && nowMs >= nextRoundMs) {
+                nextRoundMs += ROUND_MS;
+                sendRound();
+            }
+        }
+
+        private void sendRound() {
+            peers.refreshPeerLoads();
+            share.setHostCount(peers.hostCount());
+            HostAddress address = new HostAddress(name, 1);
+            HostReport report =
+                    new HostReport(name, address, nowMs, ++sequence, List.of(), List.of(), List.of(), StoreNews.NONE);
+            for (Host h : hosts) {
+                if (h != this && h.share != null && !reportsLost) {
+                    h.peers.onReport(report);
+                }
+            }
+        }
+
+        void onRequest() {
+            if (share == null) {
+                return;
+            }
+            share.onRequest(SERVICE, clock.nanos());
+            if (failing
+                    && random.nextDouble() < FAILURE_RATIO
+                    && share.tryRetry(SERVICE, clock.nanos()).granted()) {
+                times.addRetry(clock.nanos());
+            }
+        }
+    }
+}
