Divide the retry budget by all hosts that may be using it, not by those heard of so far

Callers saw nothing of it; endpoints saw more repeats than the fleet may send. Cause: a process set the number of hosts that share the budget to those it knew in its first round of reports, which is itself alone, and dropped a host from it after 60 s of silence. So each new process, and each side of a long network fault, took the whole fixed part. Class of fault: the part of a fleet that a host happens to see is taken for the fleet, and the limit opens as the view shrinks. Change: FleetMembers counts every host listed or heard of in the last two hours, and knows no number before the list of hosts was read in full, all pages of it; without a number a host uses no fixed part. Hosts still share by themselves, nothing new is sent. Why it works: no host divides by less than the hosts that exist, except those that joined where it could not see them. Run: FleetRetryBudgetTest, FleetRetryShareTest, PeerTableTest, PeerReportsTest, ExchangeTest, DataPlaneTest.

--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -38,6 +39,7 @@
     private final EventLog log;
     private final MonotonicClock clock;
     private final Map<String, Peer> peers = new HashMap<>();
+    private final FleetMembers members = new FleetMembers();
 
     /**
      * Creates an empty table.
@@ -56,6 +58,7 @@
         if (host.equals(self)) {
             return;
         }
+        members.onSeen(host, clock.nanos());
         Peer known = peers.get(host);
         if (known == null) {
             peers.put(host, new Peer(address, clock.nanos()));
@@ -64,6 +67,11 @@
         }
     }
 
+    /** Records that all hosts in the store's list were passed to {@link #onHostListed}. */
+    public void onListComplete() {
+        members.onListed();
+    }
+
     /** Applies a report, unless it is outdated or from this host; returns whether it was applied. */
     public boolean onReport(HostReport report) {
         if (report.host().equals(self)) {
@@ -76,6 +84,7 @@
         if (peer.report == null || !peer.reporting) {
             logPeer(report.host(), "heard");
         }
+        members.onSeen(report.host(), clock.nanos());
         peer.report = report;
         peer.address = report.address();
         peer.lastReportNanos = clock.nanos();
@@ -139,6 +148,15 @@
         return peers.size() + 1;
     }
 
+    /**
+     * Returns the number of hosts that share the limits of the fleet, including this one and those that are hidden by a
+     * network fault; nothing before this process has read the list of hosts.
+     */
+    public OptionalInt fleetSize() {
+        OptionalInt others = members.count(clock.nanos());
+        return others.isPresent() ? OptionalInt.of(others.getAsInt() + 1) : others;
+    }
+
     /** Returns the names of the peers. */
     public Set<String> hostNames() {
         return Set.copyOf(peers.keySet());
--- a/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
@@ -4,36 +4,35 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.function.Supplier;
 import org.dragonflygw.core.settings.RetryBounds;
 
 /**
  * This host's share of a retry budget for the whole fleet. In any window, the retries of a service are limited to a
  * ratio of its requests plus a fixed slack. Each host may use the ratio of its own requests and an equal part of the
- * slack, so hosts need not coordinate. Not thread safe; confined to one thread.
+ * slack, so hosts need not coordinate. A host that does not know how many others there are uses no slack. Not thread
+ * safe; confined to one thread.
  */
 public final class FleetRetryShare {
     /** Share of the budget that is used; leaves a margin because hosts learn late of changes in the number of hosts. */
     private static final double USED_BUDGET_SHARE = 0.8;
 
     private final Supplier<RetryBounds> bounds;
+    private final Supplier<OptionalInt> fleetSize;
     private final Map<String, Window> byService = new HashMap<>();
-    private int hostCount;
     private long grantedCount;
     private long deniedCount;
 
     /**
+     * Creates a share without requests or retries.
+     *
      * @param bounds the current budget of all hosts together
-     * @param hosts number of hosts that share the budget, at least 1
+     * @param fleetSize the current number of hosts that share the budget, empty while it is unknown
      */
-    public FleetRetryShare(Supplier<RetryBounds> bounds, int hosts) {
+    public FleetRetryShare(Supplier<RetryBounds> bounds, Supplier<OptionalInt> fleetSize) {
         this.bounds = bounds;
-        this.hostCount = hosts;
-    }
-
-    /** Sets the number of hosts that share the budget; values below 1 count as 1. */
-    public void setHostCount(int count) {
-        hostCount = Math.max(1, count);
+        this.fleetSize = fleetSize;
     }
 
     /** Records a request of a caller. */
@@ -45,7 +44,9 @@
     public RetryDecision tryRetry(String service, long nowNanos) {
         Window window = window(service, nowNanos);
         RetryBounds budget = bounds.get();
-        double allowed = USED_BUDGET_SHARE * (budget.ratio() * window.requests.size() + budget.slack() / hostCount);
+        OptionalInt hosts = fleetSize.get();
+        double slackShare = hosts.isPresent() ? budget.slack() / hosts.getAsInt() : 0;
+        double allowed = USED_BUDGET_SHARE * (budget.ratio() * window.requests.size() + slackShare);
         int used = window.retries.size();
         boolean granted = used + 1 <= allowed;
         if (granted) {
@@ -54,7 +55,7 @@
         } else {
             deniedCount++;
         }
-        return new RetryDecision(granted, window.requests.size(), used, allowed, hostCount);
+        return new RetryDecision(granted, window.requests.size(), used, allowed, hosts);
     }
 
     /** Returns the number of retries granted since the start. */
--- a/core/src/main/java/org/dragonflygw/core/retry/RetryDecision.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/RetryDecision.java
@@ -1,5 +1,7 @@
 package org.dragonflygw.core.retry;
 
+import java.util.OptionalInt;
+
 /**
  * Whether a request may be sent once more, with the figures that decided it.
  *
@@ -7,6 +9,6 @@
  * @param requests requests of the service that this host counts for the budget
  * @param retries retries of the service that this host made in the window before this one
  * @param allowed retries that this host may make in the window
- * @param hosts number of hosts that share the fixed part of the budget
+ * @param hosts number of hosts that share the fixed part of the budget, empty while it is unknown
  */
-public record RetryDecision(boolean granted, int requests, int retries, double allowed, int hosts) {}
+public record RetryDecision(boolean granted, int requests, int retries, double allowed, OptionalInt hosts) {}
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.ManualMonotonicClock;
@@ -46,7 +47,8 @@
     }
 
     ExchangeFixture(double retrySlack) {
-        retries = new FleetRetryShare(() -> new RetryBounds(0.2, retrySlack, TimeUnit.SECONDS.toNanos(10)), 1);
+        retries = new FleetRetryShare(
+                () -> new RetryBounds(0.2, retrySlack, TimeUnit.SECONDS.toNanos(10)), () -> OptionalInt.of(1));
         for (int i = 1; i <= 3; i++) {
             loads.onUpdated(endpoint("e" + i));
         }
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -109,4 +109,27 @@
         assertThat(load()).isEqualTo(0.0);
         assertThat(peers.addresses()).containsExactly(ADDRESS);
     }
+
+    @Test
+    void fleetSizeIsUnknownUntilTheListOfHostsIsRead() {
+        peers.onReport(report("h1", 1, 1, 3));
+        assertThat(peers.fleetSize().isPresent()).isFalse();
+        peers.onHostListed("me", ADDRESS);
+        peers.onHostListed("h2", ADDRESS);
+        peers.onListComplete();
+        assertThat(peers.fleetSize().getAsInt()).isEqualTo(3);
+    }
+
+    /** Guards against a network fault of some minutes that lets each side take the other's share of a limit. */
+    @Test
+    void silentHostsCountForTheFleetSizeThroughALongOutage() {
+        peers.onHostListed("h1", ADDRESS);
+        peers.onListComplete();
+        clock.advanceMs(3_600_000);
+        peers.refreshPeerLoads();
+        assertThat(peers.hostCount()).isEqualTo(1);
+        assertThat(peers.fleetSize().getAsInt()).isEqualTo(2);
+        clock.advanceMs(4_000_000);
+        assertThat(peers.fleetSize().getAsInt()).isEqualTo(1);
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryBudgetTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryBudgetTest.java
@@ -14,15 +14,18 @@
     private static final int START_MS = 1_000;
     private static final int CALM_MS = 15_000;
 
+    /** Retries that the budget allows in one window of this traffic. */
+    private static final double MOST_RETRIES = 0.2 * 10 * REQUESTS_PER_S + 52;
+
     private static SimulatedRetryFleet calmFleet(long seed) {
         SimulatedRetryFleet fleet =
                 new SimulatedRetryFleet(HOSTS, REQUESTS_PER_S, START_MS, new SplittableRandom(seed));
+        fleet.setListReadable(true);
         fleet.runForMs(CALM_MS);
         return fleet;
     }
 
     /** Guards against processes that take the whole fixed part of the budget because they know no other host yet. */
-    @Tag("known-red")
     @Property(tries = 20, seed = "20261204")
     void hostsThatHearOfNoOtherHostShareTheFixedPart(@ForAll long seed) {
         SimulatedRetryFleet fleet =
@@ -33,6 +36,17 @@
         assertThat(fleet.times().worstExcess()).isAtMost(0);
     }
 
+    /** Guards against hosts that divide the budget by those whose reports arrive, while a fault hides the others. */
+    @Property(tries = 20, seed = "20261204")
+    void hostsThatListTheOthersButHearNoneShareTheFixedPart(@ForAll long seed) {
+        SimulatedRetryFleet fleet = calmFleet(seed);
+        fleet.setReportsLost(true);
+        fleet.setFailing(true);
+        fleet.runForMs(100_000);
+        assertThat(fleet.times().worstExcess()).isAtMost(0);
+        assertThat(fleet.times().worstExcess()).isAtLeast(-0.35 * MOST_RETRIES);
+    }
+
     /** Guards against restarts that forget the retries of the process before, so that they are granted again. */
     @Tag("known-red")
     @Property(tries = 20, seed = "20261204")
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.settings.RetryBounds;
 import org.junit.jupiter.api.Test;
@@ -22,7 +23,8 @@
         int hosts = 6;
         int total = 0;
         for (int h = 0; h < hosts; h++) {
-            FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0.2, 52, WINDOW), hosts);
+            FleetRetryShare share =
+                    new FleetRetryShare(() -> new RetryBounds(0.2, 52, WINDOW), () -> OptionalInt.of(hosts));
             for (int i = 0; i < 100; i++) {
                 share.onRequest("s", 0);
             }
@@ -34,7 +36,7 @@
 
     @Test
     void retriesAreAllowedAgainAfterTheWindow() {
-        FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0, 10, WINDOW), 1);
+        FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0, 10, WINDOW), () -> OptionalInt.of(1));
         assertThat(countRetries(share, 0)).isEqualTo(8);
         assertThat(countRetries(share, WINDOW / 2)).isEqualTo(0);
         assertThat(countRetries(share, WINDOW + 1)).isEqualTo(8);
@@ -42,7 +44,7 @@
 
     @Test
     void servicesDoNotShareABudget() {
-        FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0, 2, WINDOW), 1);
+        FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0, 2, WINDOW), () -> OptionalInt.of(1));
         assertThat(share.tryRetry("a", 0).granted()).isTrue();
         assertThat(share.tryRetry("b", 0).granted()).isTrue();
     }
--- a/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -26,9 +26,6 @@
     private static final int ROUND_MS = 200;
     private static final double FAILURE_RATIO = 0.9;
 
-    /** Number of hosts that a process assumes before its first round of reports. */
-    private static final int ASSUMED_HOSTS = 8;
-
     private final ManualMonotonicClock clock = new ManualMonotonicClock();
     private final SplittableRandom random;
     private final List<Host> hosts = new ArrayList<>();
@@ -37,6 +34,7 @@
     private double requestsPerSecond;
     private boolean failing;
     private boolean reportsLost;
+    private boolean listReadable;
     private int nowMs;
 
     /** Creates a fleet whose processes have just started. */
@@ -62,6 +60,11 @@
         reportsLost = value;
     }
 
+    /** Sets whether hosts can read the list of hosts, which they do in their first round of reports. */
+    void setListReadable(boolean value) {
+        listReadable = value;
+    }
+
     void killAll() {
         hosts.forEach(Host::kill);
     }
@@ -89,6 +92,7 @@
 
     private final class Host {
         private final String name;
+        private final HostAddress address;
         private PeerTable peers;
         private FleetRetryShare share;
         private int startsAtMs = -1;
@@ -97,6 +101,7 @@
 
         Host(String name) {
             this.name = name;
+            this.address = new HostAddress(name, 1);
         }
 
         void kill() {
@@ -106,7 +111,7 @@
 
         void start() {
             peers = new PeerTable(name, new EndpointLoads(), new NoOpEventLog(), clock);
-            share = new FleetRetryShare(() -> BUDGET, ASSUMED_HOSTS);
+            share = new FleetRetryShare(() -> BUDGET, peers::fleetSize);
             nextRoundMs = nowMs + ROUND_MS;
         }
 
@@ -122,8 +127,10 @@
 
         private void sendRound() {
             peers.refreshPeerLoads();
-            share.setHostCount(peers.hostCount());
-            HostAddress address = new HostAddress(name, 1);
+            if (listReadable && peers.fleetSize().isEmpty()) {
+                hosts.forEach(h -> peers.onHostListed(h.name, h.address));
+                peers.onListComplete();
+            }
             HostReport report =
                     new HostReport(name, address, nowMs, ++sequence, List.of(), List.of(), List.of(), StoreNews.NONE);
             for (Host h : hosts) {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -64,9 +64,6 @@
     /** Interval in milliseconds at which held requests are checked while the process starts. */
     private static final long HOLD_CHECK_MS = 10;
 
-    /** Number of hosts that are assumed to share the retry budget until the actual number is known. */
-    private static final int ASSUMED_HOST_COUNT = 8;
-
     private final SettingsHolder settings;
     private final HostIdentity identity;
     private final ChoicePolicy policy;
@@ -99,9 +96,9 @@
         this.metrics = new EdgeMetrics(new MetricRegistry());
         this.pool = new EndpointConnectionPool(group, endpointHeaders, metrics);
         this.contact = new StoreContact(this::maxKeyAgeNanos, System::nanoTime, InstantSource.system());
-        this.retries = new FleetRetryShare(() -> settings.bounds().retries(), ASSUMED_HOST_COUNT);
         this.registry = new EndpointRegistry(new EndpointUpdates(), this::heartbeatNanos, log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
+        this.retries = new FleetRetryShare(() -> settings.bounds().retries(), peers::fleetSize);
         this.store =
                 new StoreView(group, settings, catalogs, registry, contact, peers, metrics, log, this::reportToPeers);
     }
@@ -171,7 +168,7 @@
         HostReportFactory reportFactory = new HostReportFactory(
                 identity.hostName(), identity.internal(), startedMs, loads, crashes, System::nanoTime);
         reports = new PeerReports(
-                group, peers, reportFactory, retries, log, this::acceptCrashSuspects, store::news, store::applyNews);
+                group, peers, reportFactory, log, this::acceptCrashSuspects, store::news, store::applyNews);
         reports.listen(identity.internal());
         store.start();
     }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -24,7 +24,6 @@
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.retry.CrashSuspect;
-import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 import org.dragonflygw.wire.codec.HostReportCodec;
@@ -53,7 +52,6 @@
     private final EventLoopGroup group;
     private final PeerTable peers;
     private final HostReportFactory reports;
-    private final FleetRetryShare retries;
     private final EventLog log;
     private final Consumer<List<CrashSuspect>> crashSuspectListener;
     private final Supplier<StoreNews> storeNews;
@@ -75,7 +73,6 @@
             EventLoopGroup group,
             PeerTable peers,
             HostReportFactory reports,
-            FleetRetryShare retries,
             EventLog log,
             Consumer<List<CrashSuspect>> crashSuspectListener,
             Supplier<StoreNews> storeNews,
@@ -83,7 +80,6 @@
         this.group = group;
         this.peers = peers;
         this.reports = reports;
-        this.retries = retries;
         this.log = log;
         this.crashSuspectListener = crashSuspectListener;
         this.storeNews = storeNews;
@@ -107,7 +103,6 @@
     private void sendRound() {
         lastRoundNanos = System.nanoTime();
         peers.refreshPeerLoads();
-        retries.setHostCount(peers.hostCount());
         List<HostAddress> targets = peers.addresses();
         int rounds = Math.max(1, (targets.size() + FAN_OUT - 1) / FAN_OUT);
         List<HostAddress> inTurn = new ArrayList<>();
--- a/edge/src/main/java/org/dragonflygw/edge/store/PeerDiscovery.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/PeerDiscovery.java
@@ -7,6 +7,7 @@
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.storage.RowPage;
 import org.dragonflygw.core.storage.VersionedRow;
 import org.dragonflygw.platform.adapter.HostRowCodec;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
@@ -50,7 +51,7 @@
         byte[] body = codec.writeBody(StoreApiCodec.HOST_TABLE, host, rowCodec.encode(address));
         client.post(StoreApiCodec.TRANSACTION_PATH, body, CALL_TIMEOUT_MS, response -> {
             if (response.isOk()) {
-                read();
+                read("");
                 return;
             }
             logFailure("write", response);
@@ -58,33 +59,43 @@
         });
     }
 
-    private void read() {
-        client.get(codec.listPath(StoreApiCodec.HOST_TABLE, ""), CALL_TIMEOUT_MS, this::onRead);
+    private void read(String fromKey) {
+        client.get(codec.listPath(StoreApiCodec.HOST_TABLE, fromKey), CALL_TIMEOUT_MS, this::onRead);
     }
 
     private void onRead(StoreResponse response) {
-        boolean added = response.isOk() && addPeers(response);
         if (!response.isOk()) {
             logFailure("read", response);
+            readAgainIn(RETRY_DELAY_MS);
+            return;
         }
-        loop.schedule(this::read, added ? READ_INTERVAL_MS : RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
-    }
-
-    private boolean addPeers(StoreResponse response) {
         try {
-            for (VersionedRow r : codec.decodePage(response.body()).rows()) {
-                rowCodec.decode(r.data()).ifPresent(a -> peers.onHostListed(r.key(), a));
-            }
-            return true;
+            addPeers(codec.decodePage(response.body()));
         } catch (CodedException e) {
             log.line(LogTopic.PEER)
                     .with("outcome", "unreadable list of hosts")
                     .with("reason", e.getMessage())
                     .end();
-            return false;
+            readAgainIn(RETRY_DELAY_MS);
         }
     }
 
+    private void addPeers(RowPage page) {
+        for (VersionedRow r : page.rows()) {
+            rowCodec.decode(r.data()).ifPresent(a -> peers.onHostListed(r.key(), a));
+        }
+        if (page.more() && !page.rows().isEmpty()) {
+            read(page.rows().get(page.rows().size() - 1).key() + "\u0000");
+            return;
+        }
+        peers.onListComplete();
+        readAgainIn(READ_INTERVAL_MS);
+    }
+
+    private void readAgainIn(long delayMs) {
+        loop.schedule(() -> read(""), delayMs, TimeUnit.MILLISECONDS);
+    }
+
     private void logFailure(String call, StoreResponse response) {
         log.line(LogTopic.PEER)
                 .with("outcome", call + " of the list of hosts failed")
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -70,7 +70,8 @@
         EdgeMetrics metrics = new EdgeMetrics(new MetricRegistry());
         ExpectedTimeChooser chooser =
                 new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all);
-        FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(1, 100, TimeUnit.SECONDS.toNanos(10)), 1);
+        FleetRetryShare retries = new FleetRetryShare(
+                () -> new RetryBounds(1, 100, TimeUnit.SECONDS.toNanos(10)), () -> OptionalInt.of(1));
         ExchangeContext exchanges = new ExchangeContext(
                 chooser,
                 loads,
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -23,9 +23,7 @@
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.retry.CrashSuspects;
-import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.settings.RetryBounds;
 import org.dragonflygw.core.storenews.ConfigurationNews;
 import org.dragonflygw.core.storenews.EndpointChange;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -67,10 +65,9 @@
             Consumer<StoreNews> taker) {
         PeerTable peers = new PeerTable(name, loads, new NoOpEventLog(), System::nanoTime);
         peers.onHostListed("other-than-" + name, other);
-        FleetRetryShare retries = new FleetRetryShare(() -> new RetryBounds(0.2, 52, 1), 2);
         HostReportFactory reportFactory =
                 new HostReportFactory(name, own, 1, loads, new CrashSuspects(), System::nanoTime);
-        return new PeerReports(group, peers, reportFactory, retries, new NoOpEventLog(), c -> {}, () -> news, taker);
+        return new PeerReports(group, peers, reportFactory, new NoOpEventLog(), c -> {}, () -> news, taker);
     }
 
     private static EndpointLoads busyLoads() {
