Keep a silent attempt while the retry budget grants no other

Found on reading the budget's callers: what callers see when the budget is used up. A repeatable request whose endpoint was silent was cancelled first and then asked for a retry; denied, its caller got 502 although the answer was only late. Where no attempt was left, the timer fired each millisecond until the deadline. The timer is set for silence only where another attempt may follow. SilenceTimeout holds the two factors and the times. Run: three tests of ExchangeTest, failing before (cancelled 1 instead of 0; a wake-up 50 ms in the past; one after 200 ms instead of at the deadline) and passing now; ExchangeFuzzTest.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -21,21 +21,15 @@
     /** Least remaining time, in milliseconds, for which a retry is attempted. */
     private static final long MIN_RETRY_REMAINING_MS = 30;
 
-    /**
-     * Time without data after which an attempt of a repeatable request counts as silent, as a multiple of the route's
-     * objective. Applies until the first part of the response, and to all of a response that is not a stream.
-     */
-    private static final double RESPONSE_SILENCE_FACTOR = 2.0;
-
-    /** As {@link #RESPONSE_SILENCE_FACTOR} between parts of a streamed response: a multiple of the maximum event gap. */
-    private static final double EVENT_GAP_SILENCE_FACTOR = 2.5;
-
     /**
      * How long an endpoint gets no requests after a failed connection or a response with status 421, in nanoseconds.
      * By then its entry in the store shows whether the endpoint is still there.
      */
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
+    /** Failure score of a silent attempt, less than of one that failed: the endpoint may only be slow. */
+    private static final double SILENCE_FAILURE_WEIGHT = 0.7;
+
     private enum Phase {
         CHOOSING,
         SENT,
@@ -48,6 +42,7 @@
     private final ExchangeOutput out;
     private final ResponseBuffer response;
     private final AttemptCounts attempts;
+    private final SilenceTimeout silence;
     private final ExchangeLog log;
 
     private Phase phase = Phase.CHOOSING;
@@ -57,7 +52,6 @@
     private boolean ignoreResponse;
     private boolean mayHaveRun;
     private long attemptStartNanos;
-    private long lastReadNanos;
     private long firstPartAtNanos;
     private long longestGapNanos;
 
@@ -68,6 +62,7 @@
         this.out = out;
         this.response = new ResponseBuffer(request.route(), out);
         this.attempts = new AttemptCounts(request.route());
+        this.silence = new SilenceTimeout(request.route());
         this.log = new ExchangeLog(request, context.log());
     }
 
@@ -120,7 +115,7 @@
         ignoreResponse = false;
         phase = Phase.SENT;
         attemptStartNanos = now;
-        lastReadNanos = now;
+        silence.restart(now);
         log.dispatched(choice, attempts.nextAttempt(), remainingMs(now), now);
         context.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
         scheduleTimer();
@@ -152,7 +147,7 @@
             onAttemptFailed(AttemptFailure.MALFORMED);
             return;
         }
-        lastReadNanos = now;
+        silence.restart(now);
         response.setHead(head);
         if (!head.isSuccess()) {
             onFirstPart(now);
@@ -181,9 +176,9 @@
         }
         long now = now();
         if (firstPartSeen) {
-            longestGapNanos = Math.max(longestGapNanos, now - lastReadNanos);
+            longestGapNanos = Math.max(longestGapNanos, now - silence.lastReadNanos());
         }
-        lastReadNanos = now;
+        silence.restart(now);
         onFirstPart(now);
         if (!response.appendBody(body)) {
             onAttemptFailed(AttemptFailure.MALFORMED);
@@ -265,7 +260,7 @@
             return;
         }
         out.cancelAttempt();
-        endpoint.onFailure(cause == AttemptFailure.SILENT ? 0.7 : 1, now);
+        endpoint.onFailure(1, now);
         if (cause == AttemptFailure.CONNECTION_LOST) {
             context.crashes()
                     .onConnectionLost(request.fingerprint(), endpoint.entry().id(), now);
@@ -275,6 +270,17 @@
         retryOrFail(RejectReason.ENDPOINT_FAILED, mayRetry(now));
     }
 
+    /** Replaces an attempt that may still be answered; the caller has taken the retry for it. */
+    private void replaceSilentAttempt(long now) {
+        log.attemptFailed(endpoint, AttemptFailure.SILENT.name(), 0, now - attemptStartNanos);
+        endAttempt();
+        out.cancelAttempt();
+        endpoint.onFailure(SILENCE_FAILURE_WEIGHT, now);
+        mayHaveRun = true;
+        attempts.onExecuted(endpoint.entry().id());
+        retryOrFail(RejectReason.ENDPOINT_FAILED, true);
+    }
+
     private void retryOrFail(RejectReason reason, boolean allowed) {
         if (!allowed) {
             refuseOrFail(reason, 0);
@@ -341,16 +347,20 @@
             onTimeout(now);
             return;
         }
-        if (now >= silenceTimeoutNanos() && mayRetrySilentAttempt(now)) {
-            onAttemptFailed(AttemptFailure.SILENT);
-            return;
+        if (mayReplaceIfSilent(now) && now >= silence.expiryNanos(firstPartSeen)) {
+            if (takeRetry(now)) {
+                replaceSilentAttempt(now);
+                return;
+            }
+            silence.postpone(now);
         }
         scheduleTimer();
     }
 
-    private boolean mayRetrySilentAttempt(long now) {
+    private boolean mayReplaceIfSilent(long now) {
         return attempts.mayRunAgain(1)
                 && response.canResume()
+                && crashBlockNanos() == 0
                 && remainingMs(now) > request.route().objectiveMs();
     }
 
@@ -376,19 +386,12 @@
 
     private void scheduleTimer() {
         long wakeNanos = request.expiryNanos();
-        if (request.route().repeatable()) {
-            wakeNanos = Math.min(wakeNanos, Math.max(silenceTimeoutNanos(), now() + NANOS_PER_MS));
+        if (mayReplaceIfSilent(now())) {
+            wakeNanos = Math.min(wakeNanos, silence.expiryNanos(firstPartSeen));
         }
         out.wakeAt(wakeNanos);
     }
 
-    private long silenceTimeoutNanos() {
-        double timeoutMs = firstPartSeen && request.route().streaming()
-                ? EVENT_GAP_SILENCE_FACTOR * request.route().maxEventGapMs()
-                : RESPONSE_SILENCE_FACTOR * request.route().objectiveMs();
-        return lastReadNanos + (long) (timeoutMs * NANOS_PER_MS);
-    }
-
     private void endAttempt() {
         if (!firstPartSeen) {
             firstPartSeen = true;
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
@@ -143,6 +143,36 @@
             assertThat(f.sent).hasSize(2);
         }
 
+        /** Guards against callers who lose an answer that was only late, because no retry was left to replace it. */
+        @Test
+        void keepASilentAttemptWhileNoRetryIsLeft() {
+            ExchangeFixture withoutBudget = new ExchangeFixture(0);
+            Exchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
+            withoutBudget.clock.advanceMs(250);
+            x.onTimer();
+            assertThat(withoutBudget.cancelled).isEqualTo(0);
+            x.onHead(signedHead(200));
+            x.onBody(bytes("late"));
+            x.onComplete();
+            assertThat(withoutBudget.finished).isTrue();
+        }
+
+        @Test
+        void doNotWakeAgainAtOnceWhileASilentAttemptIsKept() {
+            ExchangeFixture withoutBudget = new ExchangeFixture(0);
+            Exchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
+            withoutBudget.clock.advanceMs(250);
+            x.onTimer();
+            assertThat(withoutBudget.wakeNanos - withoutBudget.clock.nanos()).isAtLeast(100_000_000L);
+        }
+
+        @Test
+        void doNotWakeForSilenceAfterTheLastAttempt() {
+            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
+            assertThat(f.wakeNanos - f.clock.nanos()).isEqualTo(1_500_000_000L);
+        }
+
         @Test
         void resumeTheirStreamAfterTheLastCompleteEvent() {
             Exchange x = f.start(route(RouteKind.STREAMING, true));
