Draw endpoints at random while the size of the fleet is unknown

After a restart of a large fleet each new process took itself for a fleet of one and chose the least loaded endpoint, the same one everywhere, until reports had arrived. Run: fleetOfUnknownSizeDoesNotSendToASingleEndpoint (60 hosts: without the change all 60 requests reach one endpoint, the bound is 40), FleetSizeSamplerTest, LargeFleetPlainServiceTest, PeerTableTest, DataPlaneTest.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/FleetSizeSampler.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/FleetSizeSampler.java
@@ -1,14 +1,15 @@
 package org.dragonflygw.core.dispatch;
 
 import java.util.List;
-import java.util.function.IntSupplier;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
  * Compares all endpoints in a small fleet, where hosts learn each other's load quickly. In a larger fleet, load reports
  * are stale: if every host chose the least loaded endpoint, all of them would send to the same one until the next
- * reports. There, one endpoint is drawn at random, with a higher probability for endpoints that have more slots, less
- * load and fewer failures.
+ * reports. There, and while the size of the fleet is unknown, one endpoint is drawn at random, with a higher probability
+ * for endpoints that have more slots, less load and fewer failures.
  */
 public final class FleetSizeSampler implements CandidateSampler {
     /** Largest number of hosts at which reports reach all peers within half a second. */
@@ -23,15 +24,15 @@
     /** Factor on the weight of an endpoint to which connections fail. */
     private static final double BLOCKED_WEIGHT_FACTOR = 1e-6;
 
-    private final IntSupplier hosts;
+    private final Supplier<OptionalInt> hosts;
     private final RandomGenerator random;
 
     /**
      * Creates a sampler.
      *
-     * @param hosts number of known hosts, including this one
+     * @param hosts number of hosts in the fleet, empty while it is unknown
      */
-    public FleetSizeSampler(IntSupplier hosts, RandomGenerator random) {
+    public FleetSizeSampler(Supplier<OptionalInt> hosts, RandomGenerator random) {
         this.hosts = hosts;
         this.random = random;
     }
@@ -39,7 +40,7 @@
     @Override
     public List<EndpointLoadState> sample(List<EndpointLoadState> usable, long nowNanos) {
         int n = usable.size();
-        if (n <= 1 || hosts.getAsInt() <= MAX_SMALL_FLEET_HOSTS) {
+        if (n <= 1 || isSmallFleet()) {
             return usable;
         }
         double[] weights = new double[n];
@@ -56,6 +57,11 @@
         return List.of(usable.get(drawn));
     }
 
+    private boolean isSmallFleet() {
+        OptionalInt count = hosts.get();
+        return count.isPresent() && count.getAsInt() <= MAX_SMALL_FLEET_HOSTS;
+    }
+
     private static double weight(EndpointLoadState e, long nowNanos) {
         double excessFailureScore = Math.max(0, e.failureScore(nowNanos) - TOLERATED_FAILURE_SCORE);
         double weight = Math.max(1, e.entry().slots())
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -143,11 +143,6 @@
                 .end();
     }
 
-    /** Returns the number of known hosts, including this one. */
-    public int hostCount() {
-        return peers.size() + 1;
-    }
-
     /**
      * Returns the number of hosts that share the limits of the fleet, including this one and those that are hidden by a
      * network fault; nothing before this process has read the list of hosts.
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizeSamplerTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizeSamplerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.dragonflygw.core.catalog.CatalogService;
@@ -29,7 +30,7 @@
      */
     @Nested
     final class StaleLoads {
-        private int requestsAtBusiestEndpoint(int hosts) {
+        private int requestsAtBusiestEndpoint(int hosts, OptionalInt known) {
             CatalogService service = new CatalogService("app", "/", 96, 6, 0, 0);
             int[] chosen = new int[ENDPOINTS];
             for (int host = 0; host < hosts; host++) {
@@ -38,7 +39,7 @@
                 for (int i = 0; i < ENDPOINTS; i++) {
                     all.get(i).onPeerLoad(new PeerLoad(i == 0 ? 0 : 1, 0, 0), NOW);
                 }
-                FleetSizeSampler sampler = new FleetSizeSampler(() -> hosts, new SplittableRandom(host));
+                FleetSizeSampler sampler = new FleetSizeSampler(() -> known, new SplittableRandom(host));
                 ExpectedTimeChooser chooser =
                         new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), sampler);
                 ChoiceRequest request = new ChoiceRequest(service, Prompt.NONE, 150, 600, Set.of());
@@ -54,12 +55,18 @@
 
         @Test
         void largeFleetDoesNotSendToASingleEndpoint() {
-            assertThat(requestsAtBusiestEndpoint(60)).isAtMost(40);
+            assertThat(requestsAtBusiestEndpoint(60, OptionalInt.of(60))).isAtMost(40);
+        }
+
+        /** Guards against a restart of a large fleet, whose new processes know no other host for a moment. */
+        @Test
+        void fleetOfUnknownSizeDoesNotSendToASingleEndpoint() {
+            assertThat(requestsAtBusiestEndpoint(60, OptionalInt.empty())).isAtMost(40);
         }
 
         @Test
         void smallFleetChoosesTheLeastLoadedEndpoint() {
-            assertThat(requestsAtBusiestEndpoint(6)).isEqualTo(6);
+            assertThat(requestsAtBusiestEndpoint(6, OptionalInt.of(6))).isEqualTo(6);
         }
     }
 
@@ -69,7 +76,7 @@
         EndpointLoads loads = loads();
         List<EndpointLoadState> all = loads.ofService("app");
         all.get(0).onPeerLoad(new PeerLoad(0, 0, 0.6), NOW);
-        FleetSizeSampler sampler = new FleetSizeSampler(() -> 60, new SplittableRandom(1));
+        FleetSizeSampler sampler = new FleetSizeSampler(() -> OptionalInt.of(60), new SplittableRandom(1));
         int drawn = 0;
         for (int i = 0; i < 1_000; i++) {
             drawn += sampler.sample(all, NOW).get(0) == all.get(0) ? 1 : 0;
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LargeFleetPlainServiceTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LargeFleetPlainServiceTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -50,7 +51,7 @@
             for (int i = 0; i < endpoints; i++) {
                 loads.onUpdated(new DiscoveredEndpoint("p" + i, "app", "10.0.0.1", 80, "a", SLOTS, false, 0, 1));
             }
-            FleetSizeSampler sampler = new FleetSizeSampler(() -> HOSTS, new SplittableRandom(number));
+            FleetSizeSampler sampler = new FleetSizeSampler(() -> OptionalInt.of(HOSTS), new SplittableRandom(number));
             chooser = new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), sampler);
         }
 
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -51,7 +51,7 @@
         peers.onReport(report("h1", 1, 1, 3));
         peers.onReport(report("h2", 1, 1, 4));
         assertThat(load()).isEqualTo(7.0);
-        assertThat(peers.hostCount()).isEqualTo(3);
+        assertThat(peers.hostNames()).hasSize(2);
     }
 
     @Test
@@ -127,7 +127,7 @@
         peers.onListComplete();
         clock.advanceMs(3_600_000);
         peers.refreshPeerLoads();
-        assertThat(peers.hostCount()).isEqualTo(1);
+        assertThat(peers.hostNames()).isEmpty();
         assertThat(peers.fleetSize().getAsInt()).isEqualTo(2);
         clock.advanceMs(4_000_000);
         assertThat(peers.fleetSize().getAsInt()).isEqualTo(1);
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -197,7 +197,7 @@
                         loads,
                         () -> new DispatchSettings(
                                 identity.zone(), settings.bounds().capFactor()),
-                        new FleetSizeSampler(peers::hostCount, new SplittableRandom()));
+                        new FleetSizeSampler(peers::fleetSize, new SplittableRandom()));
             case ROUND_ROBIN -> new RoundRobinChooser(loads);
             case TWO_CHOICES -> new TwoChoicesChooser(loads, new SplittableRandom());
             case BOUNDED_HASH -> new BoundedHashChooser(loads);
