Report a request that is blocked for crashing endpoints as long as the block lasts

Hosts reported lost connections for 4 s only, so a host that started during a block of 60 s did not know of it and could send the request to three more endpoints. Change: blocked requests stay in the reports until the block ends, before other losses, with the age of the last loss (a new optional field; hosts of the code before ignore it and send none, which counts as 0). So the block ends everywhere at the same time and is not prolonged by hosts that tell each other. Run: blockedRequestIsReportedAsLongAsItIsBlocked (20 s left expected, 0 before) and blockedRequestsAreReportedBeforeOtherLosses fail before and pass now; blockEndsAtTheSameTimeOnAllHosts; HostReportCodecTest; PeerReportsTest; the tests of the exchange.

--- a/core/src/main/java/org/dragonflygw/core/retry/CrashSuspect.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/CrashSuspect.java
@@ -7,8 +7,9 @@
  *
  * @param fingerprint hash of the request's method, path, key and body
  * @param endpoints ids of the lost endpoints
+ * @param ageMs time since the last loss, in milliseconds
  */
-public record CrashSuspect(long fingerprint, Set<String> endpoints) {
+public record CrashSuspect(long fingerprint, Set<String> endpoints, long ageMs) {
     public CrashSuspect {
         endpoints = Set.copyOf(endpoints);
     }
--- a/core/src/main/java/org/dragonflygw/core/retry/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/CrashSuspects.java
@@ -24,7 +24,10 @@
     /** Time for which a loss counts. Endpoints restart within seconds, and callers retry soon after. */
     private static final long LOSS_RETENTION_NANOS = 60_000_000_000L;
 
-    /** Time for which a loss is reported to other hosts; long enough to reach each host of a large fleet twice. */
+    /**
+     * Time for which a loss that blocks no request is reported to other hosts; long enough to reach each host of a large
+     * fleet twice.
+     */
     private static final long LOSS_REPORT_NANOS = 4_000_000_000L;
 
     /** Maximum number of tracked fingerprints; the one with the oldest last loss is evicted first. */
@@ -33,6 +36,8 @@
     /** Maximum number of fingerprints in one report; covers the requests that one host had on a crashed engine. */
     private static final int MAX_REPORTED = 32;
 
+    private static final long NANOS_PER_MS = 1_000_000;
+
     private final Map<Long, Losses> byFingerprint = new LinkedHashMap<>();
 
     /** Records that the connection to an endpoint was lost while the endpoint may have run the request. */
@@ -51,18 +56,18 @@
     public void accept(CrashSuspect suspect, long nowNanos) {
         Losses known = byFingerprint.get(suspect.fingerprint());
         if (known == null || !known.endpoints.containsAll(suspect.endpoints())) {
-            add(suspect.fingerprint(), suspect.endpoints(), nowNanos);
+            add(suspect.fingerprint(), suspect.endpoints(), nowNanos - suspect.ageMs() * NANOS_PER_MS);
         }
     }
 
-    private void add(long fingerprint, Set<String> endpoints, long nowNanos) {
-        expire(nowNanos);
+    private void add(long fingerprint, Set<String> endpoints, long atNanos) {
+        expire(atNanos);
         Losses losses = byFingerprint.remove(fingerprint);
         if (losses == null) {
-            losses = new Losses();
+            losses = new Losses(atNanos);
         }
         losses.endpoints.addAll(endpoints);
-        losses.lastNanos = nowNanos;
+        losses.lastNanos = Math.max(losses.lastNanos, atNanos);
         byFingerprint.put(fingerprint, losses);
         if (byFingerprint.size() > MAX_SUSPECTS) {
             byFingerprint.remove(byFingerprint.keySet().iterator().next());
@@ -79,25 +84,50 @@
     /** Remaining time for which a request is blocked, in nanoseconds; 0 if it may be sent. */
     public long remainingBlockNanos(long fingerprint, long nowNanos) {
         Losses losses = byFingerprint.get(fingerprint);
-        if (losses == null || losses.endpoints.size() < ENDPOINTS_TO_BLOCK) {
-            return 0;
-        }
-        return Math.max(0, losses.lastNanos + LOSS_RETENTION_NANOS - nowNanos);
+        return losses == null ? 0 : losses.remainingBlockNanos(nowNanos);
     }
 
-    /** Returns the recent losses to report to other hosts, newest last. */
+    /**
+     * Returns the losses to report to other hosts, newest last: those that block a request, for hosts that have started
+     * since, and other recent ones.
+     */
     public List<CrashSuspect> recentLosses(long nowNanos) {
+        List<CrashSuspect> blocked = new ArrayList<>();
         List<CrashSuspect> recent = new ArrayList<>();
         byFingerprint.forEach((fingerprint, losses) -> {
-            if (nowNanos - losses.lastNanos <= LOSS_REPORT_NANOS) {
-                recent.add(new CrashSuspect(fingerprint, losses.endpoints));
+            CrashSuspect suspect = new CrashSuspect(fingerprint, losses.endpoints, losses.ageMs(nowNanos));
+            if (losses.remainingBlockNanos(nowNanos) > 0) {
+                blocked.add(suspect);
+            } else if (nowNanos - losses.lastNanos <= LOSS_REPORT_NANOS) {
+                recent.add(suspect);
             }
         });
-        return recent.size() <= MAX_REPORTED ? recent : recent.subList(recent.size() - MAX_REPORTED, recent.size());
+        List<CrashSuspect> reported = new ArrayList<>(newest(blocked, MAX_REPORTED));
+        reported.addAll(newest(recent, MAX_REPORTED - reported.size()));
+        return reported;
+    }
+
+    private static List<CrashSuspect> newest(List<CrashSuspect> oldestFirst, int limit) {
+        return oldestFirst.subList(Math.max(0, oldestFirst.size() - limit), oldestFirst.size());
     }
 
     private static final class Losses {
         private final Set<String> endpoints = new HashSet<>();
         private long lastNanos;
+
+        Losses(long lastNanos) {
+            this.lastNanos = lastNanos;
+        }
+
+        long remainingBlockNanos(long nowNanos) {
+            if (endpoints.size() < ENDPOINTS_TO_BLOCK) {
+                return 0;
+            }
+            return Math.max(0, lastNanos + LOSS_RETENTION_NANOS - nowNanos);
+        }
+
+        long ageMs(long nowNanos) {
+            return Math.max(0, (nowNanos - lastNanos) / NANOS_PER_MS);
+        }
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
@@ -279,7 +279,7 @@
         @Test
         void areNotRetriedWhenOtherHostsReportedTwoLostEndpoints() {
             f.fingerprint = 7;
-            f.crashes.accept(new CrashSuspect(7, Set.of("x1", "x2")), f.clock.nanos());
+            f.crashes.accept(new CrashSuspect(7, Set.of("x1", "x2"), 0), f.clock.nanos());
             Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.sent).hasSize(1);
--- a/core/src/test/java/org/dragonflygw/core/retry/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/CrashSuspectsTest.java
@@ -52,7 +52,7 @@
 
     @Test
     void knownLossesDoNotExtendTheBlock() {
-        CrashSuspect all = new CrashSuspect(REQUEST, Set.of("e1", "e2", "e3"));
+        CrashSuspect all = new CrashSuspect(REQUEST, Set.of("e1", "e2", "e3"), 0);
         suspects.accept(all, 0);
         suspects.accept(all, 30 * SECOND);
         assertThat(suspects.remainingBlockNanos(REQUEST, 59 * SECOND)).isEqualTo(SECOND);
@@ -80,10 +80,52 @@
 
     @Test
     void oldestSuspectIsEvictedAtCapacity() {
-        suspects.accept(new CrashSuspect(1, Set.of("e1", "e2", "e3")), 0);
+        suspects.accept(new CrashSuspect(1, Set.of("e1", "e2", "e3"), 0), 0);
         for (int i = 2; i <= 1_001; i++) {
             suspects.onConnectionLost(i, "e1", 1);
         }
         assertThat(suspects.remainingBlockNanos(1, 1)).isEqualTo(0);
     }
+
+    /** Guards against a host that restarts during a block and sends the request to three more endpoints. */
+    @Test
+    void blockedRequestIsReportedAsLongAsItIsBlocked() {
+        for (int i = 1; i <= 3; i++) {
+            suspects.onConnectionLost(REQUEST, "e" + i, 0);
+        }
+        CrashSuspects restarted = new CrashSuspects();
+        suspects.recentLosses(40 * SECOND).forEach(s -> restarted.accept(s, 40 * SECOND));
+        assertThat(restarted.remainingBlockNanos(REQUEST, 40 * SECOND)).isEqualTo(20 * SECOND);
+        assertThat(suspects.recentLosses(61 * SECOND)).isEmpty();
+    }
+
+    /** Guards against hosts that tell each other of a block again and again, so that it never ends. */
+    @Test
+    void blockEndsAtTheSameTimeOnAllHosts() {
+        for (int i = 1; i <= 3; i++) {
+            suspects.onConnectionLost(REQUEST, "e" + i, 0);
+        }
+        CrashSuspects other = new CrashSuspects();
+        for (int s = 0; s <= 60; s++) {
+            long now = s * SECOND;
+            suspects.recentLosses(now).forEach(r -> other.accept(r, now));
+            other.recentLosses(now).forEach(r -> suspects.accept(r, now));
+        }
+        assertThat(suspects.remainingBlockNanos(REQUEST, 61 * SECOND)).isEqualTo(0);
+        assertThat(other.remainingBlockNanos(REQUEST, 61 * SECOND)).isEqualTo(0);
+        assertThat(other.recentLosses(61 * SECOND)).isEmpty();
+    }
+
+    @Test
+    void blockedRequestsAreReportedBeforeOtherLosses() {
+        for (int i = 1; i <= 3; i++) {
+            suspects.onConnectionLost(REQUEST, "e" + i, 0);
+        }
+        for (int i = 1; i <= 100; i++) {
+            suspects.onConnectionLost(REQUEST + i, "e1", i);
+        }
+        assertThat(suspects.recentLosses(SECOND)).hasSize(32);
+        assertThat(suspects.recentLosses(SECOND).stream().map(CrashSuspect::fingerprint))
+                .contains(REQUEST);
+    }
 }
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -64,11 +64,12 @@
     }
 
     private static CrashSuspectMessage encode(CrashSuspect suspect) {
-        return new CrashSuspectMessage(suspect.fingerprint(), List.copyOf(suspect.endpoints()));
+        return new CrashSuspectMessage(suspect.fingerprint(), List.copyOf(suspect.endpoints()))
+                .setAgeMillis(suspect.ageMs());
     }
 
     private static CrashSuspect decode(CrashSuspectMessage m) {
-        return new CrashSuspect(m.getFingerprint(), Set.copyOf(m.getEndpoints()));
+        return new CrashSuspect(m.getFingerprint(), Set.copyOf(m.getEndpoints()), m.getAgeMillis());
     }
 
     private static EndpointUseMessage encode(EndpointUse use) {
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -111,6 +111,8 @@
 struct CrashSuspectMessage {
   1: required i64 fingerprint
   2: required list<string> endpoints
+  /** Time since the last of these losses. */
+  3: optional i64 ageMillis
 }
 
 /** State that a host reports to the other hosts several times a second. */
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -77,7 +77,7 @@
                 2,
                 List.of(new EndpointUse("i-1", 3, 4, 0.25)),
                 List.of(new PromptHolding("i-1", List.of(new PromptPart(5, 6)))),
-                List.of(new CrashSuspect(77, Set.of("i-1", "i-2"))),
+                List.of(new CrashSuspect(77, Set.of("i-1", "i-2"), 1_500)),
                 news);
     }
 
