Follow what endpoints say of themselves: Server-Leaving, and Retry-After of a 503

No code knew the two; an endpoint that left by its own word got requests until its entry changed, also while the store was out, and one that asked for quiet got the next request at once. Change: a response with Server-Leaving: 1, also an error, takes its endpoint out of every later choice. LeavingEndpoints remembers the instance apart from its entry, so that a store or an entry that expires and comes back undoes nothing; another instance does. A 503 with Retry-After keeps all requests of this host from the endpoint until the end, checked again when a connection has been opened; then requests are let in one more each 100 ms for a second. Such a rejection is no failure, and cached prompts stay known. While all endpoints of a service are quiet, callers are refused at once with the first end as Retry-After, spread over 0.1 to 1 s more. Values: fractions count, a value that is no positive number asks for nothing, an hour is the most. Ways weighed: a leaving endpoint as last resort for the time to drain (it is not known when it began to leave); a failure score instead of a quiet time (it fades and other hosts share it, while the endpoint asked only this host). Run: EndpointNoticesTest and HeadersTest (they do not compile without the change), tests of the exchange, DataPlaneTest. Left: telling other hosts of a leave follows; a store that comes back from a copy is not followed yet.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -23,6 +23,7 @@
     private static final long REPORT_EXPIRY_NANOS = 2_500_000_000L;
 
     private final CachedParts cached;
+    private final QuietTime quiet = new QuietTime();
     private final long idHash;
     private DiscoveredEndpoint entry;
     private int inFlight;
@@ -34,6 +35,7 @@
     private double failureScore;
     private long failureScoreNanos;
     private long blockedUntilNanos = Long.MIN_VALUE;
+    private boolean leaving;
 
     EndpointLoadState(DiscoveredEndpoint entry, long cacheTokens) {
         this.entry = entry;
@@ -161,6 +163,30 @@
         blockedUntilNanos = untilNanos;
     }
 
+    /** Records that the endpoint wants no requests of this host until the given monotonic time. */
+    public void quietUntil(long untilNanos) {
+        quiet.extend(untilNanos);
+    }
+
+    /** Returns for how long the endpoint wants no requests of this host, in nanoseconds; 0 if it takes them. */
+    public long quietNanos(long nowNanos) {
+        return quiet.remainingNanos(nowNanos);
+    }
+
+    /** Returns whether this host has as many requests in flight as the endpoint takes shortly after a quiet time. */
+    boolean isRampFull(long nowNanos) {
+        return inFlight >= quiet.maxInFlight(nowNanos);
+    }
+
+    void markLeaving() {
+        leaving = true;
+    }
+
+    /** Returns whether the endpoint said in a response to any host that it is leaving. */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
     boolean isBlocked(long nowNanos) {
         return blockedUntilNanos != Long.MIN_VALUE && nowNanos < blockedUntilNanos;
     }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -19,6 +19,7 @@
     private static final int MAX_NEW_HOLDINGS = 64;
 
     private final List<PromptHolding> newHoldings = new ArrayList<>();
+    private final LeavingEndpoints leaving = new LeavingEndpoints();
     private final Map<String, EndpointLoadState> byId = new HashMap<>();
     private final Map<String, List<EndpointLoadState>> byService = new HashMap<>();
 
@@ -30,6 +31,9 @@
             return;
         }
         EndpointLoadState state = new EndpointLoadState(endpoint, DEFAULT_CACHE_TOKENS);
+        if (leaving.contains(endpoint)) {
+            state.markLeaving();
+        }
         byId.put(endpoint.id(), state);
         byService.computeIfAbsent(endpoint.service(), s -> new ArrayList<>()).add(state);
     }
@@ -42,6 +46,29 @@
         }
     }
 
+    /**
+     * Records that an instance of an endpoint said in a response that it is leaving.
+     *
+     * @param startedMs start of the instance, as in its entry
+     * @param sinceNanos when a host first heard it, on the monotonic clock
+     * @return whether this was not known before
+     */
+    public boolean onLeaving(String id, long startedMs, long sinceNanos) {
+        if (!leaving.add(id, startedMs, sinceNanos)) {
+            return false;
+        }
+        EndpointLoadState state = byId.get(id);
+        if (state != null && state.entry().startedMs() == startedMs) {
+            state.markLeaving();
+        }
+        return true;
+    }
+
+    /** Returns the recent leaves, for a report to peers. */
+    public List<LeavingEndpoint> recentLeaves(long nowNanos) {
+        return leaving.recent(nowNanos);
+    }
+
     /**
      * Records a request that is sent to an endpoint.
      *
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -62,6 +62,8 @@
     /** Cost of an endpoint to which connections failed recently, in milliseconds. */
     private static final double BLOCKED_PENALTY_MS = 20_000;
 
+    private static final double NANOS_PER_MS = 1e6;
+
     private final EndpointLoads loads;
     private final UsableEndpoints usable;
     private final Supplier<DispatchSettings> settings;
@@ -83,9 +85,9 @@
 
     @Override
     public Choice choose(ChoiceRequest request, long nowNanos) {
-        List<EndpointLoadState> candidates = usable.all(request);
+        List<EndpointLoadState> candidates = usable.all(request, nowNanos);
         if (candidates.isEmpty()) {
-            return Choice.none(UnavailableReason.NO_ENDPOINT, 0);
+            return noCandidate(request, nowNanos);
         }
         double bound = loadBound(candidates, nowNanos);
         if (!request.service().hasModelEngines()) {
@@ -106,6 +108,13 @@
                 UnavailableReason.NONE);
     }
 
+    private Choice noCandidate(ChoiceRequest request, long nowNanos) {
+        long quietMs = (long) Math.ceil(usable.shortestQuietNanos(request, nowNanos) / NANOS_PER_MS);
+        return quietMs > 0
+                ? Choice.none(UnavailableReason.QUIET, quietMs)
+                : Choice.none(UnavailableReason.NO_ENDPOINT, 0);
+    }
+
     private ScoredEndpoint best(
             ChoiceRequest request, List<EndpointLoadState> candidates, double bound, long nowNanos) {
         RendezvousOrder order = new RendezvousOrder(candidates, request.prompt().sharedKey());
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UnavailableReason.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UnavailableReason.java
@@ -6,6 +6,8 @@
     NONE,
     /** No endpoint of the service accepts new requests. */
     NO_ENDPOINT,
+    /** All endpoints of the service asked for a time without requests. */
+    QUIET,
     /** All endpoints of the service are at capacity. */
     BUSY,
     /** The response would begin only after the request times out. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 
-/** Finds the endpoints that can serve a request: not draining, not excluded and, where asked, not at capacity. */
+/**
+ * Finds the endpoints that can serve a request: not leaving, not excluded, not asking for quiet and, where asked, not at
+ * capacity.
+ */
 final class UsableEndpoints {
     /** Number of requests that may queue at a plain endpoint, as a multiple of its slots. */
     private static final double PLAIN_QUEUE_PER_SLOT = 1.5;
@@ -16,23 +19,44 @@
     }
 
     /** Returns the endpoints that accept new requests, including those at capacity. */
-    List<EndpointLoadState> all(ChoiceRequest request) {
+    List<EndpointLoadState> all(ChoiceRequest request, long nowNanos) {
         List<EndpointLoadState> usable = new ArrayList<>();
         for (EndpointLoadState e : loads.ofService(request.service().name())) {
-            if (!e.entry().draining() && !request.excluded().contains(e.entry().id())) {
+            if (acceptsRequests(request, e) && e.quietNanos(nowNanos) == 0) {
                 usable.add(e);
             }
         }
         return usable;
     }
 
+    private static boolean acceptsRequests(ChoiceRequest request, EndpointLoadState e) {
+        return !e.entry().draining()
+                && !e.isLeaving()
+                && !request.excluded().contains(e.entry().id());
+    }
+
+    /** Returns the shortest time until an endpoint that asked for quiet takes requests, in nanoseconds; 0 if none did. */
+    long shortestQuietNanos(ChoiceRequest request, long nowNanos) {
+        return loads.ofService(request.service().name()).stream()
+                .filter(e -> acceptsRequests(request, e))
+                .mapToLong(e -> e.quietNanos(nowNanos))
+                .filter(nanos -> nanos > 0)
+                .min()
+                .orElse(0);
+    }
+
     /** Returns the endpoints that accept new requests and are not at capacity. */
     List<EndpointLoadState> notFull(ChoiceRequest request, long nowNanos) {
-        return all(request).stream().filter(e -> !isFull(request, e, nowNanos)).toList();
+        return all(request, nowNanos).stream()
+                .filter(e -> !isFull(request, e, nowNanos))
+                .toList();
     }
 
-    /** Returns whether an endpoint is at capacity; false if the number of slots is unknown. */
+    /** Returns whether an endpoint is at capacity; where the number of slots is unknown, only after a quiet time. */
     static boolean isFull(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
+        if (e.isRampFull(nowNanos)) {
+            return true;
+        }
         int slots = e.entry().slots();
         if (slots <= 0) {
             return false;
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.exchange;
 
 import java.util.Optional;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
@@ -27,6 +28,12 @@
      */
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
+    /** Failure score of an endpoint that is not the expected instance: its address belongs to another one. */
+    private static final double MISDIRECTED_FAILURE_WEIGHT = 4;
+
+    /** Failure score of an endpoint that rejects a request, which it may do while it is only full. */
+    private static final double REJECTION_FAILURE_WEIGHT = 0.5;
+
     /** Failure score of a silent attempt, less than of one that failed: the endpoint may only be slow. */
     private static final double SILENCE_FAILURE_WEIGHT = 0.7;
 
@@ -102,6 +109,7 @@
 
     private static RejectReason toRejectReason(UnavailableReason reason) {
         return switch (reason) {
+            case QUIET -> RejectReason.ENDPOINTS_QUIET;
             case BUSY -> RejectReason.BUSY;
             case TOO_LATE -> RejectReason.TOO_LATE;
             default -> RejectReason.NO_ENDPOINT;
@@ -138,6 +146,7 @@
         }
         long now = now();
         head.load().ifPresent(load -> endpoint.onLoadReport(load, now));
+        onNotice(head.notice(), now);
         if (head.notExecuted() || head.status() == 421) {
             onRejected(head, now);
             return;
@@ -155,10 +164,28 @@
         scheduleTimer();
     }
 
+    private void onNotice(EndpointNotice notice, long now) {
+        DiscoveredEndpoint entry = endpoint.entry();
+        if (notice.leaving() && context.loads().onLeaving(entry.id(), entry.startedMs(), now)) {
+            log.endpointLeaving(endpoint);
+        }
+        if (notice.quietMs() > 0) {
+            endpoint.quietUntil(now + notice.quietMs() * NANOS_PER_MS);
+            log.endpointQuiet(endpoint, notice.quietMs());
+        }
+    }
+
+    /** Whether the chosen endpoint still takes requests; asked when a connection was opened, before anything is sent. */
+    public boolean mayStillSend() {
+        return !endpoint.isLeaving() && endpoint.quietNanos(now()) == 0;
+    }
+
     private void onRejected(ResponseHead head, long now) {
         ignoreResponse = true;
         attempts.onRejection(endpoint.entry().id());
-        endpoint.onFailure(head.status() == 421 ? 4 : 0.5, now);
+        if (head.notice().quietMs() == 0) {
+            endpoint.onFailure(head.status() == 421 ? MISDIRECTED_FAILURE_WEIGHT : REJECTION_FAILURE_WEIGHT, now);
+        }
         log.attemptFailed(endpoint, "rejected", head.status(), now - attemptStartNanos);
         endAttempt();
         out.cancelAttempt();
@@ -254,8 +281,10 @@
         endAttempt();
         if (cause.isBeforeSending()) {
             attempts.onConnectFailure(endpoint.entry().id());
-            endpoint.onFailure(1, now);
-            endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
+            if (cause != AttemptFailure.WITHDRAWN) {
+                endpoint.onFailure(1, now);
+                endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
+            }
             retryOrFail(RejectReason.UNREACHABLE, attempts.mayRetryConnect() && hasTimeToRetry(now));
             return;
         }
@@ -319,8 +348,17 @@
         }
         long remainingMs = remainingMs(now());
         log.refused(reason, expectedMs, remainingMs);
+        reject(reason, retryAfterMs(reason, expectedMs, remainingMs));
+    }
+
+    private long retryAfterMs(RejectReason reason, long expectedMs, long remainingMs) {
         long blockMs = crashBlockNanos() / NANOS_PER_MS;
-        reject(reason, blockMs > 0 ? blockMs : context.retryAfterDelays().nextMs(remainingMs));
+        if (blockMs > 0) {
+            return blockMs;
+        }
+        return reason == RejectReason.ENDPOINTS_QUIET
+                ? context.retryAfterDelays().afterMs(expectedMs)
+                : context.retryAfterDelays().nextMs(remainingMs);
     }
 
     private void failAfterRun(RejectReason reason) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
@@ -12,6 +12,8 @@
     KEYS_UNCONFIRMED(503),
     /** The service has no endpoint. */
     NO_ENDPOINT(503),
+    /** All endpoints asked for a time without requests. */
+    ENDPOINTS_QUIET(503),
     /** All endpoints are at their capacity. */
     BUSY(503),
     /** The response would come after the deadline. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/ResponseHead.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ResponseHead.java
@@ -13,6 +13,7 @@
  * @param encoded whether the body has a content encoding, which means that it is not the body as the endpoint wrote it
  * @param contentLength declared length of the body in bytes, or -1 if none is declared
  * @param load load that the endpoint reports, if any
+ * @param notice what the endpoint says about itself
  * @param fields header fields that are forwarded to the caller
  */
 public record ResponseHead(
@@ -22,6 +23,7 @@
         boolean encoded,
         long contentLength,
         Optional<LoadReport> load,
+        EndpointNotice notice,
         List<HeaderField> fields) {
     public ResponseHead {
         fields = List.copyOf(fields);
--- a/core/src/main/java/org/dragonflygw/core/limits/RetryAfterDelays.java
+++ b/core/src/main/java/org/dragonflygw/core/limits/RetryAfterDelays.java
@@ -22,6 +22,16 @@
         this.random = random;
     }
 
+    /**
+     * Returns the delay until a caller should retry whom no endpoint can serve before the given time, in milliseconds.
+     * Callers come back over the time in which the endpoints take more and more requests again.
+     *
+     * @param waitMs time until an endpoint takes requests, in milliseconds
+     */
+    public long afterMs(long waitMs) {
+        return waitMs + MIN_DELAY_MS + (long) (random.nextDouble() * JITTER_MS);
+    }
+
     /**
      * Returns the delay until the caller should retry, in milliseconds, at least 1.
      *
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -41,6 +41,7 @@
 
     final CrashSuspects crashes = new CrashSuspects();
     long fingerprint = CrashSuspects.NO_FINGERPRINT;
+    private final RetryAfterDelays retryAfterDelays = new RetryAfterDelays(new SplittableRandom(1));
     private final FleetRetryShare retries;
 
     ExchangeFixture() {
@@ -88,29 +89,27 @@
                 "id", "team", route, service, 1, Prompt.NONE, clock.nanos(), deadlineMs, fingerprint);
         ExpectedTimeChooser chooser =
                 new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all);
-        ExchangeContext parts = new ExchangeContext(
-                chooser,
-                loads,
-                retries,
-                crashes,
-                new RetryAfterDelays(new SplittableRandom(1)),
-                new NoOpEventLog(),
-                clock);
+        ExchangeContext parts =
+                new ExchangeContext(chooser, loads, retries, crashes, retryAfterDelays, new NoOpEventLog(), clock);
         Exchange exchange = new Exchange(request, parts, this);
         exchange.start();
         return exchange;
     }
 
     static ResponseHead signedHead(int status) {
-        return new ResponseHead(status, true, false, false, -1, Optional.empty(), List.of());
+        return new ResponseHead(status, true, false, false, -1, Optional.empty(), EndpointNotice.NONE, List.of());
     }
 
     static ResponseHead unsignedHead(int status) {
-        return new ResponseHead(status, false, false, false, -1, Optional.empty(), List.of());
+        return new ResponseHead(status, false, false, false, -1, Optional.empty(), EndpointNotice.NONE, List.of());
     }
 
     static ResponseHead notExecutedHead(int status) {
-        return new ResponseHead(status, false, true, false, -1, Optional.empty(), List.of());
+        return new ResponseHead(status, false, true, false, -1, Optional.empty(), EndpointNotice.NONE, List.of());
+    }
+
+    static ResponseHead headWithNotice(int status, boolean notExecuted, EndpointNotice notice) {
+        return new ResponseHead(status, true, notExecuted, false, -1, Optional.empty(), notice, List.of());
     }
 
     int totalInFlight() {
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -316,6 +316,11 @@
         return connection.context();
     }
 
+    @Override
+    public boolean mayStillSend() {
+        return exchange.mayStillSend();
+    }
+
     @Override
     public void onHead(ResponseHead head) {
         exchange.onHead(head);
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/AttemptListener.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/AttemptListener.java
@@ -8,6 +8,9 @@
  * last event; a cancelled attempt has no further events.
  */
 public interface AttemptListener {
+    /** Returns whether the request may still be sent, now that a connection to the endpoint was opened. */
+    boolean mayStillSend();
+
     /** Called with the status and headers of the response. */
     void onHead(ResponseHead head);
 
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
@@ -97,8 +97,9 @@
             attempt.onFailed(timeout ? AttemptFailure.CONNECT_TIMEOUT : AttemptFailure.CONNECT_REFUSED);
             return;
         }
-        if (attempt.isEnded()) {
+        if (!attempt.mayStillSend()) {
             future.channel().close();
+            attempt.onFailed(AttemptFailure.WITHDRAWN);
             return;
         }
         EndpointConnection connection = future.channel().pipeline().get(EndpointConnection.class);
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/PendingAttempt.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/PendingAttempt.java
@@ -20,10 +20,6 @@
         connection = c;
     }
 
-    boolean isEnded() {
-        return ended;
-    }
-
     @Override
     public void cancel() {
         if (ended) {
@@ -42,6 +38,11 @@
         }
     }
 
+    @Override
+    public boolean mayStillSend() {
+        return !ended && listener.mayStillSend();
+    }
+
     @Override
     public void onHead(ResponseHead head) {
         if (!ended) {
