Tell other hosts that an endpoint is leaving by its own word; retry budget and failing endpoints in the soak

A new optional field: hosts of the code before ignore it. Soak: all endpoints fail for 4 s, all hosts are killed at once, and a check of the retry budget over all hosts and restarts from what the endpoints executed, with the time bounds, as a slow machine can delay a retry into another window. Run: leaveThatAPeerHeardHoldsForThatInstanceOnly (does not compile without the change), HostReportCodecTest, PeerReportsTest, LeavePropagationTest, StoreNewsFuzzTest.

--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.peers;
 
 import java.util.List;
+import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.retry.CrashSuspect;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -15,6 +16,7 @@
  * @param uses load of the host on each endpoint
  * @param holdings prompt prefixes that the host sent to endpoints recently
  * @param crashes requests suspected of crashing endpoints
+ * @param leaving endpoints that said in a response that they are leaving
  * @param news what the host has read from the store
  */
 public record HostReport(
@@ -25,16 +27,18 @@
         List<EndpointUse> uses,
         List<PromptHolding> holdings,
         List<CrashSuspect> crashes,
+        List<LeavingEndpoint> leaving,
         StoreNews news) {
     public HostReport {
         uses = List.copyOf(uses);
         holdings = List.copyOf(holdings);
         crashes = List.copyOf(crashes);
+        leaving = List.copyOf(leaving);
     }
 
     /** Returns a copy without the prompt prefixes, for use when the message would be too large. */
     public HostReport withoutHoldings() {
-        return new HostReport(host, address, startedMs, sequence, uses, List.of(), crashes, news);
+        return new HostReport(host, address, startedMs, sequence, uses, List.of(), crashes, leaving, news);
     }
 
     /** Returns whether this report is newer than another report of the same host. */
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -86,7 +86,15 @@
 
     private HostReport report(List<PromptHolding> holdings, StoreNews news) {
         return new HostReport(
-                host, address, startedMs, ++sequence, uses(), holdings, crashes.recentLosses(clock.nanos()), news);
+                host,
+                address,
+                startedMs,
+                ++sequence,
+                uses(),
+                holdings,
+                crashes.recentLosses(clock.nanos()),
+                loads.recentLeaves(clock.nanos()),
+                news);
     }
 
     private List<EndpointUse> uses() {
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.dispatch.PeerLoad;
 import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.log.EventLog;
@@ -34,6 +35,8 @@
      */
     private static final long REMOVAL_SILENCE_NANOS = 60_000_000_000L;
 
+    private static final long NANOS_PER_MS = 1_000_000;
+
     private final String self;
     private final EndpointLoads loads;
     private final EventLog log;
@@ -89,12 +92,25 @@
         peer.address = report.address();
         peer.lastReportNanos = clock.nanos();
         peer.reporting = true;
+        report.leaving().forEach(l -> onLeaving(report.host(), l));
         for (PromptHolding h : report.holdings()) {
             loads.get(h.endpoint()).ifPresent(e -> e.onPromptSentByPeer(h.parts(), clock.nanos()));
         }
         return true;
     }
 
+    private void onLeaving(String peer, LeavingEndpoint leaving) {
+        long sinceNanos = clock.nanos() - leaving.ageMs() * NANOS_PER_MS;
+        if (loads.onLeaving(leaving.id(), leaving.startedMs(), sinceNanos)) {
+            log.line(LogTopic.ENDPOINT)
+                    .with("endpoint", leaving.id())
+                    .with("outcome", "leaving by its own response to a peer")
+                    .with("peer", peer)
+                    .with("ageMs", leaving.ageMs())
+                    .end();
+        }
+    }
+
     /** Recomputes the load that peers put on each endpoint and removes silent peers. */
     public void refreshPeerLoads() {
         long now = clock.nanos();
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -6,6 +6,7 @@
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.settings.HostAddress;
@@ -38,6 +39,7 @@
                 List.of(new EndpointUse("e1", inFlight, 100, failures)),
                 List.of(),
                 List.of(),
+                List.of(),
                 StoreNews.NONE);
     }
 
@@ -132,4 +134,16 @@
         clock.advanceMs(4_000_000);
         assertThat(peers.fleetSize().getAsInt()).isEqualTo(1);
     }
+
+    /** Guards against hosts that send to an endpoint after it told another host that it is leaving. */
+    @Test
+    void leaveThatAPeerHeardHoldsForThatInstanceOnly() {
+        LeavingEndpoint leave = new LeavingEndpoint("e1", 1, 500);
+        peers.onReport(
+                new HostReport("h1", ADDRESS, 1, 1, List.of(), List.of(), List.of(), List.of(leave), StoreNews.NONE));
+        assertThat(loads.get("e1").orElseThrow().isLeaving()).isTrue();
+        assertThat(loads.recentLeaves(clock.nanos())).containsExactly(leave);
+        loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.9", 80, "a", 4, false, 0, 2));
+        assertThat(loads.get("e1").orElseThrow().isLeaving()).isFalse();
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -131,8 +131,8 @@
                 hosts.forEach(h -> peers.onHostListed(h.name, h.address));
                 peers.onListComplete();
             }
-            HostReport report =
-                    new HostReport(name, address, nowMs, ++sequence, List.of(), List.of(), List.of(), StoreNews.NONE);
+            HostReport report = new HostReport(
+                    name, address, nowMs, ++sequence, List.of(), List.of(), List.of(), List.of(), StoreNews.NONE);
             for (Host h : hosts) {
                 if (h != this && h.share != null && !reportsLost) {
                     h.peers.onReport(report);
--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -241,7 +241,7 @@
                     changes.changes(),
                     ConfigurationNews.NONE);
             HostAddress address = new HostAddress(name, 1);
-            to.receive(new HostReport(name, address, 1, ++sequence, List.of(), List.of(), List.of(), news));
+            to.receive(new HostReport(name, address, 1, ++sequence, List.of(), List.of(), List.of(), List.of(), news));
         }
 
         private void receive(HostReport report) {
--- a/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
@@ -23,7 +23,7 @@
             String host = "h" + i;
             StoreNews news = new StoreNews(
                     !host.equals(unreachable), 1, 1, 0, List.of(), new ConfigurationNews(1, 1, List.of()));
-            peers.onReport(new HostReport(host, ADDRESS, 1, 1, List.of(), List.of(), List.of(), news));
+            peers.onReport(new HostReport(host, ADDRESS, 1, 1, List.of(), List.of(), List.of(), List.of(), news));
         }
         return new ReaderSelection(self, peers);
     }
--- a/edge/src/test/java/org/dragonflygw/edge/soak/RequestKind.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/RequestKind.java
@@ -1,18 +1,26 @@
 package org.dragonflygw.edge.soak;
 
+import org.dragonflygw.standins.loopback.LoopbackConfiguration;
+
 /** Kinds of requests that callers send, each with the path of a route of its kind. */
 enum RequestKind {
     /** Not idempotent: may be executed only once. */
-    ONCE("/once/"),
+    ONCE("/once/", LoopbackConfiguration.APPLICATIONS),
     /** Idempotent: may be executed again after a failure. */
-    AGAIN("/plain/"),
+    AGAIN("/plain/", LoopbackConfiguration.APPLICATIONS),
     /** Streamed response that may be resumed at another endpoint. */
-    STREAM("/stream/");
+    STREAM("/stream/", LoopbackConfiguration.ENGINES);
 
     private final String prefix;
+    private final String service;
 
-    RequestKind(String prefix) {
+    RequestKind(String prefix, String service) {
         this.prefix = prefix;
+        this.service = service;
+    }
+
+    String service() {
+        return service;
     }
 
     String target(String id) {
--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -27,6 +27,10 @@
     private static final long SETTLE_MS = 6_000;
     private static final int MAX_FAULT_MS = 2_500;
     private static final int MAX_PAUSE_MS = 700;
+
+    /** Time for which all endpoints fail, in milliseconds: a restart of all hosts fits into it. */
+    private static final int ALL_FAIL_MS = 4_000;
+
     private static final String SPARE_KEY = "spare-key";
     private static final List<FaultProxy.Mode> LINK_FAULTS =
             List.of(FaultProxy.Mode.DELAY, FaultProxy.Mode.SILENT, FaultProxy.Mode.ONE_WAY, FaultProxy.Mode.RESET);
@@ -128,7 +132,7 @@
     private void injectFault() {
         int host = random.nextInt(hosts.size());
         int durationMs = 200 + random.nextInt(MAX_FAULT_MS);
-        switch (random.nextInt(10)) {
+        switch (random.nextInt(12)) {
             case 0 -> inBackground("kill host " + host, hostFaults.get(host), () -> kill(host, durationMs));
             case 1 -> inBackground("pause host " + host, hostFaults.get(host), () -> pause(host, durationMs));
             case 2 -> inBackground("stop host " + host, plannedStops, () -> stop(host));
@@ -152,6 +156,13 @@
                 inBackground("endpoint " + mode, endpointFaults, () -> applyEndpointFault(endpoint, mode, durationMs));
             }
             case 8 -> replaceEndpoint();
+            case 9 -> inBackground("all endpoints fail", endpointFaults, this::failAllEndpoints);
+            case 10 -> {
+                for (int i = 0; i < hosts.size(); i++) {
+                    int each = i;
+                    inBackground("kill all, host " + i, hostFaults.get(i), () -> kill(each, durationMs));
+                }
+            }
             default -> reconfigure();
         }
     }
@@ -231,6 +242,14 @@
         endpoint.mode(SoakEndpoint.Mode.HEALTHY);
     }
 
+    /** Lets all endpoints fail, so that every request that may run again is retried as far as the budget allows. */
+    private void failAllEndpoints() throws InterruptedException {
+        List<RunningEndpoint> failing = List.copyOf(endpoints);
+        failing.forEach(e -> e.endpoint().mode(SoakEndpoint.Mode.ERRORS));
+        Thread.sleep(ALL_FAIL_MS);
+        failing.forEach(e -> e.endpoint().mode(SoakEndpoint.Mode.HEALTHY));
+    }
+
     private RunningEndpoint anyEndpoint() {
         return endpoints.get(random.nextInt(endpoints.size()));
     }
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
@@ -55,6 +55,7 @@
         SoakChecks checks = new SoakChecks(record);
         record.outcomes().forEach(checks::checkAnswered);
         record.executions().forEach(checks::checkDrained);
+        checks.violations.addAll(RetryBudgetCheck.violations(record));
         checks.checkFaultFreeEnd();
         return checks.violations;
     }
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -7,6 +7,7 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.dispatch.PromptPart;
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
@@ -16,6 +17,7 @@
 import org.dragonflygw.wire.hosts.CrashSuspectMessage;
 import org.dragonflygw.wire.hosts.EndpointUseMessage;
 import org.dragonflygw.wire.hosts.HostReportMessage;
+import org.dragonflygw.wire.hosts.LeavingEndpointMessage;
 import org.dragonflygw.wire.hosts.PromptHoldingMessage;
 import org.dragonflygw.wire.hosts.PromptPartMessage;
 
@@ -56,6 +58,10 @@
                 holdings,
                 StoreNewsCodec.encode(report.news()),
                 report.crashes().stream().map(HostReportCodec::encode).toList());
+        if (!report.leaving().isEmpty()) {
+            message.setLeaving(
+                    report.leaving().stream().map(HostReportCodec::encode).toList());
+        }
         try {
             return serializer.serialize(message);
         } catch (TException e) {
@@ -68,6 +74,19 @@
                 .setAgeMillis(suspect.ageMs());
     }
 
+    private static LeavingEndpointMessage encode(LeavingEndpoint leaving) {
+        return new LeavingEndpointMessage(leaving.id(), leaving.startedMs(), leaving.ageMs());
+    }
+
+    private static List<LeavingEndpoint> decodeLeaving(HostReportMessage m) {
+        if (!m.isSetLeaving()) {
+            return List.of();
+        }
+        return m.getLeaving().stream()
+                .map(l -> new LeavingEndpoint(l.getId(), l.getStartedMillis(), Math.max(0, l.getAgeMillis())))
+                .toList();
+    }
+
     private static CrashSuspect decode(CrashSuspectMessage m) {
         return new CrashSuspect(m.getFingerprint(), Set.copyOf(m.getEndpoints()), m.getAgeMillis());
     }
@@ -113,6 +132,7 @@
                 uses,
                 holdings,
                 m.getCrashes().stream().map(HostReportCodec::decode).toList(),
+                decodeLeaving(m),
                 StoreNewsCodec.decode(m.getNews()));
     }
 }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -115,6 +115,14 @@
   3: optional i64 ageMillis
 }
 
+/** An instance of an endpoint that said in a response that it is leaving. */
+struct LeavingEndpointMessage {
+  1: required string id
+  2: required i64 startedMillis
+  /** Time since a host first heard it. */
+  3: required i64 ageMillis
+}
+
 /** State that a host reports to the other hosts several times a second. */
 struct HostReportMessage {
   1: required string host
@@ -128,4 +136,5 @@
   7: required list<PromptHoldingMessage> holdings
   8: required StoreNewsMessage news
   9: required list<CrashSuspectMessage> crashes
+  10: optional list<LeavingEndpointMessage> leaving
 }
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -18,6 +18,7 @@
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.catalog.WeightedService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.dispatch.PromptPart;
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
@@ -78,6 +79,7 @@
                 List.of(new EndpointUse("i-1", 3, 4, 0.25)),
                 List.of(new PromptHolding("i-1", List.of(new PromptPart(5, 6)))),
                 List.of(new CrashSuspect(77, Set.of("i-1", "i-2"), 1_500)),
+                List.of(new LeavingEndpoint("i-3", 17, 250)),
                 news);
     }
 
