Hold the load bound by the endpoints' own reports where they are newer than the peers'

Failure scores had left few engines in choice and shared prompts drew all hosts to the same one. Class of fault: a limit kept by each host against counts that the others' requests of the same moment are not in. Ruled out: that scores outweigh the bound (none of the sends was over the bound as its host saw it). Change: the bound also looks at the load that the endpoint reported in a response within the last 500 ms; what the choice expects is as before.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -22,6 +22,9 @@
     /** Time for which a report of load from other hosts is used, in nanoseconds; about the duration of a stream. */
     private static final long REPORT_EXPIRY_NANOS = 2_500_000_000L;
 
+    /** Time for which the endpoint's own report may be ahead of the peers' reports, in nanoseconds. */
+    private static final long RECENT_REPORT_NANOS = 500_000_000L;
+
     private final CachedParts cached;
     private final QuietTime quiet = new QuietTime();
     private final long idHash;
@@ -119,6 +122,15 @@
         return inFlight + (isFresh(reportNanos, nowNanos) ? otherRequestsAtReport : 0);
     }
 
+    /**
+     * Returns the higher of {@link #load} and the load that the endpoint itself reported a moment ago. Its report holds
+     * what all hosts have sent since the last reports of the peers.
+     */
+    double highestLoad(long nowNanos) {
+        boolean recent = reportNanos != Long.MIN_VALUE && nowNanos - reportNanos < RECENT_REPORT_NANOS;
+        return Math.max(load(nowNanos), recent ? inFlight + otherRequestsAtReport : 0);
+    }
+
     /** Returns the estimated number of prompt tokens of all hosts that the endpoint has not read yet. */
     public double estimatedUnreadTokens(long nowNanos) {
         return unreadTokens + (isFresh(peerLoadNanos, nowNanos) ? peerLoad.unreadTokens() : 0);
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -162,7 +162,7 @@
         if (!settings.get().zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_PENALTY_MS;
         }
-        if (load + 1 > bound) {
+        if (e.highestLoad(nowNanos) + 1 > bound) {
             cost += OVER_BOUND_PENALTY_MS;
         }
         if (e.isBlocked(nowNanos)) {
