Ignore what another instance at an endpoint's address says of itself; weights beside the failures they belong to

Found on reading the change again: a 421 comes from another instance at a reused address, yet its load and its Server-Leaving were taken for the endpoint's. Now both are ignored with that status. Run: ofAnotherInstanceAtTheAddressDoesNotCount, the tests of the exchange, HeadersTest, DataPlaneTest, dependency tests.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -5,7 +5,6 @@
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
-import org.dragonflygw.core.dispatch.UnavailableReason;
 import org.dragonflygw.core.retry.RetryDecision;
 
 /**
@@ -28,15 +27,6 @@
      */
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
-    /** Failure score of an endpoint that is not the expected instance: its address belongs to another one. */
-    private static final double MISDIRECTED_FAILURE_WEIGHT = 4;
-
-    /** Failure score of an endpoint that rejects a request, which it may do while it is only full. */
-    private static final double REJECTION_FAILURE_WEIGHT = 0.5;
-
-    /** Failure score of a silent attempt, less than of one that failed: the endpoint may only be slow. */
-    private static final double SILENCE_FAILURE_WEIGHT = 0.7;
-
     private enum Phase {
         CHOOSING,
         SENT,
@@ -92,7 +82,7 @@
         long now = now();
         Choice choice = context.chooser().choose(choiceRequest(now), now);
         if (choice.endpoint().isEmpty()) {
-            refuseOrFail(toRejectReason(choice.reason()), choice.expectedMs());
+            refuseOrFail(RejectReason.of(choice.reason()), choice.expectedMs());
             return;
         }
         send(choice, now);
@@ -107,15 +97,6 @@
                 attempts.failedEndpoints());
     }
 
-    private static RejectReason toRejectReason(UnavailableReason reason) {
-        return switch (reason) {
-            case QUIET -> RejectReason.ENDPOINTS_QUIET;
-            case BUSY -> RejectReason.BUSY;
-            case TOO_LATE -> RejectReason.TOO_LATE;
-            default -> RejectReason.NO_ENDPOINT;
-        };
-    }
-
     private void send(Choice choice, long now) {
         endpoint = choice.endpoint().orElseThrow();
         uncachedTokens = choice.uncachedTokens();
@@ -145,9 +126,11 @@
             return;
         }
         long now = now();
-        head.load().ifPresent(load -> endpoint.onLoadReport(load, now));
-        onNotice(head.notice(), now);
-        if (head.notExecuted() || head.status() == 421) {
+        if (!head.isMisdirected()) {
+            head.load().ifPresent(load -> endpoint.onLoadReport(load, now));
+            onNotice(head.notice(), now);
+        }
+        if (head.notExecuted() || head.isMisdirected()) {
             onRejected(head, now);
             return;
         }
@@ -183,13 +166,11 @@
     private void onRejected(ResponseHead head, long now) {
         ignoreResponse = true;
         attempts.onRejection(endpoint.entry().id());
-        if (head.notice().quietMs() == 0) {
-            endpoint.onFailure(head.status() == 421 ? MISDIRECTED_FAILURE_WEIGHT : REJECTION_FAILURE_WEIGHT, now);
-        }
+        endpoint.onFailure(head.rejectionWeight(), now);
         log.attemptFailed(endpoint, "rejected", head.status(), now - attemptStartNanos);
         endAttempt();
         out.cancelAttempt();
-        if (head.status() == 421) {
+        if (head.isMisdirected()) {
             endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
         }
         retryOrFail(
@@ -281,21 +262,18 @@
         endAttempt();
         if (cause.isBeforeSending()) {
             attempts.onConnectFailure(endpoint.entry().id());
+            endpoint.onFailure(cause.weight(), now);
             if (cause != AttemptFailure.WITHDRAWN) {
-                endpoint.onFailure(1, now);
                 endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
             }
             retryOrFail(RejectReason.UNREACHABLE, attempts.mayRetryConnect() && hasTimeToRetry(now));
             return;
         }
-        out.cancelAttempt();
-        endpoint.onFailure(1, now);
         if (cause == AttemptFailure.CONNECTION_LOST) {
             context.crashes()
                     .onConnectionLost(request.fingerprint(), endpoint.entry().id(), now);
         }
-        mayHaveRun = true;
-        attempts.onExecuted(endpoint.entry().id());
+        giveUpAttempt(cause, now);
         retryOrFail(RejectReason.ENDPOINT_FAILED, mayRetry(now));
     }
 
@@ -303,11 +281,15 @@
     private void replaceSilentAttempt(long now) {
         log.attemptFailed(endpoint, AttemptFailure.SILENT.name(), 0, now - attemptStartNanos);
         endAttempt();
+        giveUpAttempt(AttemptFailure.SILENT, now);
+        retryOrFail(RejectReason.ENDPOINT_FAILED, true);
+    }
+
+    private void giveUpAttempt(AttemptFailure cause, long now) {
         out.cancelAttempt();
-        endpoint.onFailure(SILENCE_FAILURE_WEIGHT, now);
+        endpoint.onFailure(cause.weight(), now);
         mayHaveRun = true;
         attempts.onExecuted(endpoint.entry().id());
-        retryOrFail(RejectReason.ENDPOINT_FAILED, true);
     }
 
     private void retryOrFail(RejectReason reason, boolean allowed) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
@@ -1,5 +1,7 @@
 package org.dragonflygw.core.exchange;
 
+import org.dragonflygw.core.dispatch.UnavailableReason;
+
 /** Why a caller gets a response of this host instead of an endpoint's, with the HTTP status of that response. */
 public enum RejectReason {
     /** No route matches. */
@@ -39,6 +41,16 @@
 
     private final int status;
 
+    /** Returns the reason to give to a caller when no endpoint can be chosen. */
+    static RejectReason of(UnavailableReason reason) {
+        return switch (reason) {
+            case QUIET -> ENDPOINTS_QUIET;
+            case BUSY -> BUSY;
+            case TOO_LATE -> TOO_LATE;
+            default -> NO_ENDPOINT;
+        };
+    }
+
     RejectReason(int status) {
         this.status = status;
     }
--- a/core/src/main/java/org/dragonflygw/core/exchange/ResponseHead.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ResponseHead.java
@@ -25,10 +25,30 @@
         Optional<LoadReport> load,
         EndpointNotice notice,
         List<HeaderField> fields) {
+    private static final int STATUS_MISDIRECTED = 421;
+    private static final double MISDIRECTED_WEIGHT = 4;
+    private static final double REJECTION_WEIGHT = 0.5;
+
     public ResponseHead {
         fields = List.copyOf(fields);
     }
 
+    /** Whether another instance answered at the endpoint's address; what the response says is not about the endpoint. */
+    public boolean isMisdirected() {
+        return status == STATUS_MISDIRECTED;
+    }
+
+    /**
+     * What a rejection adds to the endpoint's failure score: nothing if the endpoint asked for quiet, little otherwise, as
+     * it may only be full, and much if the address belongs to another instance.
+     */
+    double rejectionWeight() {
+        if (isMisdirected()) {
+            return MISDIRECTED_WEIGHT;
+        }
+        return notice.quietMs() > 0 ? 0 : REJECTION_WEIGHT;
+    }
+
     /** Whether the status is 2xx. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
@@ -91,6 +91,13 @@
             assertThat(endpointsOfManyRequests()).doesNotContain(entry.id());
         }
 
+        /** Guards against an address that another instance has taken over, whose word is not the endpoint's. */
+        @Test
+        void ofAnotherInstanceAtTheAddressDoesNotCount() {
+            f.start(route(RouteKind.NON_IDEMPOTENT, false)).onHead(headWithNotice(421, true, LEAVING));
+            assertThat(f.loads.recentLeaves(f.clock.nanos())).isEmpty();
+        }
+
         @Test
         void endsWithANewInstance() {
             DiscoveredEndpoint old = ExchangeFixture.endpoint(leavingEndpoint(200));
--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -28,6 +28,11 @@
     private static final int MAX_FAULT_MS = 2_500;
     private static final int MAX_PAUSE_MS = 700;
 
+    /** Time before the first of several restarts, in milliseconds: more than the window of the retry budget. */
+    private static final int BEFORE_RESTARTS_MS = 12_000;
+
+    private static final int BETWEEN_RESTARTS_MS = 3_500;
+
     /** Time for which all endpoints fail, in milliseconds: a restart of all hosts fits into it. */
     private static final int ALL_FAIL_MS = 4_000;
 
@@ -79,6 +84,30 @@
 
     /** Runs with faults for the given time in milliseconds, then without faults, and returns the record. */
     SoakRecord run(long millis) throws InterruptedException {
+        return record(() -> {
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+            while (System.nanoTime() < end) {
+                injectFault();
+                Thread.sleep(random.nextInt(MAX_PAUSE_MS));
+            }
+        });
+    }
+
+    /** Runs while all endpoints fail and all hosts are killed several times, and returns the record. */
+    SoakRecord runWithRestartsWhileEndpointsFail(int restarts) throws InterruptedException {
+        return record(() -> {
+            Thread.sleep(BEFORE_RESTARTS_MS);
+            allEndpoints.forEach(e -> e.mode(SoakEndpoint.Mode.ERRORS));
+            for (int i = 0; i < restarts; i++) {
+                Thread.sleep(BETWEEN_RESTARTS_MS);
+                killAll(0);
+            }
+            Thread.sleep(BETWEEN_RESTARTS_MS);
+            allEndpoints.forEach(e -> e.mode(SoakEndpoint.Mode.HEALTHY));
+        });
+    }
+
+    private SoakRecord record(Action faults) throws InterruptedException {
         for (EdgeProcess h : hosts) {
             h.awaitReady(READY_TIMEOUT_MS);
         }
@@ -97,11 +126,7 @@
             threads.add(thread);
             thread.start();
         }
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-        while (System.nanoTime() < end) {
-            injectFault();
-            Thread.sleep(random.nextInt(MAX_PAUSE_MS));
-        }
+        faults.run();
         for (Thread t : faultThreads) {
             t.join(READY_TIMEOUT_MS);
         }
@@ -157,12 +182,7 @@
             }
             case 8 -> replaceEndpoint();
             case 9 -> inBackground("all endpoints fail", endpointFaults, this::failAllEndpoints);
-            case 10 -> {
-                for (int i = 0; i < hosts.size(); i++) {
-                    int each = i;
-                    inBackground("kill all, host " + i, hostFaults.get(i), () -> kill(each, durationMs));
-                }
-            }
+            case 10 -> killAll(durationMs);
             default -> reconfigure();
         }
     }
@@ -200,6 +220,13 @@
         }
     }
 
+    private void killAll(int downMs) {
+        for (int i = 0; i < hosts.size(); i++) {
+            int host = i;
+            inBackground("kill all, host " + i, hostFaults.get(i), () -> kill(host, downMs));
+        }
+    }
+
     private void pause(int host, int durationMs) throws InterruptedException {
         EdgeProcess h = hosts.get(host);
         synchronized (h) {
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
@@ -9,10 +9,11 @@
 
 /**
  * Runs soaks with several seeds, one after the other. Arguments: first seed, number of seeds, duration of each soak in
- * seconds, number of hosts, first port.
+ * seconds, number of hosts, first port. A duration of 0 means five restarts of all hosts while all endpoints fail.
  */
 public final class SoakMain {
     private static final long MS_PER_S = 1_000;
+    private static final int RESTARTS = 5;
 
     private SoakMain() {}
 
@@ -24,7 +25,9 @@
             Path dir = Files.createTempDirectory("soak-" + seed + "-");
             try (Soak soak = new Soak(seed, Integer.parseInt(args[3]), Integer.parseInt(args[4]), dir)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(soak::close, "end-of-soak"));
-                SoakRecord record = soak.run(Long.parseLong(args[2]) * MS_PER_S);
+                long seconds = Long.parseLong(args[2]);
+                SoakRecord record =
+                        seconds == 0 ? soak.runWithRestartsWhileEndpointsFail(RESTARTS) : soak.run(seconds * MS_PER_S);
                 List<String> violations = new ArrayList<>(SoakChecks.safetyViolations(record));
                 violations.addAll(SoakChecks.timingViolations(record));
                 long good = record.outcomes().stream().filter(Outcome::success).count();
