Start the retry budget anew after a suspension of the host

A suspended host's monotonic clock stands still, so its window of 10 s then spans more of everybody else's time; requests that the budget no longer counts allowed a burst of retries. Change: StoreContact's comparison of the two clocks becomes SuspensionDetector; after a suspension FleetRetryShare forgets its times and keeps to the small share of a new process for one window. Why it works: what was sent before is at most what a process leaves behind at its end. A step of the wall clock is taken for a suspension and costs retries for one window. Ways weighed: the later of the two clocks for requests alone (requests that waited in the host during a suspension are then counted too late, 38 beyond the budget by a reckoning of six hosts and six seconds).

--- a/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
+++ b/core/src/main/java/org/dragonflygw/core/contact/StoreContact.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.function.LongSupplier;
 import org.dragonflygw.core.lease.MonotonicClock;
+import org.dragonflygw.core.lease.SuspensionDetector;
 
 /**
  * Tracks how recently this host read the configuration from the store. API keys are accepted only while the last read
@@ -11,18 +12,12 @@
  * invalidates the confirmation until the next read. Not thread-safe.
  */
 public final class StoreContact {
-    /**
-     * Wall clock jump that invalidates the confirmation, in milliseconds; larger than ordinary clock adjustments.
-     */
-    private static final long MAX_CLOCK_JUMP_MS = 400;
-
     private final LongSupplier maxAgeNanos;
     private final MonotonicClock clock;
-    private final InstantSource wallClock;
+    private final SuspensionDetector suspensions;
 
     private boolean confirmed;
     private long confirmedNanos;
-    private long wallClockOffsetMs;
     private long suspensionNanos;
 
     /**
@@ -33,9 +28,8 @@
     public StoreContact(LongSupplier maxAgeNanos, MonotonicClock clock, InstantSource wallClock) {
         this.maxAgeNanos = maxAgeNanos;
         this.clock = clock;
-        this.wallClock = wallClock;
+        this.suspensions = new SuspensionDetector(clock, wallClock);
         this.suspensionNanos = Long.MIN_VALUE;
-        this.wallClockOffsetMs = wallClockOffset(clock.nanos());
     }
 
     /**
@@ -65,16 +59,9 @@
     }
 
     private void detectSuspension() {
-        long now = clock.nanos();
-        long offset = wallClockOffset(now);
-        if (Math.abs(offset - wallClockOffsetMs) > MAX_CLOCK_JUMP_MS) {
+        if (suspensions.wasSuspended()) {
             confirmed = false;
-            suspensionNanos = now;
-            wallClockOffsetMs = offset;
+            suspensionNanos = clock.nanos();
         }
     }
-
-    private long wallClockOffset(long nowNanos) {
-        return wallClock.instant().toEpochMilli() - nowNanos / 1_000_000;
-    }
 }
--- a/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
@@ -6,29 +6,34 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.function.Supplier;
+import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.settings.RetryBounds;
 
 /**
  * This host's share of a retry budget for the whole fleet. In any window, the retries of a service are limited to a
  * ratio of its requests plus a fixed slack. Each host may use the ratio of its own requests and an equal part of the
- * slack, so hosts need not coordinate. A host that does not know how many others there are uses no slack, and a process
- * that has just started uses little, because it does not know what the process before it used. Not thread safe; confined
- * to one thread.
+ * slack, so hosts need not coordinate. A host that does not know how many others there are uses no slack. A process that
+ * has just started uses little, because it does not know what the process before it used, and so does a host that was
+ * suspended, because its clock stood still. Not thread safe; confined to one thread.
  */
 public final class FleetRetryShare {
     /** Share of the budget that is used; leaves a margin because hosts learn late of changes in the number of hosts. */
     private static final double USED_BUDGET_SHARE = 0.8;
 
     /**
-     * Share of the ratio that a process uses during its first window. The process before it on this host may have used
-     * {@link #USED_BUDGET_SHARE} of the budget in the same window; both together stay within it.
+     * Share of the ratio that a process uses during its first window, and during the one after a suspension. The host may
+     * have used {@link #USED_BUDGET_SHARE} of the budget just before; both together stay within it.
      */
     private static final double FIRST_WINDOW_RATIO_SHARE = 0.1;
 
     private final Supplier<RetryBounds> bounds;
     private final Supplier<OptionalInt> fleetSize;
-    private final long startNanos;
+    private final SuspensionDetector suspensions;
     private final Map<String, Window> byService = new HashMap<>();
+
+    /** Monotonic time since which this process knows what its host sent. */
+    private long knownSinceNanos;
+
     private long grantedCount;
     private long deniedCount;
 
@@ -37,21 +42,29 @@
      *
      * @param bounds the current budget of all hosts together
      * @param fleetSize the current number of hosts that share the budget, empty while it is unknown
+     * @param suspensions detects suspensions of this host
      * @param startNanos when this process started, on the monotonic clock
      */
-    public FleetRetryShare(Supplier<RetryBounds> bounds, Supplier<OptionalInt> fleetSize, long startNanos) {
+    public FleetRetryShare(
+            Supplier<RetryBounds> bounds,
+            Supplier<OptionalInt> fleetSize,
+            SuspensionDetector suspensions,
+            long startNanos) {
         this.bounds = bounds;
         this.fleetSize = fleetSize;
-        this.startNanos = startNanos;
+        this.suspensions = suspensions;
+        this.knownSinceNanos = startNanos;
     }
 
     /** Records a request of a caller. */
     public void onRequest(String service, long nowNanos) {
+        forgetAfterSuspension(nowNanos);
         window(service).requests.add(nowNanos, bounds.get().windowNanos());
     }
 
     /** Takes a retry from the share, unless the share is exhausted. */
     public RetryDecision tryRetry(String service, long nowNanos) {
+        forgetAfterSuspension(nowNanos);
         Window window = window(service);
         long windowNanos = bounds.get().windowNanos();
         expire(window.retries, nowNanos - windowNanos);
@@ -69,9 +82,17 @@
         return new RetryDecision(granted, requests, used, allowed, hosts);
     }
 
+    /** The times that a suspended host has recorded are older than they seem, so it begins like a new process. */
+    private void forgetAfterSuspension(long nowNanos) {
+        if (suspensions.wasSuspended()) {
+            byService.clear();
+            knownSinceNanos = nowNanos;
+        }
+    }
+
     private double allowed(int requests, OptionalInt hosts, long nowNanos) {
         RetryBounds budget = bounds.get();
-        if (nowNanos - startNanos < budget.windowNanos()) {
+        if (nowNanos - knownSinceNanos < budget.windowNanos()) {
             return FIRST_WINDOW_RATIO_SHARE * budget.ratio() * requests;
         }
         double slackShare = hosts.isPresent() ? budget.slack() / hosts.getAsInt() : 0;
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -17,6 +17,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.dispatch.Prompt;
+import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.retry.CrashSuspects;
@@ -52,6 +53,7 @@
         retries = new FleetRetryShare(
                 () -> new RetryBounds(0.2, retrySlack, WINDOW_NANOS),
                 () -> OptionalInt.of(1),
+                new SuspensionDetector(clock, clock),
                 clock.nanos() - WINDOW_NANOS);
         for (int i = 1; i <= 3; i++) {
             loads.onUpdated(endpoint("e" + i));
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryBudgetTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryBudgetTest.java
@@ -81,4 +81,23 @@
             default -> fleet.setFailing(random.nextBoolean());
         }
     }
+
+    /** Guards against hosts whose clock stands still while they are suspended, so that old requests still count. */
+    @Property(tries = 400, seed = "77")
+    void budgetHoldsThroughSuspensions(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SimulatedRetryFleet fleet = calmFleet(seed);
+        for (int i = 0; i < 40; i++) {
+            if (random.nextInt(3) == 0) {
+                int ms = random.nextInt(6_000);
+                for (int host = 0; host < HOSTS; host++) {
+                    fleet.suspend(host, ms);
+                }
+            } else {
+                disturb(fleet, random);
+            }
+            fleet.runForMs(random.nextInt(4_000));
+        }
+        assertThat(fleet.times().worstExcess()).isAtMost(0);
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
@@ -4,12 +4,16 @@
 
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.settings.RetryBounds;
 import org.junit.jupiter.api.Test;
 
 final class FleetRetryShareTest {
     private static final long WINDOW = TimeUnit.SECONDS.toNanos(10);
 
+    private final ManualMonotonicClock clock = new ManualMonotonicClock();
+
     private static int countRetries(FleetRetryShare share, long now) {
         int n = 0;
         while (n < 1_000 && share.tryRetry("s", now).granted()) {
@@ -23,8 +27,11 @@
         int hosts = 6;
         int total = 0;
         for (int h = 0; h < hosts; h++) {
-            FleetRetryShare share =
-                    new FleetRetryShare(() -> new RetryBounds(0.2, 52, WINDOW), () -> OptionalInt.of(hosts), -WINDOW);
+            FleetRetryShare share = new FleetRetryShare(
+                    () -> new RetryBounds(0.2, 52, WINDOW),
+                    () -> OptionalInt.of(hosts),
+                    new SuspensionDetector(clock, clock),
+                    -WINDOW);
             for (int i = 0; i < 100; i++) {
                 share.onRequest("s", 0);
             }
@@ -36,8 +43,11 @@
 
     @Test
     void retriesAreAllowedAgainAfterTheWindow() {
-        FleetRetryShare share =
-                new FleetRetryShare(() -> new RetryBounds(0, 10, WINDOW), () -> OptionalInt.of(1), -WINDOW);
+        FleetRetryShare share = new FleetRetryShare(
+                () -> new RetryBounds(0, 10, WINDOW),
+                () -> OptionalInt.of(1),
+                new SuspensionDetector(clock, clock),
+                -WINDOW);
         assertThat(countRetries(share, 0)).isEqualTo(8);
         assertThat(countRetries(share, WINDOW / 2)).isEqualTo(0);
         assertThat(countRetries(share, WINDOW + 1)).isEqualTo(8);
@@ -45,15 +55,22 @@
 
     @Test
     void servicesDoNotShareABudget() {
-        FleetRetryShare share =
-                new FleetRetryShare(() -> new RetryBounds(0, 2, WINDOW), () -> OptionalInt.of(1), -WINDOW);
+        FleetRetryShare share = new FleetRetryShare(
+                () -> new RetryBounds(0, 2, WINDOW),
+                () -> OptionalInt.of(1),
+                new SuspensionDetector(clock, clock),
+                -WINDOW);
         assertThat(share.tryRetry("a", 0).granted()).isTrue();
         assertThat(share.tryRetry("b", 0).granted()).isTrue();
     }
 
     @Test
     void aProcessThatHasJustStartedRetriesAFewOfItsRequests() {
-        FleetRetryShare share = new FleetRetryShare(() -> new RetryBounds(0.2, 52, WINDOW), () -> OptionalInt.of(1), 0);
+        FleetRetryShare share = new FleetRetryShare(
+                () -> new RetryBounds(0.2, 52, WINDOW),
+                () -> OptionalInt.of(1),
+                new SuspensionDetector(clock, clock),
+                0);
         for (int i = 0; i < 100; i++) {
             share.onRequest("s", 1);
         }
--- a/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PeerTable;
@@ -73,6 +74,11 @@
         hosts.get(host).kill();
     }
 
+    /** Suspends a host: its clock stands still, and it handles the requests of that time when it wakes. */
+    void suspend(int host, int ms) {
+        hosts.get(host).suspend(ms);
+    }
+
     RetryTimes times() {
         return times;
     }
@@ -98,6 +104,9 @@
         private int startsAtMs = -1;
         private int nextRoundMs;
         private long sequence;
+        private int suspendedUntilMs;
+        private long suspendedNanos;
+        private int waitingRequests;
 
         Host(String name) {
             this.name = name;
@@ -109,13 +118,32 @@
             startsAtMs = nowMs + startMs;
         }
 
+        /** Time on the host's monotonic clock, which does not count suspensions. */
+        private long nanos() {
+            return clock.nanos() - suspendedNanos;
+        }
+
+        void suspend(int ms) {
+            if (nowMs >= suspendedUntilMs) {
+                suspendedUntilMs = nowMs + ms;
+                suspendedNanos += TimeUnit.MILLISECONDS.toNanos(ms);
+            }
+        }
+
         void start() {
-            peers = new PeerTable(name, new EndpointLoads(), new NoOpEventLog(), clock);
-            share = new FleetRetryShare(() -> BUDGET, peers::fleetSize, clock.nanos());
+            peers = new PeerTable(name, new EndpointLoads(), new NoOpEventLog(), this::nanos);
+            SuspensionDetector suspensions = new SuspensionDetector(this::nanos, clock);
+            share = new FleetRetryShare(() -> BUDGET, peers::fleetSize, suspensions, nanos());
             nextRoundMs = nowMs + ROUND_MS;
         }
 
         void step() {
+            if (nowMs < suspendedUntilMs) {
+                return;
+            }
+            for (; waitingRequests > 0; waitingRequests--) {
+                handleRequest();
+            }
             if (share == null && nowMs >= startsAtMs) {
                 start();
             }
@@ -141,13 +169,21 @@
         }
 
         void onRequest() {
+            if (nowMs < suspendedUntilMs) {
+                waitingRequests++;
+                return;
+            }
+            handleRequest();
+        }
+
+        private void handleRequest() {
             if (share == null) {
                 return;
             }
-            share.onRequest(SERVICE, clock.nanos());
+            share.onRequest(SERVICE, nanos());
             if (failing
                     && random.nextDouble() < FAILURE_RATIO
-                    && share.tryRetry(SERVICE, clock.nanos()).granted()) {
+                    && share.tryRetry(SERVICE, nanos()).granted()) {
                 times.addRetry(clock.nanos());
             }
         }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -25,6 +25,7 @@
 import org.dragonflygw.core.dispatch.TwoChoicesChooser;
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.EventLog;
@@ -98,7 +99,11 @@
         this.contact = new StoreContact(this::maxKeyAgeNanos, System::nanoTime, InstantSource.system());
         this.registry = new EndpointRegistry(new EndpointUpdates(), this::heartbeatNanos, log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
-        this.retries = new FleetRetryShare(() -> settings.bounds().retries(), peers::fleetSize, System.nanoTime());
+        this.retries = new FleetRetryShare(
+                () -> settings.bounds().retries(),
+                peers::fleetSize,
+                new SuspensionDetector(System::nanoTime, InstantSource.system()),
+                System.nanoTime());
         this.store =
                 new StoreView(group, settings, catalogs, registry, contact, peers, metrics, log, this::reportToPeers);
     }
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -33,6 +33,7 @@
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.NoOpEventLog;
@@ -73,6 +74,7 @@
         FleetRetryShare retries = new FleetRetryShare(
                 () -> new RetryBounds(1, 100, TimeUnit.SECONDS.toNanos(10)),
                 () -> OptionalInt.of(1),
+                new SuspensionDetector(System::nanoTime, InstantSource.system()),
                 System.nanoTime() - TimeUnit.SECONDS.toNanos(10));
         ExchangeContext exchanges = new ExchangeContext(
                 chooser,
