--- a/core/src/main/java/org/dragonflygw/core/storenews/StoreEra.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/StoreEra.java
@@ -8,8 +8,8 @@
  * are given out again in each era, so versions of two eras cannot be compared. Not thread-safe.
  */
 public final class StoreEra {
-    /** Era of a response or report that names none. */
-    public static final long UNKNOWN = 0;
+    /** Era of a response or report that names none; lower than every era, which may begin at 0. */
+    public static final long UNKNOWN = -1;
 
     private final EventLog log;
     private final Runnable onNewEra;
--- a/core/src/main/java/org/dragonflygw/core/storenews/StoreNews.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/StoreNews.java
@@ -5,7 +5,7 @@
 /**
  * State of one host's copy of the store, sent to the other hosts so that they need not read the store too.
  *
- * @param era era of the store that the versions belong to, 0 if unknown
+ * @param era era of the store that the versions belong to, or {@link StoreEra#UNKNOWN}
  * @param reachable whether the host's own last reads of the store were answered
  * @param endpointsVersion version up to which the host's list of endpoints is complete; 0 if it has none
  * @param endpointsAgeMs time since that version was known to be the newest, in milliseconds; -1 if there is no list
@@ -22,7 +22,8 @@
         List<EndpointChange> changes,
         ConfigurationNews configuration) {
     /** News of a host that has read nothing. */
-    public static final StoreNews NONE = new StoreNews(0, false, 0, -1, 0, List.of(), ConfigurationNews.NONE);
+    public static final StoreNews NONE =
+            new StoreNews(StoreEra.UNKNOWN, false, 0, -1, 0, List.of(), ConfigurationNews.NONE);
 
     public StoreNews {
         changes = List.copyOf(changes);
--- a/core/src/main/java/org/dragonflygw/core/storenews/TableProgress.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/TableProgress.java
@@ -11,8 +11,8 @@
  */
 public final class TableProgress {
     private final StoreEra era;
-    private long listedEra;
-    private long readEra;
+    private long listedEra = StoreEra.UNKNOWN;
+    private long readEra = StoreEra.UNKNOWN;
     private boolean listed;
     private boolean listing;
     private long version;
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreEraTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreEraTest.java
@@ -21,6 +21,20 @@
         assertThat(era.current()).isEqualTo(7);
     }
 
+    /** Guards against a first era of 0 that is taken for none, so that the first drill goes unnoticed. */
+    @Test
+    void erasMayBeginAtZero() {
+        TableProgress progress = new TableProgress(era);
+        progress.onReadSent();
+        assertThat(progress.accepts(0)).isTrue();
+        progress.onListingPage(new RowPage(List.of(), 100, false), 0);
+        assertThat(progress.listed()).isTrue();
+        progress.onReadSent();
+        assertThat(progress.accepts(1)).isFalse();
+        assertThat(progress.listed()).isFalse();
+        assertThat(readAgain).isEqualTo(1);
+    }
+
     @Test
     void laterEraRequiresToReadEverythingOnce() {
         era.onSeen(7, "read");
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreResponse.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreResponse.java
@@ -1,12 +1,13 @@
 package org.dragonflygw.edge.store;
 
 import java.util.Optional;
+import org.dragonflygw.core.storenews.StoreEra;
 
 /**
  * Result of a call to the store: an HTTP response or a failure.
  *
  * @param status HTTP status, 0 if there was no response
- * @param era era of the store that the response names, 0 if none
+ * @param era era of the store that the response names, or {@link StoreEra#UNKNOWN}
  * @param body response body
  * @param sentNanos time when the call was sent, from {@link System#nanoTime()}
  * @param failure reason of the failure if there was no response
@@ -17,7 +18,7 @@
     private static final byte[] NO_BYTES = {};
 
     static StoreResponse failed(String failure, long sentNanos) {
-        return new StoreResponse(0, 0, NO_BYTES, sentNanos, Optional.of(failure));
+        return new StoreResponse(0, StoreEra.UNKNOWN, NO_BYTES, sentNanos, Optional.of(failure));
     }
 
     boolean isOk() {
--- a/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
@@ -6,6 +6,7 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.storenews.ConfigurationNews;
 import org.dragonflygw.core.storenews.EndpointChange;
+import org.dragonflygw.core.storenews.StoreEra;
 import org.dragonflygw.core.storenews.StoreNews;
 import org.dragonflygw.wire.hosts.EndpointChangeMessage;
 import org.dragonflygw.wire.hosts.StoreNewsMessage;
@@ -54,7 +55,7 @@
                 m.getConfigAgeMillis(),
                 m.getUpdates().stream().map(CatalogUpdateCodec::decode).toList());
         return new StoreNews(
-                m.getStoreEra(),
+                m.isSetStoreEra() ? m.getStoreEra() : StoreEra.UNKNOWN,
                 m.isReachable(),
                 m.getEndpointsVersion(),
                 m.getEndpointsAgeMillis(),
