Log each change of the suspicion that a request crashes endpoints

CRASH_SUSPECT lines give fingerprint, lost endpoints, age and whether the request is blocked; a failed attempt and a refusal name the fingerprint; two gauges count suspects and blocked ones. No decision changes.

--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -47,6 +47,7 @@
                 .with("outcome", outcome)
                 .with("status", status)
                 .with("attemptMs", durationNanos / NANOS_PER_MS)
+                .with("fingerprint", Long.toHexString(request.fingerprint()))
                 .end();
     }
 
@@ -89,6 +90,7 @@
                 .with("reason", reason.name())
                 .with("expectedMs", expectedMs)
                 .with("remainingMs", remainingMs)
+                .with("fingerprint", Long.toHexString(request.fingerprint()))
                 .end();
     }
 
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -30,6 +30,8 @@
     ATTEMPT_FAILED,
     /** The retry budget granted or denied one more attempt; the line has the figures that decided it. */
     RETRY,
+    /** Endpoints were lost while they ran a request, or the request was cleared; the line has the lost endpoints. */
+    CRASH_SUSPECT,
     /** A request ended; the line has its outcome. */
     END,
     /** The state of a peer, as this host sees it, changed. */
--- a/core/src/main/java/org/dragonflygw/core/retry/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/CrashSuspects.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
 
 /**
  * Tracks requests that may crash the endpoints that run them. Requests are identified by fingerprint, since callers
@@ -39,17 +41,26 @@
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final Map<Long, Losses> byFingerprint = new LinkedHashMap<>();
+    private final EventLog log;
+
+    public CrashSuspects(EventLog log) {
+        this.log = log;
+    }
 
     /** Records that the connection to an endpoint was lost while the endpoint may have run the request. */
     public void onConnectionLost(long fingerprint, String endpoint, long nowNanos) {
         if (fingerprint != NO_FINGERPRINT) {
             add(fingerprint, Set.of(endpoint), nowNanos);
+            log("lost", fingerprint, byFingerprint.get(fingerprint), 0);
         }
     }
 
     /** Records that a request received a complete answer. */
     public void onCompleted(long fingerprint) {
-        byFingerprint.remove(fingerprint);
+        Losses cleared = byFingerprint.remove(fingerprint);
+        if (cleared != null) {
+            log("cleared by a complete response", fingerprint, cleared, 0);
+        }
     }
 
     /** Adds the losses that another host reported; known losses do not extend the block. */
@@ -57,9 +68,34 @@
         Losses known = byFingerprint.get(suspect.fingerprint());
         if (known == null || !known.endpoints.containsAll(suspect.endpoints())) {
             add(suspect.fingerprint(), suspect.endpoints(), nowNanos - suspect.ageMs() * NANOS_PER_MS);
+            if (known != null) {
+                log("lost at a peer", suspect.fingerprint(), byFingerprint.get(suspect.fingerprint()), suspect.ageMs());
+            }
         }
     }
 
+    private void log(String outcome, long fingerprint, Losses losses, long ageMs) {
+        log.line(LogTopic.CRASH_SUSPECT)
+                .with("fingerprint", Long.toHexString(fingerprint))
+                .with("outcome", outcome)
+                .with("endpoints", String.join(" ", losses.endpoints))
+                .with("ageMs", ageMs)
+                .with("blocked", losses.endpoints.size() >= ENDPOINTS_TO_BLOCK)
+                .end();
+    }
+
+    /** Returns the number of requests that are suspected. */
+    public int count() {
+        return byFingerprint.size();
+    }
+
+    /** Returns the number of suspected requests that are blocked. */
+    public long blockedCount(long nowNanos) {
+        return byFingerprint.values().stream()
+                .filter(l -> l.remainingBlockNanos(nowNanos) > 0)
+                .count();
+    }
+
     private void add(long fingerprint, Set<String> endpoints, long atNanos) {
         expire(atNanos);
         Losses losses = byFingerprint.remove(fingerprint);
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -40,7 +40,7 @@
     boolean aborted;
     long wakeNanos;
 
-    final CrashSuspects crashes = new CrashSuspects();
+    final CrashSuspects crashes = new CrashSuspects(new NoOpEventLog());
     long fingerprint = CrashSuspects.NO_FINGERPRINT;
     private final RetryAfterDelays retryAfterDelays = new RetryAfterDelays(new SplittableRandom(1));
     private final FleetRetryShare retries;
--- a/core/src/test/java/org/dragonflygw/core/peers/HostReportFactoryTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/HostReportFactoryTest.java
@@ -8,6 +8,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.dispatch.PromptPart;
+import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -19,7 +20,12 @@
 
     private final EndpointLoads loads = new EndpointLoads();
     private final HostReportFactory factory = new HostReportFactory(
-            "h1", new HostAddress("10.0.0.1", 7_000), 1, loads, new CrashSuspects(), new ManualMonotonicClock());
+            "h1",
+            new HostAddress("10.0.0.1", 7_000),
+            1,
+            loads,
+            new CrashSuspects(new NoOpEventLog()),
+            new ManualMonotonicClock());
 
     @BeforeEach
     void sendPrompt() {
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -99,8 +99,8 @@
     void failuresSeenByPeersAreNotReportedAsOwn() {
         peers.onReport(report("h1", 1, 1, 0, 2));
         peers.refreshPeerLoads();
-        HostReport own =
-                new HostReportFactory("me", ADDRESS, 1, loads, new CrashSuspects(), clock).next(1, StoreNews.NONE);
+        HostReport own = new HostReportFactory("me", ADDRESS, 1, loads, new CrashSuspects(new NoOpEventLog()), clock)
+                .next(1, StoreNews.NONE);
         assertThat(own.uses()).isEmpty();
     }
 
--- a/core/src/test/java/org/dragonflygw/core/retry/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/CrashSuspectsTest.java
@@ -4,13 +4,14 @@
 
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.log.NoOpEventLog;
 import org.junit.jupiter.api.Test;
 
 final class CrashSuspectsTest {
     private static final long REQUEST = 7;
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final CrashSuspects suspects = new CrashSuspects();
+    private final CrashSuspects suspects = new CrashSuspects(new NoOpEventLog());
 
     @Test
     void requestIsBlockedFromTheThirdLostEndpointOn() {
@@ -42,7 +43,7 @@
     /** Guards against a caller that resends a crashing request through a different host each time. */
     @Test
     void lossesReportedByOtherHostsAreAdded() {
-        CrashSuspects other = new CrashSuspects();
+        CrashSuspects other = new CrashSuspects(new NoOpEventLog());
         other.onConnectionLost(REQUEST, "e1", 0);
         other.onConnectionLost(REQUEST, "e2", 0);
         suspects.onConnectionLost(REQUEST, "e3", 0);
@@ -93,7 +94,7 @@
         for (int i = 1; i <= 3; i++) {
             suspects.onConnectionLost(REQUEST, "e" + i, 0);
         }
-        CrashSuspects restarted = new CrashSuspects();
+        CrashSuspects restarted = new CrashSuspects(new NoOpEventLog());
         suspects.recentLosses(40 * SECOND).forEach(s -> restarted.accept(s, 40 * SECOND));
         assertThat(restarted.remainingBlockNanos(REQUEST, 40 * SECOND)).isEqualTo(20 * SECOND);
         assertThat(suspects.recentLosses(61 * SECOND)).isEmpty();
@@ -105,7 +106,7 @@
         for (int i = 1; i <= 3; i++) {
             suspects.onConnectionLost(REQUEST, "e" + i, 0);
         }
-        CrashSuspects other = new CrashSuspects();
+        CrashSuspects other = new CrashSuspects(new NoOpEventLog());
         for (int s = 0; s <= 60; s++) {
             long now = s * SECOND;
             suspects.recentLosses(now).forEach(r -> other.accept(r, now));
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -80,7 +80,7 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointRegistry registry;
     private final FleetRetryShare retries;
-    private final CrashSuspects crashes = new CrashSuspects();
+    private final CrashSuspects crashes;
     private final PeerTable peers;
     private final StoreView store;
     private PeerReports reports;
@@ -98,6 +98,7 @@
         this.pool = new EndpointConnectionPool(group, endpointHeaders, metrics);
         this.contact = new StoreContact(this::maxKeyAgeNanos, System::nanoTime, InstantSource.system());
         this.registry = new EndpointRegistry(new EndpointUpdates(), this::heartbeatNanos, log);
+        this.crashes = new CrashSuspects(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
         this.retries = new FleetRetryShare(
                 () -> settings.bounds().retries(),
@@ -120,6 +121,8 @@
         metrics.registerGauge("config_age_ms", contact::ageMs);
         metrics.registerGauge("retries_granted_total", retries::grantedCount);
         metrics.registerGauge("retries_denied_total", retries::deniedCount);
+        metrics.registerGauge("crash_suspects", crashes::count);
+        metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -80,7 +80,7 @@
                 chooser,
                 loads,
                 retries,
-                new CrashSuspects(),
+                new CrashSuspects(new NoOpEventLog()),
                 new RetryAfterDelays(new SplittableRandom(1)),
                 new NoOpEventLog(),
                 System::nanoTime);
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -66,7 +66,7 @@
         PeerTable peers = new PeerTable(name, loads, new NoOpEventLog(), System::nanoTime);
         peers.onHostListed("other-than-" + name, other);
         HostReportFactory reportFactory =
-                new HostReportFactory(name, own, 1, loads, new CrashSuspects(), System::nanoTime);
+                new HostReportFactory(name, own, 1, loads, new CrashSuspects(new NoOpEventLog()), System::nanoTime);
         return new PeerReports(group, peers, reportFactory, new NoOpEventLog(), c -> {}, () -> news, taker);
     }
 
