--- a/core/src/test/java/org/dragonflygw/core/retry/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/CrashSuspectsTest.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.log.NoOpEventLog;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class CrashSuspectsTest {
@@ -117,6 +118,36 @@
         assertThat(other.recentLosses(61 * SECOND)).isEmpty();
     }
 
+    /** Guards against a request that is cleared on one host, while the others keep the losses and tell them back. */
+    @Tag("known-red")
+    @Test
+    void completeAnswerClearsTheRequestOnOtherHosts() {
+        suspects.onConnectionLost(REQUEST, "e1", 0);
+        suspects.onConnectionLost(REQUEST, "e2", 0);
+        CrashSuspects other = new CrashSuspects(new NoOpEventLog());
+        suspects.recentLosses(SECOND).forEach(s -> other.accept(s, SECOND));
+        suspects.onCompleted(REQUEST);
+        other.recentLosses(2 * SECOND).forEach(s -> suspects.accept(s, 2 * SECOND));
+        suspects.onConnectionLost(REQUEST, "e3", 3 * SECOND);
+        assertThat(suspects.remainingBlockNanos(REQUEST, 3 * SECOND)).isEqualTo(0);
+        suspects.recentLosses(3 * SECOND).forEach(s -> other.accept(s, 3 * SECOND));
+        assertThat(other.remainingBlockNanos(REQUEST, 3 * SECOND)).isEqualTo(0);
+    }
+
+    /** Guards against many harmless losses that push a blocked request out of the table. */
+    @Tag("known-red")
+    @Test
+    void blockedRequestIsNotEvictedByOthers() {
+        for (int i = 1; i <= 3; i++) {
+            suspects.onConnectionLost(REQUEST, "e" + i, 0);
+        }
+        for (int i = 1; i <= 100_000; i++) {
+            suspects.onConnectionLost(REQUEST + i, "e1", 1);
+        }
+        assertThat(suspects.remainingBlockNanos(REQUEST, 1)).isGreaterThan(0L);
+        assertThat(suspects.count()).isLessThan(100_000);
+    }
+
     @Test
     void blockedRequestsAreReportedBeforeOtherLosses() {
         for (int i = 1; i <= 3; i++) {
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -114,7 +114,7 @@
                 CallerLimits.DEFAULT,
                 routes,
                 List.of(new CatalogService(SERVICE, "/", 10, 8, 0, 0)),
-                Optional.of(Map.of("key", team)));
+                Optional.of(Map.of("key", team, "second-key", team)));
     }
 
     private static CatalogRoute route(String prefix, RouteKind kind, boolean resumable) {
