Keep requests with several lost endpoints apart from the many with one

Cause: one table of 1,000 requests in the order of their last change; the neighbours that a few crashes leave behind evicted a blocked request, and expiry took the order of changes for the order of losses. The classes move to core.crash, their own subject.

--- a/core/src/main/java/org/dragonflygw/core/retry/CrashSuspect.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspect.java
@@ -1,4 +1,4 @@
-package org.dragonflygw.core.retry;
+package org.dragonflygw.core.crash;
 
 import java.util.Set;
 
--- a/core/src/main/java/org/dragonflygw/core/retry/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
@@ -1,11 +1,7 @@
-package org.dragonflygw.core.retry;
+package org.dragonflygw.core.crash;
 
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
@@ -32,15 +28,12 @@
      */
     private static final long LOSS_REPORT_NANOS = 4_000_000_000L;
 
-    /** Maximum number of tracked fingerprints; the one with the oldest last loss is evicted first. */
-    private static final int MAX_SUSPECTS = 1_000;
-
     /** Maximum number of fingerprints in one report; covers the requests that one host had on a crashed engine. */
     private static final int MAX_REPORTED = 32;
 
     private static final long NANOS_PER_MS = 1_000_000;
 
-    private final Map<Long, Losses> byFingerprint = new LinkedHashMap<>();
+    private final SuspectTable table = new SuspectTable();
     private final UnfinishedAttempts unfinished = new UnfinishedAttempts();
     private final EventLog log;
 
@@ -51,8 +44,7 @@
     /** Records that the connection to an endpoint was lost while the endpoint may have run the request. */
     public void onConnectionLost(long fingerprint, String endpoint, long nowNanos) {
         if (fingerprint != NO_FINGERPRINT) {
-            add(fingerprint, Set.of(endpoint), nowNanos);
-            log("lost", fingerprint, byFingerprint.get(fingerprint), 0);
+            log("lost", fingerprint, add(fingerprint, Set.of(endpoint), nowNanos), 0);
         }
     }
 
@@ -79,7 +71,7 @@
 
     /** Records that a request received a complete answer. */
     public void onCompleted(long fingerprint) {
-        Losses cleared = byFingerprint.remove(fingerprint);
+        RequestLosses cleared = table.remove(fingerprint);
         if (cleared != null) {
             log("cleared by a complete response", fingerprint, cleared, 0);
         }
@@ -87,62 +79,58 @@
 
     /** Adds the losses that another host reported; known losses do not extend the block. */
     public void accept(CrashSuspect suspect, long nowNanos) {
-        Losses known = byFingerprint.get(suspect.fingerprint());
-        if (known == null || !known.endpoints.containsAll(suspect.endpoints())) {
-            add(suspect.fingerprint(), suspect.endpoints(), nowNanos - suspect.ageMs() * NANOS_PER_MS);
+        RequestLosses known = table.get(suspect.fingerprint());
+        if (known == null || !known.endpoints().containsAll(suspect.endpoints())) {
+            long atNanos = nowNanos - suspect.ageMs() * NANOS_PER_MS;
+            RequestLosses losses = add(suspect.fingerprint(), suspect.endpoints(), atNanos);
             if (known != null) {
-                log("lost at a peer", suspect.fingerprint(), byFingerprint.get(suspect.fingerprint()), suspect.ageMs());
+                log("lost at a peer", suspect.fingerprint(), losses, suspect.ageMs());
             }
         }
     }
 
-    private void log(String outcome, long fingerprint, Losses losses, long ageMs) {
+    /** Adds losses to a request; earlier ones that no longer count are dropped. */
+    private RequestLosses add(long fingerprint, Set<String> endpoints, long atNanos) {
+        RequestLosses before = table.get(fingerprint);
+        if (before != null && atNanos - before.lastNanos() > LOSS_RETENTION_NANOS) {
+            table.remove(fingerprint);
+        }
+        return table.add(fingerprint, endpoints, atNanos);
+    }
+
+    private void log(String outcome, long fingerprint, RequestLosses losses, long ageMs) {
         log.line(LogTopic.CRASH_SUSPECT)
                 .with("fingerprint", Long.toHexString(fingerprint))
                 .with("outcome", outcome)
-                .with("endpoints", String.join(" ", losses.endpoints))
+                .with("endpoints", String.join(" ", losses.endpoints()))
                 .with("ageMs", ageMs)
-                .with("blocked", losses.endpoints.size() >= ENDPOINTS_TO_BLOCK)
+                .with("blocked", losses.endpoints().size() >= ENDPOINTS_TO_BLOCK)
                 .end();
     }
 
     /** Returns the number of requests that are suspected. */
     public int count() {
-        return byFingerprint.size();
+        return table.size();
     }
 
     /** Returns the number of suspected requests that are blocked. */
     public long blockedCount(long nowNanos) {
-        return byFingerprint.values().stream()
-                .filter(l -> l.remainingBlockNanos(nowNanos) > 0)
+        return table.withAtLeast(ENDPOINTS_TO_BLOCK).values().stream()
+                .filter(l -> remainingBlockNanos(l, nowNanos) > 0)
                 .count();
     }
 
-    private void add(long fingerprint, Set<String> endpoints, long atNanos) {
-        expire(atNanos);
-        Losses losses = byFingerprint.remove(fingerprint);
-        if (losses == null) {
-            losses = new Losses(atNanos);
-        }
-        losses.endpoints.addAll(endpoints);
-        losses.lastNanos = Math.max(losses.lastNanos, atNanos);
-        byFingerprint.put(fingerprint, losses);
-        if (byFingerprint.size() > MAX_SUSPECTS) {
-            byFingerprint.remove(byFingerprint.keySet().iterator().next());
-        }
+    /** Remaining time for which a request is blocked, in nanoseconds; 0 if it may be sent. */
+    public long remainingBlockNanos(long fingerprint, long nowNanos) {
+        RequestLosses losses = table.get(fingerprint);
+        return losses == null ? 0 : remainingBlockNanos(losses, nowNanos);
     }
 
-    private void expire(long nowNanos) {
-        Iterator<Losses> oldestFirst = byFingerprint.values().iterator();
-        while (oldestFirst.hasNext() && nowNanos - oldestFirst.next().lastNanos > LOSS_RETENTION_NANOS) {
-            oldestFirst.remove();
+    private static long remainingBlockNanos(RequestLosses losses, long nowNanos) {
+        if (losses.endpoints().size() < ENDPOINTS_TO_BLOCK) {
+            return 0;
         }
-    }
-
-    /** Remaining time for which a request is blocked, in nanoseconds; 0 if it may be sent. */
-    public long remainingBlockNanos(long fingerprint, long nowNanos) {
-        Losses losses = byFingerprint.get(fingerprint);
-        return losses == null ? 0 : losses.remainingBlockNanos(nowNanos);
+        return Math.max(0, losses.lastNanos() + LOSS_RETENTION_NANOS - nowNanos);
     }
 
     /**
@@ -152,11 +140,11 @@
     public List<CrashSuspect> recentLosses(long nowNanos) {
         List<CrashSuspect> blocked = new ArrayList<>();
         List<CrashSuspect> recent = new ArrayList<>();
-        byFingerprint.forEach((fingerprint, losses) -> {
-            CrashSuspect suspect = new CrashSuspect(fingerprint, losses.endpoints, losses.ageMs(nowNanos));
-            if (losses.remainingBlockNanos(nowNanos) > 0) {
+        table.withAtLeast(1).forEach((fingerprint, losses) -> {
+            CrashSuspect suspect = new CrashSuspect(fingerprint, losses.endpoints(), losses.ageMs(nowNanos));
+            if (remainingBlockNanos(losses, nowNanos) > 0) {
                 blocked.add(suspect);
-            } else if (nowNanos - losses.lastNanos <= LOSS_REPORT_NANOS) {
+            } else if (nowNanos - losses.lastNanos() <= LOSS_REPORT_NANOS) {
                 recent.add(suspect);
             }
         });
@@ -168,24 +156,4 @@
     private static List<CrashSuspect> newest(List<CrashSuspect> oldestFirst, int limit) {
         return oldestFirst.subList(Math.max(0, oldestFirst.size() - limit), oldestFirst.size());
     }
-
-    private static final class Losses {
-        private final Set<String> endpoints = new HashSet<>();
-        private long lastNanos;
-
-        Losses(long lastNanos) {
-            this.lastNanos = lastNanos;
-        }
-
-        long remainingBlockNanos(long nowNanos) {
-            if (endpoints.size() < ENDPOINTS_TO_BLOCK) {
-                return 0;
-            }
-            return Math.max(0, lastNanos + LOSS_RETENTION_NANOS - nowNanos);
-        }
-
-        long ageMs(long nowNanos) {
-            return Math.max(0, (nowNanos - lastNanos) / NANOS_PER_MS);
-        }
-    }
 }
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
@@ -1,11 +1,11 @@
 package org.dragonflygw.core.exchange;
 
+import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.dispatch.EndpointChooser;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.log.EventLog;
-import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
 
 /**
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -1,8 +1,8 @@
 package org.dragonflygw.core.peers;
 
 import java.util.List;
+import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
-import org.dragonflygw.core.retry.CrashSuspect;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -4,10 +4,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.MonotonicClock;
-import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 
--- a/core/src/test/java/org/dragonflygw/core/retry/UnfinishedAttemptsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/crash/UnfinishedAttemptsTest.java
@@ -1,4 +1,4 @@
-package org.dragonflygw.core.retry;
+package org.dragonflygw.core.crash;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
@@ -6,8 +6,8 @@
 
 import java.util.Set;
 import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.exchange.CrashingRequestFleet.End;
-import org.dragonflygw.core.retry.CrashSuspect;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -12,6 +12,7 @@
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.catalog.WeightedService;
+import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.DispatchSettings;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -20,7 +21,6 @@
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.log.NoOpEventLog;
-import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.RetryBounds;
 
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
@@ -9,7 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import org.dragonflygw.core.catalog.RouteKind;
-import org.dragonflygw.core.retry.CrashSuspect;
+import org.dragonflygw.core.crash.CrashSuspect;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -4,11 +4,11 @@
 
 import java.util.List;
 import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.log.NoOpEventLog;
-import org.dragonflygw.core.retry.CrashSuspects;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 import org.junit.jupiter.api.BeforeEach;
