Clear a request on all hosts by a complete response, and let it speak for a minute

Cause: a complete response cleared a request on the host that saw it; the other hosts kept the losses and told them back, so an innocent request could be blocked, and what many callers send was blocked when three endpoints ended for another reason. Evidence: CrashSuspectsTest.completeAnswerClearsTheRequestOnOtherHosts failed before.

--- a/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
@@ -10,7 +10,7 @@
  * Tracks requests that may crash the endpoints that run them. Requests are identified by fingerprint, since callers
  * resend them with new ids and through any host. Hosts report to each other the endpoints whose connection was lost
  * while they ran a request. A request is blocked once three different endpoints were lost, until no loss occurred for
- * 60 seconds; a complete answer clears it. Not thread safe; confined to one thread.
+ * 60 seconds; a complete response clears it on all hosts. Not thread-safe; confined to one thread.
  */
 public final class CrashSuspects {
     /** Fingerprint of requests that are not tracked. */
@@ -31,9 +31,20 @@
     /** Maximum number of fingerprints in one report; covers the requests that one host had on a crashed engine. */
     private static final int MAX_REPORTED = 32;
 
+    /** Maximum number of cleared requests in one report. */
+    private static final int MAX_CLEARED_REPORTED = 64;
+
+    /** Maximum number of cleared requests that wait to be reported. */
+    private static final int MAX_CLEARED_WAITING = 1_024;
+
+    /** Number of reports to the same peer that name a request, so that one lost message does no harm. */
+    private static final int REPORTS_PER_PEER = 2;
+
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final SuspectTable table = new SuspectTable();
+    private final CompletedRequests completed = new CompletedRequests();
+    private final ReportQueue clearedToReport = new ReportQueue(MAX_CLEARED_REPORTED, MAX_CLEARED_WAITING);
     private final UnfinishedAttempts unfinished = new UnfinishedAttempts();
     private final EventLog log;
 
@@ -43,7 +54,7 @@
 
     /** Records that the connection to an endpoint was lost while the endpoint may have run the request. */
     public void onConnectionLost(long fingerprint, String endpoint, long nowNanos) {
-        if (fingerprint != NO_FINGERPRINT) {
+        if (fingerprint != NO_FINGERPRINT && !completed.contains(fingerprint, nowNanos)) {
             log("lost", fingerprint, add(fingerprint, Set.of(endpoint), nowNanos), 0);
         }
     }
@@ -69,16 +80,38 @@
         onConnectionRefused(endpoint, nowNanos);
     }
 
-    /** Records that a request received a complete answer. */
-    public void onCompleted(long fingerprint) {
+    /** Records that a request received a complete response, which clears it on all hosts. */
+    public void onCompleted(long fingerprint, long nowNanos) {
+        completed.add(fingerprint, nowNanos);
+        if (clear(fingerprint, "cleared by a complete response")) {
+            clearedToReport.add(fingerprint);
+        }
+    }
+
+    private boolean clear(long fingerprint, String outcome) {
         RequestLosses cleared = table.remove(fingerprint);
-        if (cleared != null) {
-            log("cleared by a complete response", fingerprint, cleared, 0);
+        if (cleared == null) {
+            return false;
+        }
+        log(outcome, fingerprint, cleared, 0);
+        return true;
+    }
+
+    /** Applies what another host reported. */
+    public void accept(CrashReport report, long nowNanos) {
+        for (long fingerprint : report.cleared()) {
+            completed.add(fingerprint, nowNanos);
+            clear(fingerprint, "cleared by a complete response at a peer");
         }
+        report.suspects().forEach(s -> accept(s, nowNanos));
     }
 
     /** Adds the losses that another host reported; known losses do not extend the block. */
     public void accept(CrashSuspect suspect, long nowNanos) {
+        if (completed.contains(suspect.fingerprint(), nowNanos)) {
+            clearedToReport.add(suspect.fingerprint());
+            return;
+        }
         RequestLosses known = table.get(suspect.fingerprint());
         if (known == null || !known.endpoints().containsAll(suspect.endpoints())) {
             long atNanos = nowNanos - suspect.ageMs() * NANOS_PER_MS;
@@ -133,6 +166,17 @@
         return Math.max(0, losses.lastNanos() + LOSS_RETENTION_NANOS - nowNanos);
     }
 
+    /**
+     * Returns the report of the next round.
+     *
+     * @param rounds number of reports until each peer has received one
+     */
+    public CrashReport nextReport(int rounds, long nowNanos) {
+        int reports = rounds * REPORTS_PER_PEER;
+        List<Long> cleared = clearedToReport.next(f -> completed.contains(f, nowNanos) ? reports : 0);
+        return new CrashReport(recentLosses(nowNanos), cleared);
+    }
+
     /**
      * Returns the losses to report to other hosts, newest last: those that block a request, for hosts that have started
      * since, and other recent ones.
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -225,7 +225,7 @@
         ResponseHead head = response.head();
         if (head.isSuccess()) {
             endpoint.onSuccess(now);
-            context.crashes().onCompleted(request.fingerprint());
+            context.crashes().onCompleted(request.fingerprint(), now);
             endAttempt();
             response.complete();
             end("ok", head.status());
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -1,7 +1,7 @@
 package org.dragonflygw.core.peers;
 
 import java.util.List;
-import org.dragonflygw.core.crash.CrashSuspect;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -26,13 +26,12 @@
         long sequence,
         List<EndpointUse> uses,
         List<PromptHolding> holdings,
-        List<CrashSuspect> crashes,
+        CrashReport crashes,
         List<LeavingEndpoint> leaving,
         StoreNews news) {
     public HostReport {
         uses = List.copyOf(uses);
         holdings = List.copyOf(holdings);
-        crashes = List.copyOf(crashes);
         leaving = List.copyOf(leaving);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -73,18 +74,18 @@
         }
         List<PromptHolding> holdings = new ArrayList<>();
         recentHoldings.forEach(t -> holdings.add(t.holding));
-        return report(holdings, news);
+        return report(holdings, crashes.nextReport(rounds, clock.nanos()), news);
     }
 
     /**
-     * Creates a report without prompt prefixes, to be sent to many hosts at once as soon as the store has news. Short
-     * messages are not lost on a narrow link. The prefixes stay in the next reports.
+     * Creates a report without prompt prefixes and lost endpoints, to be sent to many hosts at once as soon as the store
+     * has news. Short messages are not lost on a narrow link. What is left out stays in the next reports.
      */
     public HostReport nextWithoutHoldings(StoreNews news) {
-        return report(List.of(), news);
+        return report(List.of(), CrashReport.NONE, news);
     }
 
-    private HostReport report(List<PromptHolding> holdings, StoreNews news) {
+    private HostReport report(List<PromptHolding> holdings, CrashReport crashReport, StoreNews news) {
         return new HostReport(
                 host,
                 address,
@@ -92,7 +93,7 @@
                 ++sequence,
                 uses(),
                 holdings,
-                crashes.recentLosses(clock.nanos()),
+                crashReport,
                 loads.recentLeaves(clock.nanos()),
                 news);
     }
--- a/core/src/test/java/org/dragonflygw/core/crash/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/crash/CrashSuspectsTest.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.log.NoOpEventLog;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 final class CrashSuspectsTest {
@@ -36,7 +35,7 @@
     void completeAnswerClearsTheRequest() {
         suspects.onConnectionLost(REQUEST, "e1", 0);
         suspects.onConnectionLost(REQUEST, "e2", 0);
-        suspects.onCompleted(REQUEST);
+        suspects.onCompleted(REQUEST, 0);
         suspects.onConnectionLost(REQUEST, "e3", 0);
         assertThat(suspects.remainingBlockNanos(REQUEST, 0)).isEqualTo(0);
     }
@@ -120,21 +119,49 @@
     }
 
     /** Guards against a request that is cleared on one host, while the others keep the losses and tell them back. */
-    @Tag("known-red")
     @Test
     void completeAnswerClearsTheRequestOnOtherHosts() {
         suspects.onConnectionLost(REQUEST, "e1", 0);
         suspects.onConnectionLost(REQUEST, "e2", 0);
         CrashSuspects other = new CrashSuspects(new NoOpEventLog());
-        suspects.recentLosses(SECOND).forEach(s -> other.accept(s, SECOND));
-        suspects.onCompleted(REQUEST);
-        other.recentLosses(2 * SECOND).forEach(s -> suspects.accept(s, 2 * SECOND));
+        other.accept(suspects.nextReport(1, SECOND), SECOND);
+        suspects.onCompleted(REQUEST, SECOND);
+        suspects.accept(other.nextReport(1, 2 * SECOND), 2 * SECOND);
         suspects.onConnectionLost(REQUEST, "e3", 3 * SECOND);
         assertThat(suspects.remainingBlockNanos(REQUEST, 3 * SECOND)).isEqualTo(0);
-        suspects.recentLosses(3 * SECOND).forEach(s -> other.accept(s, 3 * SECOND));
+        other.onConnectionLost(REQUEST, "e3", 3 * SECOND);
+        assertThat(other.remainingBlockNanos(REQUEST, 3 * SECOND)).isGreaterThan(0L);
+        other.accept(suspects.nextReport(1, 3 * SECOND), 3 * SECOND);
         assertThat(other.remainingBlockNanos(REQUEST, 3 * SECOND)).isEqualTo(0);
     }
 
+    /** Guards against a request that many callers send and that is blocked after several endpoints ended for another reason. */
+    @Test
+    void requestThatWasAnsweredRecentlyIsNotSuspected() {
+        suspects.onCompleted(REQUEST, 0);
+        for (int i = 1; i <= 5; i++) {
+            suspects.onConnectionLost(REQUEST, "e" + i, SECOND);
+        }
+        assertThat(suspects.remainingBlockNanos(REQUEST, SECOND)).isEqualTo(0);
+        for (int i = 1; i <= 3; i++) {
+            suspects.onConnectionLost(REQUEST, "e" + i, 61 * SECOND);
+        }
+        assertThat(suspects.remainingBlockNanos(REQUEST, 61 * SECOND)).isGreaterThan(0L);
+    }
+
+    /** Guards against a host that missed the clearing and goes on to report the losses. */
+    @Test
+    void clearedRequestIsReportedAgainToAHostThatStillSuspectsIt() {
+        suspects.onCompleted(REQUEST, 0);
+        CrashSuspects other = new CrashSuspects(new NoOpEventLog());
+        for (int i = 1; i <= 3; i++) {
+            other.onConnectionLost(REQUEST, "e" + i, 0);
+        }
+        suspects.accept(other.nextReport(1, 0), SECOND);
+        other.accept(suspects.nextReport(1, SECOND), SECOND);
+        assertThat(other.remainingBlockNanos(REQUEST, SECOND)).isEqualTo(0);
+    }
+
     /** Guards against many harmless losses that push a blocked request out of the table. */
     @Test
     void blockedRequestIsNotEvictedByOthers() {
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
@@ -283,7 +283,7 @@
         }
 
         private void receive(HostReport report) {
-            report.crashes().forEach(s -> crashes.accept(s, clock.nanos()));
+            crashes.accept(report.crashes(), clock.nanos());
         }
 
         @Override
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -38,7 +39,7 @@
                 sequence,
                 List.of(new EndpointUse("e1", inFlight, 100, failures)),
                 List.of(),
-                List.of(),
+                CrashReport.NONE,
                 List.of(),
                 StoreNews.NONE);
     }
@@ -139,8 +140,8 @@
     @Test
     void leaveThatAPeerHeardHoldsForThatInstanceOnly() {
         LeavingEndpoint leave = new LeavingEndpoint("e1", 1, 500);
-        peers.onReport(
-                new HostReport("h1", ADDRESS, 1, 1, List.of(), List.of(), List.of(), List.of(leave), StoreNews.NONE));
+        peers.onReport(new HostReport(
+                "h1", ADDRESS, 1, 1, List.of(), List.of(), CrashReport.NONE, List.of(leave), StoreNews.NONE));
         assertThat(loads.get("e1").orElseThrow().isLeaving()).isTrue();
         assertThat(loads.recentLeaves(clock.nanos())).containsExactly(leave);
         loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.9", 80, "a", 4, false, 0, 2));
--- a/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.log.NoOpEventLog;
@@ -160,7 +161,15 @@
                 peers.onListComplete();
             }
             HostReport report = new HostReport(
-                    name, address, nowMs, ++sequence, List.of(), List.of(), List.of(), List.of(), StoreNews.NONE);
+                    name,
+                    address,
+                    nowMs,
+                    ++sequence,
+                    List.of(),
+                    List.of(),
+                    CrashReport.NONE,
+                    List.of(),
+                    StoreNews.NONE);
             for (Host h : hosts) {
                 if (h != this && h.share != null && !reportsLost) {
                     h.peers.onReport(report);
--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.Property;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.contact.StoreContact;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -247,7 +248,8 @@
                     changes.changes(),
                     ConfigurationNews.NONE);
             HostAddress address = new HostAddress(name, 1);
-            to.receive(new HostReport(name, address, 1, ++sequence, List.of(), List.of(), List.of(), List.of(), news));
+            to.receive(new HostReport(
+                    name, address, 1, ++sequence, List.of(), List.of(), CrashReport.NONE, List.of(), news));
         }
 
         private void receive(HostReport report) {
--- a/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostReport;
@@ -23,7 +24,8 @@
             String host = "h" + i;
             StoreNews news = new StoreNews(
                     0, !host.equals(unreachable), 1, 1, 0, List.of(), new ConfigurationNews(1, 0, 1, List.of()));
-            peers.onReport(new HostReport(host, ADDRESS, 1, 1, List.of(), List.of(), List.of(), List.of(), news));
+            peers.onReport(
+                    new HostReport(host, ADDRESS, 1, 1, List.of(), List.of(), CrashReport.NONE, List.of(), news));
         }
         return new ReaderSelection(self, peers);
     }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -6,12 +6,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
-import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
@@ -176,7 +174,13 @@
         HostReportFactory reportFactory = new HostReportFactory(
                 identity.hostName(), identity.internal(), startedMs, loads, crashes, System::nanoTime);
         reports = new PeerReports(
-                group, peers, reportFactory, log, this::acceptCrashSuspects, store::news, store::applyNews);
+                group,
+                peers,
+                reportFactory,
+                log,
+                r -> crashes.accept(r, System.nanoTime()),
+                store::news,
+                store::applyNews);
         reports.listen(identity.internal());
         store.start();
     }
@@ -190,10 +194,6 @@
         group.next().scheduleWithFixedDelay(task, periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
-    private void acceptCrashSuspects(List<CrashSuspect> suspects) {
-        suspects.forEach(s -> crashes.accept(s, System.nanoTime()));
-    }
-
     private void reportToPeers() {
         reports.reportNow(store.groupAddresses());
     }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.dragonflygw.core.crash.CrashSuspect;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.error.CodedException;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
@@ -53,7 +53,7 @@
     private final PeerTable peers;
     private final HostReportFactory reports;
     private final EventLog log;
-    private final Consumer<List<CrashSuspect>> crashSuspectListener;
+    private final Consumer<CrashReport> crashReportListener;
     private final Supplier<StoreNews> storeNews;
     private final Consumer<StoreNews> storeNewsListener;
     private final HostReportCodec codec = new HostReportCodec();
@@ -65,7 +65,7 @@
     /**
      * Creates an exchange that {@link #listen} starts.
      *
-     * @param crashSuspectListener receives the requests that peers suspect of crashing endpoints
+     * @param crashReportListener receives what peers know about requests that may crash endpoints
      * @param storeNews supplies this host's news about the store
      * @param storeNewsListener receives the peers' news about the store
      */
@@ -74,14 +74,14 @@
             PeerTable peers,
             HostReportFactory reports,
             EventLog log,
-            Consumer<List<CrashSuspect>> crashSuspectListener,
+            Consumer<CrashReport> crashReportListener,
             Supplier<StoreNews> storeNews,
             Consumer<StoreNews> storeNewsListener) {
         this.group = group;
         this.peers = peers;
         this.reports = reports;
         this.log = log;
-        this.crashSuspectListener = crashSuspectListener;
+        this.crashReportListener = crashReportListener;
         this.storeNews = storeNews;
         this.storeNewsListener = storeNewsListener;
     }
@@ -147,7 +147,7 @@
                 boolean stalled = System.nanoTime() - lastRoundNanos > MAX_STALL_NANOS;
                 boolean accepted = peers.onReport(report);
                 if (accepted) {
-                    crashSuspectListener.accept(report.crashes());
+                    crashReportListener.accept(report.crashes());
                 }
                 if (accepted && !stalled) {
                     storeNewsListener.accept(report.news());
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -7,6 +7,7 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.dispatch.PromptPart;
@@ -57,7 +58,12 @@
                 uses,
                 holdings,
                 StoreNewsCodec.encode(report.news()),
-                report.crashes().stream().map(HostReportCodec::encode).toList());
+                report.crashes().suspects().stream()
+                        .map(HostReportCodec::encode)
+                        .toList());
+        if (!report.crashes().cleared().isEmpty()) {
+            message.setCleared(report.crashes().cleared());
+        }
         if (!report.leaving().isEmpty()) {
             message.setLeaving(
                     report.leaving().stream().map(HostReportCodec::encode).toList());
@@ -87,6 +93,12 @@
                 .toList();
     }
 
+    private static CrashReport decodeCrashes(HostReportMessage m) {
+        return new CrashReport(
+                m.getCrashes().stream().map(HostReportCodec::decode).toList(),
+                m.isSetCleared() ? m.getCleared() : List.of());
+    }
+
     private static CrashSuspect decode(CrashSuspectMessage m) {
         return new CrashSuspect(m.getFingerprint(), Set.copyOf(m.getEndpoints()), m.getAgeMillis());
     }
@@ -131,7 +143,7 @@
                 m.getSequence(),
                 uses,
                 holdings,
-                m.getCrashes().stream().map(HostReportCodec::decode).toList(),
+                decodeCrashes(m),
                 decodeLeaving(m),
                 StoreNewsCodec.decode(m.getNews()));
     }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -141,4 +141,6 @@
   8: required StoreNewsMessage news
   9: required list<CrashSuspectMessage> crashes
   10: optional list<LeavingEndpointMessage> leaving
+  /** Fingerprints of requests that received a complete response after a loss. */
+  11: optional list<i64> cleared
 }
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -17,6 +17,7 @@
 import org.dragonflygw.core.catalog.CatalogTeam;
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.catalog.WeightedService;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
@@ -79,7 +80,7 @@
                 2,
                 List.of(new EndpointUse("i-1", 3, 4, 0.25)),
                 List.of(new PromptHolding("i-1", List.of(new PromptPart(5, 6)))),
-                List.of(new CrashSuspect(77, Set.of("i-1", "i-2"), 1_500)),
+                new CrashReport(List.of(new CrashSuspect(77, Set.of("i-1", "i-2"), 1_500)), List.of(78L, -79L)),
                 List.of(new LeavingEndpoint("i-3", 17, 250)),
                 news);
     }
