Recognize crashing requests without a body, and with another key of their team

Evidence (CrashingRequestDataPlaneTest, failed before): a GET reached 8 endpoints in 4 requests, a request with two keys of a team in turn 6; now 3 each. What callers send alike is spared by its complete responses of the last minute, for which there is a test too. The test requestsWithoutAFingerprintAreNotTracked asserted the fault and is replaced by these.

--- a/core/src/main/java/org/dragonflygw/core/crash/CrashSuspect.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspect.java
@@ -5,7 +5,7 @@
 /**
  * A request during whose execution connections to endpoints were lost.
  *
- * @param fingerprint hash of the request's method, path, key and body
+ * @param fingerprint hash of the request's method, target, body and team
  * @param endpoints instances of the lost endpoints, each by its key
  * @param ageMs time since the last loss, in milliseconds
  */
--- a/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
@@ -16,9 +16,6 @@
  * ten minutes; a complete response clears it on all hosts. Not thread-safe; confined to one thread.
  */
 public final class CrashSuspects {
-    /** Fingerprint of requests that are not tracked. */
-    public static final long NO_FINGERPRINT = 0;
-
     /** Number of different lost endpoints from which a request is blocked. */
     private static final int ENDPOINTS_TO_BLOCK = 3;
 
@@ -65,7 +62,7 @@
 
     /** Records that the connection to an endpoint was lost while the endpoint may have run the request. */
     public void onConnectionLost(long fingerprint, String endpoint, long nowNanos) {
-        if (fingerprint != NO_FINGERPRINT && !completed.contains(fingerprint, nowNanos)) {
+        if (!completed.contains(fingerprint, nowNanos)) {
             log("lost", fingerprint, add(fingerprint, Set.of(endpoint), nowNanos), 0);
             lossesToReport.add(fingerprint);
         }
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
@@ -15,8 +15,8 @@
  * @param prompt lengths and keys of the parts of the prompt
  * @param arrivedNanos when the head of the request was read, on the monotonic clock
  * @param deadlineMs how long the caller waits for the response, in milliseconds
- * @param fingerprint hash of the request's content, by which a repeat under another id is recognized; 0 if the
- *     request is not tracked
+ * @param fingerprint hash of the request's method, target, body and team, by which a repeat under another id or with
+ *     another key of the team is recognized
  */
 public record ExchangeRequest(
         String id,
--- a/core/src/main/java/org/dragonflygw/core/exchange/RequestResolver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RequestResolver.java
@@ -24,9 +24,9 @@
      *
      * @param head decoded head of the request
      * @param arrivedNanos when the head was read, on the monotonic clock
-     * @param fingerprint hash of the request's content; 0 if the request is not tracked
+     * @param contentHash hash of the request's method, target and body
      */
-    public Resolution resolve(RequestHead head, long arrivedNanos, long fingerprint) {
+    public Resolution resolve(RequestHead head, long arrivedNanos, long contentHash) {
         Optional<Catalog> catalog = catalogs.current();
         if (catalog.isEmpty()) {
             return Resolution.rejected(RejectReason.NO_CONFIGURATION);
@@ -38,11 +38,11 @@
         if (route.isEmpty()) {
             return Resolution.rejected(RejectReason.NO_ROUTE);
         }
-        return withTeam(catalog.get(), route.get(), head, arrivedNanos, fingerprint);
+        return withTeam(catalog.get(), route.get(), head, arrivedNanos, contentHash);
     }
 
     private Resolution withTeam(
-            Catalog catalog, CatalogRoute route, RequestHead head, long arrivedNanos, long fingerprint) {
+            Catalog catalog, CatalogRoute route, RequestHead head, long arrivedNanos, long contentHash) {
         Optional<CatalogTeam> team = head.key().flatMap(catalog::teamOfKey);
         boolean keyRequired = catalog.keysRequired() && !route.anonymous();
         if (keyRequired && !contact.keysConfirmed()) {
@@ -58,15 +58,16 @@
         int priority = team.isPresent() && team.get().priority().isPresent()
                 ? team.get().priority().getAsInt()
                 : route.priority();
+        String teamName = keyRequired ? team.get().name() : "";
         return Resolution.of(new ExchangeRequest(
                 head.attemptId(),
-                keyRequired ? team.get().name() : "",
+                teamName,
                 route,
                 service.get(),
                 priority,
                 head.prompt(),
                 arrivedNanos,
                 head.deadlineMs().orElse(route.timeoutMs()),
-                fingerprint));
+                RoutingHash.mix(contentHash, RoutingHash.of(teamName))));
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/crash/CrashSuspectsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/crash/CrashSuspectsTest.java
@@ -100,15 +100,6 @@
                 .containsExactly(new CrashSuspect(REQUEST, Set.of("e1", "e2"), 0));
     }
 
-    @Test
-    void requestsWithoutAFingerprintAreNotTracked() {
-        for (int i = 1; i <= 5; i++) {
-            suspects.onConnectionLost(CrashSuspects.NO_FINGERPRINT, "e" + i, 0);
-        }
-        assertThat(suspects.remainingBlockNanos(CrashSuspects.NO_FINGERPRINT, 0))
-                .isEqualTo(0);
-    }
-
     @Test
     void oldestBlockedRequestIsEvictedAtTheCapacityForBlockedOnes() {
         for (int i = 1; i <= 1_025; i++) {
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -41,7 +41,11 @@
     long wakeNanos;
 
     final CrashSuspects crashes = new CrashSuspects(new NoOpEventLog());
-    long fingerprint = CrashSuspects.NO_FINGERPRINT;
+
+    /** Fingerprint of the requests that are started; 0 for one of its own for each. */
+    long fingerprint;
+
+    private long startedRequests;
     private final RetryAfterDelays retryAfterDelays = new RetryAfterDelays(new SplittableRandom(1));
     private final FleetRetryShare retries;
 
@@ -88,7 +92,15 @@
     Exchange start(CatalogRoute route, long deadlineMs) {
         CatalogService service = new CatalogService(SERVICE, "/", 100, 4, 0, 0);
         ExchangeRequest request = new ExchangeRequest(
-                "id", "team", route, service, 1, Prompt.NONE, clock.nanos(), deadlineMs, fingerprint);
+                "id",
+                "team",
+                route,
+                service,
+                1,
+                Prompt.NONE,
+                clock.nanos(),
+                deadlineMs,
+                fingerprint == 0 ? --startedRequests : fingerprint);
         ExpectedTimeChooser chooser =
                 new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all);
         ExchangeContext parts =
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -22,7 +22,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.exchange.AttemptFailure;
 import org.dragonflygw.core.exchange.Dispatch;
 import org.dragonflygw.core.exchange.Exchange;
@@ -114,7 +113,7 @@
         if (ended) {
             return; // The caller left while the request was held.
         }
-        Resolution resolution = front.resolver().resolve(requestHead, arrivedNanos, fingerprint());
+        Resolution resolution = front.resolver().resolve(requestHead, arrivedNanos, contentHash());
         if (resolution.reason().isPresent()) {
             rejectUnrouted(resolution.reason().get());
             return;
@@ -125,22 +124,11 @@
         exchange.start();
     }
 
-    /**
-     * Returns the fingerprint under which the request is tracked as a suspect for crashes of endpoints. Requests
-     * without a body are all alike and are not tracked.
-     */
-    private long fingerprint() {
-        if (!body.isReadable()) {
-            return CrashSuspects.NO_FINGERPRINT;
-        }
-        long head = RoutingHash.of(method
-                + ' '
-                + requestHead.host()
-                + target
-                + ' '
-                + requestHead.key().orElse(""));
-        return RoutingHash.mix(
-                head, RoutingHash.ofBytes(ByteBufUtil.getBytes(body, body.readerIndex(), body.readableBytes(), false)));
+    /** Returns the hash by which the request is recognized when it comes again, with the team that the key belongs to. */
+    private long contentHash() {
+        long head = RoutingHash.of(method + ' ' + requestHead.host() + target);
+        byte[] bytes = ByteBufUtil.getBytes(body, body.readerIndex(), body.readableBytes(), false);
+        return RoutingHash.mix(head, RoutingHash.ofBytes(bytes));
     }
 
     private void rejectUnrouted(RejectReason reason) {
--- a/edge/src/test/java/org/dragonflygw/edge/CrashingRequestDataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/CrashingRequestDataPlaneTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A request that ends the endpoints that run it is recognized when it comes again, and refused after the third end. */
@@ -46,7 +45,6 @@
     }
 
     /** Guards against requests without a body, which were not recognized when they came again. */
-    @Tag("known-red")
     @Test
     void withoutABodyIsRefusedAfterTheThirdEnd() throws IOException {
         try (EdgeFixture f = new EdgeFixture(endpoints)) {
@@ -58,8 +56,27 @@
         }
     }
 
+    /** Guards against a request that many callers send alike and that is blocked when its endpoints end for another reason. */
+    @Test
+    void withoutABodyIsServedOnIfItWasServedBefore() throws IOException {
+        RawEndpoint fine = new RawEndpoint((head, s, out) -> {
+            RawEndpoint.write(out, DataPlaneTest.answer(head, "fine"));
+            return true;
+        });
+        try (EdgeFixture f = new EdgeFixture(fine)) {
+            assertThat(f.exchange(withoutBody("first"))).contains("fine");
+            f.removeEndpoint("i-0");
+            for (int i = 0; i < ENDPOINTS; i++) {
+                f.addEndpoint("crashing-" + i, endpoints[i]);
+            }
+            for (int i = 0; i < REPEATS; i++) {
+                assertThat(f.exchange(withoutBody("id" + i))).startsWith("HTTP/1.1 502");
+            }
+            assertThat(received()).isGreaterThan(MAX_ENDS);
+        }
+    }
+
     /** Guards against a caller whose key was replaced, with which the same request counted as another one. */
-    @Tag("known-red")
     @Test
     void withAnotherKeyOfItsTeamIsRefusedAfterTheThirdEnd() throws IOException {
         try (EdgeFixture f = new EdgeFixture(endpoints)) {
--- a/edge/src/test/java/org/dragonflygw/edge/DataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/DataPlaneTest.java
@@ -26,7 +26,7 @@
         return "Dragonflygw-Attempt-Id: " + attemptIdOf(head) + "\r\nDragonflygw-Response-Signature: sig\r\n";
     }
 
-    private static String answer(String head, String body) {
+    static String answer(String head, String body) {
         return "HTTP/1.1 200 OK\r\n" + signatureHeaders(head) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -85,8 +85,7 @@
                 new NoOpEventLog(),
                 System::nanoTime);
         for (int i = 0; i < endpoints.length; i++) {
-            loads.onUpdated(
-                    new DiscoveredEndpoint("i-" + i, SERVICE, "127.0.0.1", endpoints[i].port(), "a", 8, false, 0, 1));
+            addEndpoint("i-" + i, endpoints[i]);
         }
         FrontContext front = new FrontContext(
                 catalogs,
@@ -102,6 +101,14 @@
         port = ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
+    void addEndpoint(String id, RawEndpoint endpoint) {
+        loads.onUpdated(new DiscoveredEndpoint(id, SERVICE, "127.0.0.1", endpoint.port(), "a", 8, false, 0, 1));
+    }
+
+    void removeEndpoint(String id) {
+        loads.onRemoved(loads.get(id).orElseThrow().entry());
+    }
+
     private static Catalog catalog() {
         List<CatalogRoute> routes = List.of(
                 route("/once/", RouteKind.NON_IDEMPOTENT, false),
