Close the store's connection when a response arrives that nobody waits for

Bytes that are no answer, without end: responses beyond the one that was asked for were read and dropped without end, and the next call would have taken one for its own. Heads, lines and bodies on this path were bounded already. The test of the extra responses needs the close; the one of blank lines passed before.

--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -191,6 +191,10 @@
             if (ctx.channel() != channel) {
                 return;
             }
+            if (pendingCallback == null) {
+                close(); // A response that nobody waits for.
+                return;
+            }
             byte[] body = ByteBufUtil.getBytes(response.content());
             if (!HttpUtil.isKeepAlive(response) || response.decoderResult().isFailure()) {
                 close();
--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
@@ -36,9 +36,17 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
+    private interface Script {
+        void write(OutputStream out) throws IOException, InterruptedException;
+    }
+
     private StoreResponse get(long pauseMs, int sentParts) throws Exception {
+        return get(out -> answer(out, pauseMs, sentParts));
+    }
+
+    private StoreResponse get(Script script) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            Thread serverThread = new Thread(() -> answer(server, pauseMs, sentParts));
+            Thread serverThread = new Thread(() -> serve(server, script));
             serverThread.start();
             HostAddress address = new HostAddress("127.0.0.1", server.getLocalPort());
             HostIdentity identity = new HostIdentity("h", "127.0.0.1", "z", address, address, 1);
@@ -54,22 +62,28 @@
         }
     }
 
-    private static void answer(ServerSocket server, long pauseMs, int sentParts) {
+    private static void serve(ServerSocket server, Script script) {
         try (Socket s = server.accept()) {
-            OutputStream out = s.getOutputStream();
-            out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n")
-                    .getBytes(StandardCharsets.ISO_8859_1));
-            for (int i = 0; i < sentParts; i++) {
-                out.write(new byte[BODY_BYTES / PARTS]);
-                out.flush();
-                Thread.sleep(pauseMs);
-            }
+            script.write(s.getOutputStream());
             Thread.sleep(TimeUnit.SECONDS.toMillis(20));
         } catch (IOException | InterruptedException e) {
             Thread.currentThread().interrupt(); // The test has the response and no longer needs the server.
         }
     }
 
+    private static void answer(OutputStream out, long pauseMs, int sentParts) throws IOException, InterruptedException {
+        write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n");
+        for (int i = 0; i < sentParts; i++) {
+            out.write(new byte[BODY_BYTES / PARTS]);
+            out.flush();
+            Thread.sleep(pauseMs);
+        }
+    }
+
+    private static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Guards against timeouts when a configuration of half a megabyte is read over a slow link. */
     @Test
     void responseMayTakeLongerThanTheTimeoutWhileDataArrives() throws Exception {
@@ -82,4 +96,33 @@
     void responseThatStopsMidwayTimesOut() throws Exception {
         assertThat(get(0, 2).problem()).isEqualTo("timeout");
     }
+
+    /** Guards against bytes that are no response and that keep a call open as long as they arrive. */
+    @Test
+    void blankLinesWithoutEndFailTheCall() throws Exception {
+        assertThat(get(out -> writeWithoutEnd(out, "\r\n")).isOk()).isFalse();
+    }
+
+    /** Guards against responses that nobody waits for, which the next call would take for its own. */
+    @Test
+    void responsesBeyondTheFirstCloseTheConnection() throws Exception {
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        StoreResponse response = get(out -> {
+            try {
+                writeWithoutEnd(out, "HTTP/1.1 204 No Content\r\n\r\n");
+            } catch (IOException e) {
+                closed.complete(true);
+                throw e;
+            }
+        });
+        assertThat(response.isOk()).isFalse();
+        assertThat(closed.get(30, TimeUnit.SECONDS)).isTrue();
+    }
+
+    private static void writeWithoutEnd(OutputStream out, String text) throws IOException {
+        String block = text.repeat(1_000);
+        while (!Thread.currentThread().isInterrupted()) {
+            write(out, block);
+        }
+    }
 }
