Bound the bytes of an endpoint that are no response, on every path

Users' news: bytes that are no answer may come without end, in a head or a body, until the caller closes. Cause: the decoder bounds lines and heads, but nothing bounded the number of interim heads, responses to other requests and their bodies, and the body of an error was held in memory without a limit until the deadline. Evidence (EndlessResponseTest, ten cases): before, interim heads, responses to others and the body of one went on to the 64 MB at which the test's endpoint stops, chunks of an error were held until the deadline; head lines, fields, chunk sizes and trailers were bounded. Now each ends within 16 MB, most of them in buffers of the network, with 502. An error's body beyond 128 KiB and 256 KiB without a part to forward are malformed responses; the connection is closed.

--- a/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
@@ -10,7 +10,10 @@
  * allows resuming, it is forwarded in complete events only.
  */
 final class ResponseBuffer {
-    /** Largest plain response that is held, in bytes; larger ones are forwarded as they arrive. */
+    /**
+     * Largest response that is held, in bytes. A larger success is forwarded as it arrives; a larger error is taken for
+     * bytes that are no response.
+     */
     private static final int MAX_HELD_BYTES = 131_072;
 
     private final CatalogRoute route;
@@ -58,15 +61,11 @@
     /**
      * Takes a part of the body.
      *
-     * @return false if the body is invalid: an event id that does not increase, or an event that is too long
+     * @return false if the body is invalid: an event id that does not increase, or an event or an error that is too long
      */
     boolean appendBody(byte[] body) {
         if (!forwardsImmediately()) {
-            held.writeBytes(body);
-            if (held.size() > MAX_HELD_BYTES && head.isSuccess()) {
-                forwardHeld();
-            }
-            return true;
+            return hold(body);
         }
         if (splitsEvents()) {
             return forwardEvents(body);
@@ -76,6 +75,18 @@
         return true;
     }
 
+    private boolean hold(byte[] body) {
+        boolean fits = held.size() + body.length <= MAX_HELD_BYTES;
+        if (!fits && !head.isSuccess()) {
+            return false;
+        }
+        held.writeBytes(body);
+        if (!fits) {
+            forwardHeld();
+        }
+        return true;
+    }
+
     private boolean forwardsImmediately() {
         return head.isSuccess() && (route.streaming() || started);
     }
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -38,6 +39,7 @@
 
     private final EndpointConnectionPool pool;
     private final EndpointHeaders headers;
+    private final SkippedByteLimit skippedByteLimit;
 
     private ChannelHandlerContext context;
     private DiscoveredEndpoint endpoint;
@@ -62,9 +64,10 @@
 
     private long keepAliveNanos = Long.MAX_VALUE;
 
-    EndpointConnection(EndpointConnectionPool pool, EndpointHeaders headers) {
+    EndpointConnection(EndpointConnectionPool pool, EndpointHeaders headers, SkippedByteLimit skippedByteLimit) {
         this.pool = pool;
         this.headers = headers;
+        this.skippedByteLimit = skippedByteLimit;
     }
 
     DiscoveredEndpoint endpoint() {
@@ -95,6 +98,7 @@
         idleBeforeSendNanos = idleSinceNanos == 0 ? 0 : System.nanoTime() - idleSinceNanos;
         headReceived = false;
         skippingResponse = false;
+        skippedByteLimit.reset();
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(r.method()),
@@ -197,6 +201,7 @@
             return;
         }
         if (content.content().isReadable()) {
+            skippedByteLimit.reset();
             attempt.onBody(ByteBufUtil.getBytes(content.content()));
         }
         if (last && attempt != null) {
@@ -248,6 +253,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            fail(AttemptFailure.MALFORMED);
+            return;
+        }
         reset = true;
         failConnectionLost();
     }
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
@@ -39,6 +39,12 @@
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 16_384;
 
+    /**
+     * Maximum number of bytes between two parts of a response that are forwarded: several heads and a late response to
+     * another request.
+     */
+    private static final long MAX_SKIPPED_BYTES = 262_144;
+
     private final Bootstrap bootstrap;
     private final EndpointHeaders headers;
     private final EdgeMetrics metrics;
@@ -67,9 +73,11 @@
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
+        SkippedByteLimit limit = new SkippedByteLimit(MAX_SKIPPED_BYTES);
         channel.pipeline()
+                .addLast(limit)
                 .addLast(new HttpClientCodec(config, false, false))
-                .addLast(new EndpointConnection(this, headers));
+                .addLast(new EndpointConnection(this, headers, limit));
     }
 
     /** Sends a request on an idle or a new connection; the listener receives the outcome on the event loop. */
--- a/edge/src/test/java/org/dragonflygw/edge/DataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/DataPlaneTest.java
@@ -22,7 +22,7 @@
         return head.substring(head.indexOf(':', at) + 1, head.indexOf('\r', at)).strip();
     }
 
-    private static String signatureHeaders(String head) {
+    static String signatureHeaders(String head) {
         return "Dragonflygw-Attempt-Id: " + attemptIdOf(head) + "\r\nDragonflygw-Response-Signature: sig\r\n";
     }
 
