--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
@@ -13,6 +13,7 @@
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** What endpoints say about themselves in their responses decides where the next requests go. */
@@ -137,6 +138,40 @@
             assertThat(endpointsOfManyRequests()).contains(id);
         }
 
+        /** Guards against an entry that lapses and comes back, with which the endpoint's word was forgotten. */
+        @Tag("known-red")
+        @Test
+        void isKeptWhenTheEntryIsRemovedAndComesBack() {
+            DiscoveredEndpoint entry = ExchangeFixture.endpoint(quietEndpoint(4_000));
+            f.loads.onRemoved(entry);
+            f.loads.onUpdated(entry);
+            assertThat(endpointsOfManyRequests()).doesNotContain(entry.id());
+            f.clock.advanceMs(4_000);
+            assertThat(endpointsOfManyRequests()).contains(entry.id());
+        }
+
+        /** Guards against a response that arrives while the entry is away, for an exchange that holds the older state. */
+        @Tag("known-red")
+        @Test
+        void isHeardWhileTheEntryIsAway() {
+            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            DiscoveredEndpoint entry = ExchangeFixture.endpoint(lastSentTo());
+            f.loads.onRemoved(entry);
+            f.loads.onUpdated(entry);
+            x.onHead(headWithNotice(503, true, quiet(4_000)));
+            assertThat(endpointsOfManyRequests()).doesNotContain(entry.id());
+        }
+
+        @Test
+        void doesNotHoldForAnotherInstance() {
+            DiscoveredEndpoint old = ExchangeFixture.endpoint(quietEndpoint(4_000));
+            f.loads.onRemoved(old);
+            f.loads.onUpdated(new DiscoveredEndpoint(
+                    old.id(), old.service(), old.host(), old.port(), old.zone(), old.slots(), false, 0, 2));
+            f.clock.advanceMs(1_500);
+            assertThat(endpointsOfManyRequests()).contains(old.id());
+        }
+
         /** Guards against all waiting requests that come together at the end of the time. */
         @Test
         void endpointGetsMoreRequestsGraduallyAfterTheEnd() {
