Soak: a request that ends endpoints

An endpoint ends when it begins to execute the marked request (port and connections closed), a new one starts 2 s later, its entry goes after 3.6 s. One caller sends the request over and over through all hosts while hosts are killed, paused, stopped and cut from the store.

--- a/edge/src/test/java/org/dragonflygw/edge/soak/RequestKind.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/RequestKind.java
@@ -9,7 +9,19 @@
     /** Idempotent: may be executed again after a failure. */
     AGAIN("/plain/", LoopbackConfiguration.APPLICATIONS),
     /** Streamed response that may be resumed at another endpoint. */
-    STREAM("/stream/", LoopbackConfiguration.ENGINES);
+    STREAM("/stream/", LoopbackConfiguration.ENGINES),
+    /** Ends each endpoint that begins to execute it; always the same request, under new ids. */
+    CRASHING("/plain/crashing", LoopbackConfiguration.APPLICATIONS) {
+        @Override
+        String target(String id) {
+            return super.target("");
+        }
+
+        @Override
+        String body(String id) {
+            return "body that ends endpoints";
+        }
+    };
 
     private final String prefix;
     private final String service;
@@ -26,4 +38,8 @@
     String target(String id) {
         return prefix + id;
     }
+
+    String body(String id) {
+        return "body of " + id;
+    }
 }
--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackConfiguration;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
@@ -36,6 +37,16 @@
     /** Time for which all endpoints fail, in milliseconds: a restart of all hosts fits into it. */
     private static final int ALL_FAIL_MS = 4_000;
 
+    private static final int CALLER_PAUSE_MS = 60;
+    private static final int CRASHING_CALLER_PAUSE_MS = 600;
+
+    /** Time until an endpoint that ended is replaced by a new one, and until its entry expires, in milliseconds. */
+    private static final int RESTART_MS = 2_000;
+
+    private static final int ENTRY_EXPIRY_MS = 3_600;
+
+    private static final List<RequestKind> USUAL_KINDS =
+            List.of(RequestKind.ONCE, RequestKind.AGAIN, RequestKind.STREAM);
     private static final String SPARE_KEY = "spare-key";
     private static final List<FaultProxy.Mode> LINK_FAULTS =
             List.of(FaultProxy.Mode.DELAY, FaultProxy.Mode.SILENT, FaultProxy.Mode.ONE_WAY, FaultProxy.Mode.RESET);
@@ -52,14 +63,15 @@
 
     private final FaultIntervals endpointFaults = new FaultIntervals();
     private final List<RunningEndpoint> endpoints = new CopyOnWriteArrayList<>();
-    private final List<SoakEndpoint> allEndpoints = new ArrayList<>();
+    private final List<SoakEndpoint> allEndpoints = new CopyOnWriteArrayList<>();
     private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
     private final Map<String, Long> drainedNanos = new ConcurrentHashMap<>();
     private final Map<String, Long> revokedNanos = new ConcurrentHashMap<>();
-    private final List<Thread> faultThreads = new ArrayList<>();
-    private final List<String> actions = new ArrayList<>();
+    private final List<Thread> faultThreads = new CopyOnWriteArrayList<>();
+    private final List<String> actions = new CopyOnWriteArrayList<>();
     private long configVersion = 1;
-    private int endpointCount;
+    private final AtomicInteger endpointCount = new AtomicInteger();
+    private boolean sendsCrashingRequests;
 
     private record RunningEndpoint(SoakEndpoint endpoint, FaultProxy link, String service) {}
 
@@ -107,6 +119,18 @@
         });
     }
 
+    /** Runs while a request comes that ends each endpoint that executes it, and single hosts and links have faults. */
+    SoakRecord runWithCrashingRequest(long millis) throws InterruptedException {
+        sendsCrashingRequests = true;
+        return record(() -> {
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+            while (System.nanoTime() < end) {
+                Thread.sleep(BETWEEN_RESTARTS_MS);
+                injectHostFault(random.nextInt(hosts.size()), 200 + random.nextInt(MAX_FAULT_MS));
+            }
+        });
+    }
+
     private SoakRecord record(Action faults) throws InterruptedException {
         for (EdgeProcess h : hosts) {
             h.awaitReady(READY_TIMEOUT_MS);
@@ -115,14 +139,13 @@
         List<Thread> threads = new ArrayList<>();
         int[] ports = hosts.stream().mapToInt(EdgeProcess::callersPort).toArray();
         for (int i = 0; i < CALLERS; i++) {
-            SoakCaller caller = new SoakCaller(
-                    "c" + i + "-",
-                    ports,
-                    () -> List.of(LoopbackPlatform.KEY, SPARE_KEY),
-                    random.split(),
-                    outcomes::add);
-            callers.add(caller);
-            Thread thread = new Thread(caller, "soak-caller-" + i);
+            callers.add(caller("c" + i + "-", USUAL_KINDS, CALLER_PAUSE_MS, ports));
+        }
+        if (sendsCrashingRequests) {
+            callers.add(caller("crashing-", List.of(RequestKind.CRASHING), CRASHING_CALLER_PAUSE_MS, ports));
+        }
+        for (SoakCaller c : callers) {
+            Thread thread = new Thread(c, "soak-caller");
             threads.add(thread);
             thread.start();
         }
@@ -149,6 +172,17 @@
                 faultFreeFrom);
     }
 
+    private SoakCaller caller(String name, List<RequestKind> kinds, int maxPauseMs, int[] ports) {
+        return new SoakCaller(
+                name,
+                kinds,
+                maxPauseMs,
+                ports,
+                () -> List.of(LoopbackPlatform.KEY, SPARE_KEY),
+                random.split(),
+                outcomes::add);
+    }
+
     /** Returns the descriptions of the injected faults and changes, in order. */
     List<String> actions() {
         return List.copyOf(actions);
@@ -158,18 +192,7 @@
         int host = random.nextInt(hosts.size());
         int durationMs = 200 + random.nextInt(MAX_FAULT_MS);
         switch (random.nextInt(12)) {
-            case 0 -> inBackground("kill host " + host, hostFaults.get(host), () -> kill(host, durationMs));
-            case 1 -> inBackground("pause host " + host, hostFaults.get(host), () -> pause(host, durationMs));
-            case 2 -> inBackground("stop host " + host, plannedStops, () -> stop(host));
-            case 3 -> reload(host);
-            case 4, 5 -> {
-                FaultProxy.Mode mode = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
-                FaultProxy link = storeLinks.get(host);
-                inBackground(
-                        "store " + mode + " for host " + host,
-                        hostFaults.get(host),
-                        () -> applyLinkFault(link, mode, durationMs));
-            }
+            case 0, 1, 2, 3, 4, 5 -> injectHostFault(host, durationMs);
             case 6 -> {
                 FaultProxy.Mode mode = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
                 FaultProxy link = anyEndpoint().link();
@@ -187,6 +210,23 @@
         }
     }
 
+    private void injectHostFault(int host, int durationMs) {
+        switch (random.nextInt(6)) {
+            case 0 -> inBackground("kill host " + host, hostFaults.get(host), () -> kill(host, durationMs));
+            case 1 -> inBackground("pause host " + host, hostFaults.get(host), () -> pause(host, durationMs));
+            case 2 -> inBackground("stop host " + host, plannedStops, () -> stop(host));
+            case 3 -> reload(host);
+            default -> {
+                FaultProxy.Mode mode = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
+                FaultProxy link = storeLinks.get(host);
+                inBackground(
+                        "store " + mode + " for host " + host,
+                        hostFaults.get(host),
+                        () -> applyLinkFault(link, mode, durationMs));
+            }
+        }
+    }
+
     private interface Action {
         void run() throws InterruptedException;
     }
@@ -282,7 +322,8 @@
     }
 
     private void addEndpoint(String service) {
-        SoakEndpoint endpoint = new SoakEndpoint("soak-" + endpointCount++);
+        SoakEndpoint endpoint =
+                new SoakEndpoint("soak-" + endpointCount.getAndIncrement(), e -> replaceEnded(e, service));
         RunningEndpoint running = new RunningEndpoint(endpoint, new FaultProxy(endpoint.port()), service);
         endpoints.add(running);
         allEndpoints.add(endpoint);
@@ -299,6 +340,17 @@
         drainedNanos.put(old.endpoint().id(), System.nanoTime());
     }
 
+    /** Starts a new endpoint for one that ended under a request, whose entry expires a while later. */
+    private void replaceEnded(SoakEndpoint ended, String service) {
+        endpoints.removeIf(e -> e.endpoint() == ended);
+        inBackground("end of " + ended.id(), endpointFaults, () -> {
+            Thread.sleep(RESTART_MS);
+            addEndpoint(service);
+            Thread.sleep(ENTRY_EXPIRY_MS - RESTART_MS);
+            platform.store().remove(LoopbackPlatform.ENDPOINT_TABLE, ended.id());
+        });
+    }
+
     private void register(RunningEndpoint e, String state) {
         String entry = "{\"service\":\"" + e.service() + "\",\"address\":\"127.0.0.1:"
                 + e.link().port()
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakCaller.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakCaller.java
@@ -20,10 +20,10 @@
     private static final int CONNECT_TIMEOUT_MS = 500;
     private static final int READ_TIMEOUT_MS = 5_000;
     private static final int DEADLINE_MS = 3_000;
-    private static final int MAX_PAUSE_MS = 60;
-    private static final List<RequestKind> KINDS = List.of(RequestKind.ONCE, RequestKind.AGAIN, RequestKind.STREAM);
 
     private final String name;
+    private final List<RequestKind> kinds;
+    private final int maxPauseMs;
     private final int[] ports;
     private final Supplier<List<String>> keys;
     private final SplittableRandom random;
@@ -34,11 +34,15 @@
 
     SoakCaller(
             String name,
+            List<RequestKind> kinds,
+            int maxPauseMs,
             int[] ports,
             Supplier<List<String>> keys,
             SplittableRandom random,
             Consumer<Outcome> outcomeListener) {
         this.name = name;
+        this.kinds = List.copyOf(kinds);
+        this.maxPauseMs = maxPauseMs;
         this.ports = ports.clone();
         this.keys = keys;
         this.random = random;
@@ -53,7 +57,7 @@
     public void run() {
         try {
             while (!stopped) {
-                Thread.sleep(random.nextInt(MAX_PAUSE_MS));
+                Thread.sleep(random.nextInt(maxPauseMs));
                 attempt();
             }
         } catch (InterruptedException e) {
@@ -63,7 +67,7 @@
 
     private void attempt() {
         int host = random.nextInt(ports.length);
-        RequestKind kind = KINDS.get(random.nextInt(KINDS.size()));
+        RequestKind kind = kinds.get(random.nextInt(kinds.size()));
         List<String> currentKeys = keys.get();
         String key = currentKeys.get(random.nextInt(currentKeys.size()));
         String id = name + Integer.toHexString(0x100000 + count++);
@@ -75,7 +79,7 @@
         }
         long sentNanos = System.nanoTime();
         try {
-            String body = "body of " + id;
+            String body = kind.body(id);
             String request = "POST " + kind.target(id) + " HTTP/1.1\r\nHost: " + LoopbackPlatform.HOST
                     + "\r\nDragonflygw-Attempt-Id: " + id + "\r\nDragonflygw-Deadline-Ms: " + DEADLINE_MS
                     + "\r\nAuthorization: Bearer " + key + "\r\nDragonflygw-Tenant: forged\r\nContent-Length: "
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
@@ -56,6 +56,7 @@
         record.outcomes().forEach(checks::checkAnswered);
         record.executions().forEach(checks::checkDrained);
         checks.violations.addAll(RetryBudgetCheck.violations(record));
+        checks.violations.addAll(CrashingRequestCheck.violations(record));
         checks.checkFaultFreeEnd();
         return checks.violations;
     }
@@ -107,7 +108,7 @@
             return;
         }
         if (!execution.target().equals(o.kind().target(o.id()))
-                || !execution.body().equals("body of " + o.id())) {
+                || !execution.body().equals(o.kind().body(o.id()))) {
             violations.add("executed with a wrong path or body: " + execution);
         }
         if (!execution.team().equals(TEAM) || execution.keyPassed()) {
@@ -133,6 +134,7 @@
         List<Outcome> last = record.outcomes().stream()
                 .filter(o -> o.sentNanos() > record.faultFreeFromNanos())
                 .filter(o -> !record.revokedNanos().containsKey(o.key()))
+                .filter(o -> o.kind() != RequestKind.CRASHING)
                 .toList();
         long good = last.stream().filter(Outcome::success).count();
         if (last.isEmpty() || good < MIN_FINAL_SUCCESS_RATIO * last.size()) {
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
@@ -12,8 +12,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 /** Test endpoint that records the requests it executes and can be made to fail. */
 final class SoakEndpoint implements AutoCloseable {
@@ -35,10 +38,18 @@
     private final String id;
     private final ServerSocket server;
     private final List<Execution> executions = new CopyOnWriteArrayList<>();
+    private final Consumer<SoakEndpoint> endListener;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private volatile Mode mode = Mode.HEALTHY;
 
-    SoakEndpoint(String id) {
+    /**
+     * Creates an endpoint that accepts connections.
+     *
+     * @param endListener called when a request of the kind {@link RequestKind#CRASHING} has ended the endpoint
+     */
+    SoakEndpoint(String id, Consumer<SoakEndpoint> endListener) {
         this.id = id;
+        this.endListener = endListener;
         try {
             server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         } catch (IOException e) {
@@ -91,6 +102,7 @@
     }
 
     private void serve(Socket socket) {
+        connections.add(socket);
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
@@ -101,10 +113,24 @@
                 }
             }
         } catch (IOException | InterruptedException e) {
-            // The edge process closed the connection.
+            // The edge process closed the connection, or the endpoint has ended.
+        } finally {
+            connections.remove(socket);
         }
     }
 
+    /** Closes the port and all connections at once. */
+    private synchronized void end() throws IOException {
+        if (server.isClosed()) {
+            return;
+        }
+        server.close();
+        for (Socket s : connections) {
+            s.close();
+        }
+        endListener.accept(this);
+    }
+
     private boolean answer(HttpHead head, String body, OutputStream out) throws IOException, InterruptedException {
         String requestId = head.field("dragonflygw-attempt-id");
         if (!head.field("dragonflygw-expect-instance").equals(id)) {
@@ -122,6 +148,10 @@
                 body,
                 head.field("dragonflygw-tenant"),
                 !head.field("authorization").isEmpty()));
+        if (body.equals(RequestKind.CRASHING.body(requestId))) {
+            end();
+            return false;
+        }
         Thread.sleep(WORK_MS);
         if (mode == Mode.CRASHES) {
             return false;
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakMain.java
@@ -9,7 +9,8 @@
 
 /**
  * Runs soaks with several seeds, one after the other. Arguments: first seed, number of seeds, duration of each soak in
- * seconds, number of hosts, first port. A duration of 0 means five restarts of all hosts while all endpoints fail.
+ * seconds, number of hosts, first port. A duration of 0 means five restarts of all hosts while all endpoints fail; a
+ * negative one so many seconds with a request that ends endpoints.
  */
 public final class SoakMain {
     private static final long MS_PER_S = 1_000;
@@ -26,8 +27,7 @@
             try (Soak soak = new Soak(seed, Integer.parseInt(args[3]), Integer.parseInt(args[4]), dir)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(soak::close, "end-of-soak"));
                 long seconds = Long.parseLong(args[2]);
-                SoakRecord record =
-                        seconds == 0 ? soak.runWithRestartsWhileEndpointsFail(RESTARTS) : soak.run(seconds * MS_PER_S);
+                SoakRecord record = run(soak, seconds);
                 List<String> violations = new ArrayList<>(SoakChecks.safetyViolations(record));
                 violations.addAll(SoakChecks.timingViolations(record));
                 long good = record.outcomes().stream().filter(Outcome::success).count();
@@ -46,6 +46,13 @@
         System.exit(failedSeeds);
     }
 
+    private static SoakRecord run(Soak soak, long seconds) throws InterruptedException {
+        if (seconds == 0) {
+            return soak.runWithRestartsWhileEndpointsFail(RESTARTS);
+        }
+        return seconds > 0 ? soak.run(seconds * MS_PER_S) : soak.runWithCrashingRequest(-seconds * MS_PER_S);
+    }
+
     /** Returns the number of attempts by HTTP status, 0 for none; incomplete responses are counted as "cut". */
     private static Map<String, Integer> countByStatus(SoakRecord record) {
         Map<String, Integer> counts = new TreeMap<>();
