Soak: a store that comes back from a copy, endpoints that shed and endpoints that say they leave

LoopbackStore can be copied and restored: versions since the copy are given out again, a read from a version that it does not have gets 410, Store-Era rises. SoakEndpoint can turn requests away with Retry-After and say Server-Leaving, with its entry 4 s behind. No product code changes.

--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -13,6 +13,7 @@
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackConfiguration;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
+import org.dragonflygw.standins.loopback.StoreCopy;
 
 /**
  * Runs edge processes on this machine and injects faults at random times drawn from a seed: signals, faults of the
@@ -45,31 +46,46 @@
 
     private static final int ENTRY_EXPIRY_MS = 3_600;
 
+    /** Time after which the entry of a leaving endpoint says so, if it does so late, in milliseconds. */
+    private static final int LATE_ENTRY_MS = 4_000;
+
+    /** Longest time from a copy of the store to its restoration, and until what was lost is written again. */
+    private static final int MAX_LOST_MS = 3_000;
+
+    private static final int MAX_REWRITE_MS = 800;
+
     private static final List<RequestKind> USUAL_KINDS =
             List.of(RequestKind.ONCE, RequestKind.AGAIN, RequestKind.STREAM);
     private static final String SPARE_KEY = "spare-key";
     private static final List<FaultProxy.Mode> LINK_FAULTS =
             List.of(FaultProxy.Mode.DELAY, FaultProxy.Mode.SILENT, FaultProxy.Mode.ONE_WAY, FaultProxy.Mode.RESET);
     private static final List<SoakEndpoint.Mode> ENDPOINT_FAULTS =
-            List.of(SoakEndpoint.Mode.ERRORS, SoakEndpoint.Mode.CRASHES);
+            List.of(SoakEndpoint.Mode.ERRORS, SoakEndpoint.Mode.CRASHES, SoakEndpoint.Mode.SHEDS);
 
     private final SplittableRandom random;
     private final LoopbackPlatform platform = new LoopbackPlatform();
     private final List<FaultProxy> storeLinks = new ArrayList<>();
     private final List<EdgeProcess> hosts = new ArrayList<>();
     private final List<FaultIntervals> hostFaults = new ArrayList<>();
-    /** Not part of the record: all guarantees hold during planned stops. */
     private final FaultIntervals plannedStops = new FaultIntervals();
 
+    /** Not part of the record: all guarantees hold while endpoints are replaced. */
+    private final FaultIntervals replacements = new FaultIntervals();
+
+    /** Not part of the record: all guarantees hold when the store comes back from a copy. */
+    private final FaultIntervals storeFaults = new FaultIntervals();
+
     private final FaultIntervals endpointFaults = new FaultIntervals();
     private final List<RunningEndpoint> endpoints = new CopyOnWriteArrayList<>();
     private final List<SoakEndpoint> allEndpoints = new CopyOnWriteArrayList<>();
     private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
+    private final Map<String, byte[]> entries = new ConcurrentHashMap<>();
     private final Map<String, Long> drainedNanos = new ConcurrentHashMap<>();
     private final Map<String, Long> revokedNanos = new ConcurrentHashMap<>();
     private final List<Thread> faultThreads = new CopyOnWriteArrayList<>();
     private final List<String> actions = new CopyOnWriteArrayList<>();
     private long configVersion = 1;
+    private volatile LoopbackConfiguration configuration;
     private final AtomicInteger endpointCount = new AtomicInteger();
     private boolean sendsCrashingRequests;
 
@@ -161,11 +177,15 @@
             t.join(READY_TIMEOUT_MS);
         }
         List<Execution> executions = new ArrayList<>();
+        List<Arrival> arrivals = new ArrayList<>();
         allEndpoints.forEach(e -> executions.addAll(e.executions()));
+        allEndpoints.forEach(e -> arrivals.addAll(e.arrivals()));
         return new SoakRecord(
                 List.copyOf(outcomes),
                 executions,
+                arrivals,
                 hostFaults,
+                plannedStops,
                 endpointFaults,
                 drainedNanos,
                 revokedNanos,
@@ -191,7 +211,7 @@
     private void injectFault() {
         int host = random.nextInt(hosts.size());
         int durationMs = 200 + random.nextInt(MAX_FAULT_MS);
-        switch (random.nextInt(12)) {
+        switch (random.nextInt(13)) {
             case 0, 1, 2, 3, 4, 5 -> injectHostFault(host, durationMs);
             case 6 -> {
                 FaultProxy.Mode mode = LINK_FAULTS.get(random.nextInt(LINK_FAULTS.size()));
@@ -203,9 +223,14 @@
                 SoakEndpoint endpoint = anyEndpoint().endpoint();
                 inBackground("endpoint " + mode, endpointFaults, () -> applyEndpointFault(endpoint, mode, durationMs));
             }
-            case 8 -> replaceEndpoint();
+            case 8 -> replaceEndpoint(random.nextBoolean() ? 0 : LATE_ENTRY_MS);
             case 9 -> inBackground("all endpoints fail", endpointFaults, this::failAllEndpoints);
             case 10 -> killAll(durationMs);
+            case 11 -> {
+                int lostMs = random.nextInt(MAX_LOST_MS);
+                int rewriteMs = random.nextInt(MAX_REWRITE_MS);
+                inBackground("store restored from a copy", storeFaults, () -> restoreFromCopy(lostMs, rewriteMs));
+            }
             default -> reconfigure();
         }
     }
@@ -330,14 +355,18 @@
         register(running, "ready");
     }
 
-    /** Starts a new endpoint and marks an old one as draining. */
-    private void replaceEndpoint() {
+    /** Starts a new endpoint for an old one, which says that it is leaving, in its entry at once or a while later. */
+    private void replaceEndpoint(int entryDelayMs) {
         RunningEndpoint old = anyEndpoint();
-        actions.add("replace " + old.endpoint().id());
+        String description = "replace " + old.endpoint().id() + ", its entry after " + entryDelayMs + " ms";
         addEndpoint(old.service());
         endpoints.remove(old);
-        register(old, "draining");
-        drainedNanos.put(old.endpoint().id(), System.nanoTime());
+        old.endpoint().leave();
+        inBackground(description, replacements, () -> {
+            Thread.sleep(entryDelayMs);
+            register(old, "draining");
+            drainedNanos.put(old.endpoint().id(), System.nanoTime());
+        });
     }
 
     /** Starts a new endpoint for one that ended under a request, whose entry expires a while later. */
@@ -347,6 +376,7 @@
             Thread.sleep(RESTART_MS);
             addEndpoint(service);
             Thread.sleep(ENTRY_EXPIRY_MS - RESTART_MS);
+            entries.remove(ended.id());
             platform.store().remove(LoopbackPlatform.ENDPOINT_TABLE, ended.id());
         });
     }
@@ -355,8 +385,32 @@
         String entry = "{\"service\":\"" + e.service() + "\",\"address\":\"127.0.0.1:"
                 + e.link().port()
                 + "\",\"zone\":\"zone-a\",\"slots\":64,\"state\":\"" + state + "\",\"warmup_left_ms\":0,\"born\":1}";
-        platform.store()
-                .put(LoopbackPlatform.ENDPOINT_TABLE, e.endpoint().id(), entry.getBytes(StandardCharsets.UTF_8));
+        entries.put(e.endpoint().id(), entry.getBytes(StandardCharsets.UTF_8));
+        writeEntry(e.endpoint().id());
+    }
+
+    private void writeEntry(String id) {
+        platform.store().put(LoopbackPlatform.ENDPOINT_TABLE, id, entries.get(id));
+    }
+
+    /** The store comes back from a copy some seconds old; endpoints and the operator write again what was lost. */
+    private void restoreFromCopy(int lostMs, int rewriteMs) throws InterruptedException {
+        StoreCopy copy = platform.store().copy();
+        Thread.sleep(lostMs);
+        platform.store().restore(copy);
+        Thread.sleep(rewriteMs);
+        entries.keySet().forEach(this::writeEntry);
+        writeConfiguration();
+    }
+
+    private void configure(List<String> keys) {
+        configVersion += 2;
+        configuration = new LoopbackConfiguration(configVersion, LoopbackPlatform.HOST, keys);
+        writeConfiguration();
+    }
+
+    private void writeConfiguration() {
+        platform.store().put(LoopbackPlatform.OPERATOR_TABLE, "config", configuration.json());
     }
 
     private void reconfigure() {
@@ -369,12 +423,6 @@
         }
     }
 
-    private void configure(List<String> keys) {
-        configVersion += 2;
-        LoopbackConfiguration next = new LoopbackConfiguration(configVersion, LoopbackPlatform.HOST, keys);
-        platform.store().put(LoopbackPlatform.OPERATOR_TABLE, "config", next.json());
-    }
-
     @Override
     public void close() {
         hosts.forEach(EdgeProcess::close);
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
@@ -57,6 +57,7 @@
         record.executions().forEach(checks::checkDrained);
         checks.violations.addAll(RetryBudgetCheck.violations(record));
         checks.violations.addAll(CrashingRequestCheck.violations(record));
+        checks.violations.addAll(NoticeCheck.violations(record));
         checks.checkFaultFreeEnd();
         return checks.violations;
     }
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
@@ -27,12 +27,15 @@
         /** Executes requests and responds with status 500. */
         ERRORS,
         /** Executes requests and closes the connection without a response. */
-        CRASHES
+        CRASHES,
+        /** Rejects requests and asks for a time without any. */
+        SHEDS
     }
 
     static final int EVENTS = 10;
     private static final int BACKLOG = 128;
     private static final long WORK_MS = 15;
+    private static final long QUIET_MS = 1_500;
     private static final long EVENT_PAUSE_MS = 10;
 
     private final String id;
@@ -40,7 +43,9 @@
     private final List<Execution> executions = new CopyOnWriteArrayList<>();
     private final Consumer<SoakEndpoint> endListener;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private volatile Mode mode = Mode.HEALTHY;
+    private volatile boolean leaving;
 
     /**
      * Creates an endpoint that accepts connections.
@@ -76,6 +81,15 @@
         return List.copyOf(executions);
     }
 
+    List<Arrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
+    /** From now on the endpoint says in all its responses that it is leaving. */
+    void leave() {
+        leaving = true;
+    }
+
     void mode(Mode next) {
         mode = next;
     }
@@ -140,6 +154,15 @@
                             + "Dragonflygw-Not-Executed: true\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
+        boolean sheds = mode == Mode.SHEDS;
+        arrivals.add(new Arrival(requestId, id, System.nanoTime(), sheds ? QUIET_MS : 0, leaving));
+        if (sheds) {
+            write(
+                    out,
+                    "HTTP/1.1 503 Busy\r\n" + signature(requestId) + "Dragonflygw-Not-Executed: true\r\nRetry-After: "
+                            + QUIET_MS / 1_000.0 + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
         executions.add(new Execution(
                 requestId,
                 id,
@@ -186,8 +209,9 @@
         write(out, "0\r\n\r\n");
     }
 
-    private static String signature(String requestId) {
-        return "Dragonflygw-Attempt-Id: " + requestId + "\r\nDragonflygw-Response-Signature: by-endpoint\r\n";
+    private String signature(String requestId) {
+        return "Dragonflygw-Attempt-Id: " + requestId + "\r\nDragonflygw-Response-Signature: by-endpoint\r\n"
+                + (leaving ? "Server-Leaving: 1\r\n" : "");
     }
 
     private static void write(OutputStream out, String text) throws IOException {
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.dragonflygw.standins.http.StandinCode;
@@ -48,6 +49,7 @@
     private static final int PLAIN_BYTES = 800;
     private static final int BACKLOG = 128;
     private static final long MAX_WAIT_MS = 500;
+    private static final int STATUS_GONE = 410;
 
     private final LoopbackRowFormat rows = new LoopbackRowFormat();
     private final LoopbackStore store = new LoopbackStore();
@@ -121,22 +123,34 @@
     }
 
     private void handleList(HttpExchange exchange) throws IOException {
-        String table = parameter(exchange, "table");
-        answerJson(exchange, rows.encodePage(store.list(table), store.version()));
+        answerRows(exchange, store.list(parameter(exchange, "table")));
     }
 
     private void handleChanges(HttpExchange exchange) throws IOException {
         long after = Long.parseLong(parameter(exchange, "after"));
         long waitMs = Math.min(MAX_WAIT_MS, Long.parseLong(parameter(exchange, "wait_ms")));
-        List<StoredRow> changed = store.changes(parameter(exchange, "table"), after, waitMs);
-        long version =
-                changed.isEmpty() ? after : changed.get(changed.size() - 1).version();
-        answerJson(exchange, rows.encodePage(changed, version));
+        Optional<StorePage> changes = store.changes(parameter(exchange, "table"), after, waitMs);
+        if (changes.isPresent()) {
+            answerRows(exchange, changes.get());
+            return;
+        }
+        setEra(exchange, store.state());
+        exchange.sendResponseHeaders(STATUS_GONE, -1);
+        exchange.close();
     }
 
     private void handleWrite(HttpExchange exchange) throws IOException {
         rows.apply(exchange.getRequestBody().readAllBytes(), store);
-        answerJson(exchange, rows.encodePage(List.of(), store.version()));
+        answerRows(exchange, store.state());
+    }
+
+    private void answerRows(HttpExchange exchange, StorePage page) throws IOException {
+        setEra(exchange, page);
+        answerJson(exchange, rows.encode(page));
+    }
+
+    private static void setEra(HttpExchange exchange, StorePage page) {
+        exchange.getResponseHeaders().set("Store-Era", Long.toString(page.era()));
     }
 
     private static String parameter(HttpExchange exchange, String name) {
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackRowFormat.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackRowFormat.java
@@ -7,19 +7,18 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
-import java.util.List;
 
 /** Encodes and decodes the bodies of store calls in the platform's JSON format. */
 final class LoopbackRowFormat {
     private final ObjectMapper mapper = new ObjectMapper();
 
-    /** Encodes a response with the given rows, read at the given store version. */
-    byte[] encodePage(List<StoredRow> rows, long version) {
+    /** Encodes a response. */
+    byte[] encode(StorePage read) {
         ObjectNode page = mapper.createObjectNode();
         ArrayNode list = page.putArray("rows");
-        rows.forEach(r -> list.add(row(r)));
+        read.rows().forEach(r -> list.add(row(r)));
         page.put("has_more", false);
-        page.put("row_version", version);
+        page.put("row_version", read.version());
         page.put("now_ms", System.nanoTime() / 1_000_000);
         return page.toString().getBytes(StandardCharsets.UTF_8);
     }
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackStore.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackStore.java
@@ -5,14 +5,35 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/** In-memory rows of the platform's store. Readers can wait for changes. Thread-safe; guarded by its own monitor. */
+/**
+ * In-memory rows of the platform's store. Readers can wait for changes. The store can be restored from a copy of its state,
+ * after which it gives out the versions since the copy again. Thread-safe; guarded by its own monitor.
+ */
 public final class LoopbackStore {
     private static final byte[] NO_BYTES = {};
 
     private final Map<String, Map<String, StoredRow>> tables = new HashMap<>();
     private long version;
+    private long era;
+
+    /** Returns a copy of the current state. */
+    public synchronized StoreCopy copy() {
+        Map<String, Map<String, StoredRow>> copied = new HashMap<>();
+        tables.forEach((name, rows) -> copied.put(name, Map.copyOf(rows)));
+        return new StoreCopy(copied, version);
+    }
+
+    /** Goes back to a copy: changes since then are lost, and a new era begins. */
+    public synchronized void restore(StoreCopy copy) {
+        tables.clear();
+        copy.tables().forEach((name, rows) -> tables.put(name, new HashMap<>(rows)));
+        version = copy.version();
+        era++;
+        notifyAll();
+    }
 
     /** Writes a row and returns its new version. */
     public synchronized long put(String table, String key, byte[] data) {
@@ -31,26 +52,40 @@
         return version;
     }
 
-    /** Returns the version of the newest change. */
-    public synchronized long version() {
-        return version;
+    /** Returns the current era and version, without rows. */
+    synchronized StorePage state() {
+        return new StorePage(era, List.of(), version);
     }
 
     /** Returns the rows of a table, sorted by key, without removed rows. */
-    public synchronized List<StoredRow> list(String table) {
-        return rows(table).stream()
+    synchronized StorePage list(String table) {
+        List<StoredRow> current = rows(table).stream()
                 .filter(r -> !r.deleted())
                 .sorted(Comparator.comparing(StoredRow::key))
                 .toList();
+        return new StorePage(era, current, version);
+    }
+
+    /**
+     * Returns the rows of a table changed after a version, oldest first, or nothing if the store does not have that
+     * version. Waits up to {@code waitMs} for a change.
+     */
+    synchronized Optional<StorePage> changes(String table, long after, long waitMs) {
+        List<StoredRow> changed = awaitChanges(table, after, waitMs);
+        if (after > version) {
+            return Optional.empty();
+        }
+        long newest =
+                changed.isEmpty() ? after : changed.get(changed.size() - 1).version();
+        return Optional.of(new StorePage(era, changed, newest));
     }
 
-    /** Returns the rows of a table changed after a version, oldest first. Waits up to {@code waitMs} for a change. */
-    public synchronized List<StoredRow> changes(String table, long after, long waitMs) {
+    private List<StoredRow> awaitChanges(String table, long after, long waitMs) {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
         List<StoredRow> changed = changed(table, after);
         try {
             long leftMs = waitMs;
-            while (changed.isEmpty() && leftMs > 0) {
+            while (changed.isEmpty() && after <= version && leftMs > 0) {
                 wait(leftMs);
                 changed = changed(table, after);
                 leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
