--- a/bench/src/main/java/org/dragonflygw/bench/policy/WorkloadShape.java
+++ b/bench/src/main/java/org/dragonflygw/bench/policy/WorkloadShape.java
@@ -5,7 +5,7 @@
 /**
  * Shape of a workload. All means are of exponential or geometric distributions.
  *
- * @param name name
+ * @param name name of the workload in tables and charts
  * @param weights weight of each team
  * @param traffic share of the traffic of each team
  * @param documents number of shared documents
--- a/core/src/main/java/org/dragonflygw/core/fleet/Endpoint.java
+++ b/core/src/main/java/org/dragonflygw/core/fleet/Endpoint.java
@@ -6,9 +6,9 @@
  * @param id unique name
  * @param pool name of the pool of the endpoint
  * @param address IP address
- * @param port port
+ * @param port TCP port
  * @param availabilityZone availability zone
- * @param region region
+ * @param region region that the availability zone belongs to
  * @param capacity relative capacity, from 1; rendezvous weights and load bounds scale with it
  * @param state whether the endpoint takes new work
  */
--- a/core/src/main/java/org/dragonflygw/core/fleet/HostEntry.java
+++ b/core/src/main/java/org/dragonflygw/core/fleet/HostEntry.java
@@ -8,7 +8,7 @@
  * @param address IP address
  * @param port port of the endpoint, or the peer port of a router
  * @param availabilityZone availability zone
- * @param region region
+ * @param region region that the availability zone belongs to
  * @param pool name of the pool of endpoints; services of the sheet name a pool; empty for routers
  * @param state live or leaving
  */
--- a/core/src/main/java/org/dragonflygw/core/inspect/EngineView.java
+++ b/core/src/main/java/org/dragonflygw/core/inspect/EngineView.java
@@ -4,10 +4,10 @@
  * One endpoint as one daemon sees it: element of the answer of {@code GET /v1/engines}.
  *
  * @param endpointId name
- * @param pool pool
+ * @param pool name of the pool of the endpoint
  * @param address IP address and port
  * @param availabilityZone availability zone
- * @param region region
+ * @param region region that the availability zone belongs to
  * @param state live, suspended or leaving
  * @param steward id of the daemon that grants its slots; empty if unknown
  * @param inFlight requests on the endpoint
--- a/core/src/main/java/org/dragonflygw/core/inspect/MemberView.java
+++ b/core/src/main/java/org/dragonflygw/core/inspect/MemberView.java
@@ -7,7 +7,7 @@
  * @param address IP address
  * @param operatorPort port for operators
  * @param availabilityZone availability zone
- * @param region region
+ * @param region region that the availability zone belongs to
  * @param incarnation incarnation number; increases with each restart
  * @param status alive, suspect, leaving or dead
  * @param sheetNumber version of the sheet in force on that daemon
--- a/core/src/main/java/org/dragonflygw/core/inspect/RequestView.java
+++ b/core/src/main/java/org/dragonflygw/core/inspect/RequestView.java
@@ -4,8 +4,8 @@
  * One open request: element of the answer of {@code GET /v1/requests}.
  *
  * @param requestId id of the request
- * @param team team
- * @param service service
+ * @param team team of the caller
+ * @param service service that the request goes to
  * @param chatId chat; empty for none
  * @param endpointId endpoint that runs it; empty while it waits
  * @param attempt number of the attempt, from 1
--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -224,7 +224,10 @@
                 inBackground("endpoint " + mode, endpointFaults, () -> applyEndpointFault(endpoint, mode, durationMs));
             }
             case 8 -> replaceEndpoint(random.nextBoolean() ? 0 : LATE_ENTRY_MS);
-            case 9 -> inBackground("all endpoints fail", endpointFaults, this::failAllEndpoints);
+            case 9 -> {
+                SoakEndpoint.Mode mode = random.nextBoolean() ? SoakEndpoint.Mode.ERRORS : SoakEndpoint.Mode.SHEDS;
+                inBackground("all endpoints " + mode, endpointFaults, () -> failAllEndpoints(mode));
+            }
             case 10 -> killAll(durationMs);
             case 11 -> {
                 int lostMs = random.nextInt(MAX_LOST_MS);
@@ -334,10 +337,10 @@
         endpoint.mode(SoakEndpoint.Mode.HEALTHY);
     }
 
-    /** Lets all endpoints fail, so that every request that may run again is retried as far as the budget allows. */
-    private void failAllEndpoints() throws InterruptedException {
+    /** Lets all endpoints fail, so that every request that may run again is retried as far as hosts allow. */
+    private void failAllEndpoints(SoakEndpoint.Mode mode) throws InterruptedException {
         List<RunningEndpoint> failing = List.copyOf(endpoints);
-        failing.forEach(e -> e.endpoint().mode(SoakEndpoint.Mode.ERRORS));
+        failing.forEach(e -> e.endpoint().mode(mode));
         Thread.sleep(ALL_FAIL_MS);
         failing.forEach(e -> e.endpoint().mode(SoakEndpoint.Mode.HEALTHY));
     }
