Known red: hosts that do not hear of each other count the ends of engines alone

What the hosts have in common then is the store; a row for each blocked request, read by hosts that miss peers, is the way seen. Ruled out for now: one read of the store for each loss (a crash leaves hundreds) and polling by all hosts (grows with the square).

--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
@@ -9,6 +9,7 @@
 import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.exchange.CrashingRequestFleet.End;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -88,6 +89,17 @@
         }
     }
 
+    /** Guards against hosts that reach the store but not each other, so that each counts to three alone. */
+    @Tag("known-red")
+    @Test
+    void isBlockedThoughHostsDoNotHearOfEachOther() {
+        CrashingRequestFleet fleet = new CrashingRequestFleet(HOSTS, ENGINES, End.RESET, 1)
+                .nonIdempotent()
+                .reportLoss(1);
+        fleet.run(MINUTE_MS, INTERVAL_MS);
+        assertKept(fleet);
+    }
+
     /** Guards against an engine that ends without a lost connection, so that its end is not held against the request. */
     @Nested
     final class EndsWithoutALostConnection {
