Let the test of extra store responses write to a fixed bound, not until it is interrupted

Traced: the test interrupts its server once it has the response; when that came before the server saw the closed connection, the writing loop ended without the error that the test waits for. A race of the test, not of the product. It now writes until the connection is closed, 64 MB at most, which is as strict.

--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
@@ -28,6 +28,7 @@
     private static final int BODY_BYTES = 80_000;
     private static final int PARTS = 8;
     private static final long TIMEOUT_MS = 400;
+    private static final int MAX_WRITTEN_BYTES = 64_000_000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
@@ -121,7 +122,7 @@
 
     private static void writeWithoutEnd(OutputStream out, String text) throws IOException {
         String block = text.repeat(1_000);
-        while (!Thread.currentThread().isInterrupted()) {
+        for (int written = 0; written < MAX_WRITTEN_BYTES; written += block.length()) {
             write(out, block);
         }
     }
