Log how far the response of a failed attempt had come, and the shared parts of its prompt

Of a crash the logs told which requests were lost, but not which of them were just beginning, nor what their prompts share.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -26,6 +26,9 @@
      */
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
+    /** Time after the first part of a response from which its request is not the reason for an end of the endpoint. */
+    private static final long SETTLED_NANOS = 1_000_000_000L;
+
     private enum Phase {
         CHOOSING,
         SENT,
@@ -49,6 +52,10 @@
     private boolean mayHaveRun;
     private long attemptStartNanos;
     private long firstPartAtNanos;
+
+    /** When the first part of the response to the current attempt was read. */
+    private long begunNanos;
+
     private long longestGapNanos;
 
     /** Creates an exchange, which does nothing until {@link #start} is called. */
@@ -158,7 +165,7 @@
         ignoreResponse = true;
         attempts.onRejection(endpoint.entry().id());
         endpoint.onFailure(head.rejectionWeight(), now);
-        log.attemptFailed(endpoint, "rejected", head.status(), now - attemptStartNanos);
+        logFailure("rejected", head.status(), now);
         endAttempt();
         out.cancelAttempt();
         if (head.isMisdirected()) {
@@ -194,6 +201,7 @@
             return;
         }
         firstPartSeen = true;
+        begunNanos = now;
         if (firstPartAtNanos == 0) {
             firstPartAtNanos = now;
         }
@@ -224,7 +232,7 @@
 
     private void onErrorResponse(ResponseHead head, long now) {
         endpoint.onFailure(head.status() >= 500 ? 1 : 0, now);
-        log.attemptFailed(endpoint, "failure answer", head.status(), now - attemptStartNanos);
+        logFailure("failure answer", head.status(), now);
         endAttempt();
         attempts.onExecuted(endpoint.entry().id());
         if (head.status() >= 500 && mayRetry(now)) {
@@ -249,7 +257,7 @@
             return;
         }
         long now = now();
-        log.attemptFailed(endpoint, cause.name(), 0, now - attemptStartNanos);
+        logFailure(cause.name(), 0, now);
         endAttempt();
         if (cause.isBeforeSending()) {
             attempts.onConnectFailure(endpoint.entry().id());
@@ -275,7 +283,7 @@
 
     /** Replaces an attempt that may still be answered; the caller has taken the retry for it. */
     private void replaceSilentAttempt(long now) {
-        log.attemptFailed(endpoint, AttemptFailure.SILENT.name(), 0, now - attemptStartNanos);
+        logFailure(AttemptFailure.SILENT.name(), 0, now);
         endAttempt();
         recordUnfinished(now);
         giveUpAttempt(AttemptFailure.SILENT, now);
@@ -287,6 +295,20 @@
         context.crashes().onUnfinished(request.fingerprint(), endpoint.entry().instanceKey(), now);
     }
 
+    private void logFailure(String outcome, int status, long now) {
+        log.attemptFailed(endpoint, outcome, status, now - attemptStartNanos, progress(now));
+    }
+
+    private ResponseProgress progress(long now) {
+        if (!response.hasHead()) {
+            return ResponseProgress.NONE;
+        }
+        if (!firstPartSeen) {
+            return ResponseProgress.HEAD;
+        }
+        return now - begunNanos < SETTLED_NANOS ? ResponseProgress.BEGUN : ResponseProgress.SETTLED;
+    }
+
     private void giveUpAttempt(AttemptFailure cause, long now) {
         out.cancelAttempt();
         endpoint.onFailure(cause.weight(), now);
@@ -387,7 +409,7 @@
     }
 
     private void onTimeout(long now) {
-        log.attemptFailed(endpoint, "timeout", 0, now - attemptStartNanos);
+        logFailure("timeout", 0, now);
         endpoint.onFailure(0.5, now);
         recordUnfinished(now);
         endAttempt();
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -1,9 +1,12 @@
 package org.dragonflygw.core.exchange;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.dispatch.PromptPart;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogLine;
 import org.dragonflygw.core.log.LogTopic;
@@ -40,17 +43,32 @@
                 .end();
     }
 
-    void attemptFailed(EndpointLoadState endpoint, String outcome, int status, long durationNanos) {
+    /**
+     * Logs an attempt that ended without a complete response.
+     *
+     * @param progress how far the response of the endpoint had come
+     */
+    void attemptFailed(
+            EndpointLoadState endpoint, String outcome, int status, long durationNanos, ResponseProgress progress) {
         log.line(LogTopic.ATTEMPT_FAILED)
                 .with("request", request.id())
                 .with("endpoint", endpoint.entry().id())
                 .with("outcome", outcome)
                 .with("status", status)
                 .with("attemptMs", durationNanos / NANOS_PER_MS)
+                .with("progress", progress.name())
                 .with("fingerprint", Long.toHexString(request.fingerprint()))
+                .with("promptParts", hexIds(request.prompt().sharedParts()))
                 .end();
     }
 
+    /** Returns the ids of prompt parts, separated by spaces; null if there are none. */
+    private static String hexIds(List<PromptPart> parts) {
+        return parts.isEmpty()
+                ? null
+                : parts.stream().map(p -> Long.toHexString(p.id())).collect(Collectors.joining(" "));
+    }
+
     void retryDecided(RetryDecision decision) {
         log.line(LogTopic.RETRY)
                 .with("request", request.id())
