Keep blocked requests in the store, for hosts that do not hear each other and for new processes

Callers saw endpoints end under a request that other hosts, or earlier processes, had already found out. Cause: what is blocked lived only in the processes and in the reports between them.

Each host has a bounded row in the store, written when a request becomes blocked or, where peers are not heard, with all it would report; read by long polls. Ruled out: one shared row (contention just when engines end, a bound that innocents use up), a row a request (reads on the request path).

--- a/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
 
@@ -46,6 +48,9 @@
     /** Number of reports to the same peer that name a request, so that one lost message does no harm. */
     private static final int REPORTS_PER_PEER = 2;
 
+    /** Maximum number of requests with several lost endpoints, and of those with one, that a host stores. */
+    private static final int MAX_STORED = 128;
+
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final SuspectTable table = new SuspectTable();
@@ -53,6 +58,7 @@
     private final ReportQueue clearedToReport = new ReportQueue(MAX_CLEARED_REPORTED, MAX_WAITING);
     private final ReportQueue lossesToReport = new ReportQueue(MAX_LOSSES_REPORTED, MAX_WAITING);
     private final ReportQueue suspectsToReport = new ReportQueue(MAX_SUSPECTS_REPORTED, MAX_WAITING);
+    private final Set<Long> lastLostHere = new LinkedHashSet<>();
     private final UnfinishedAttempts unfinished = new UnfinishedAttempts();
     private final EventLog log;
 
@@ -65,6 +71,10 @@
         if (!completed.contains(fingerprint, nowNanos)) {
             log("lost", fingerprint, add(fingerprint, Set.of(endpoint), nowNanos), 0);
             lossesToReport.add(fingerprint);
+            lastLostHere.add(fingerprint);
+            if (lastLostHere.size() > MAX_WAITING) {
+                lastLostHere.remove(lastLostHere.iterator().next());
+            }
         }
     }
 
@@ -129,6 +139,7 @@
         if (known == null || !known.covers(suspect.endpoints())) {
             long atNanos = nowNanos - suspect.ageMs() * NANOS_PER_MS;
             RequestLosses losses = add(suspect.fingerprint(), suspect.endpoints(), atNanos);
+            lastLostHere.remove(suspect.fingerprint());
             if (known != null) {
                 log("lost at a peer", suspect.fingerprint(), losses, suspect.ageMs());
             }
@@ -170,6 +181,42 @@
                 .count();
     }
 
+    /** Whether this host saw the last known loss of a request itself. */
+    boolean sawLastLoss(long fingerprint) {
+        return lastLostHere.contains(fingerprint);
+    }
+
+    /** Returns which of these requests are suspected of so many losses that they are blocked. */
+    Set<Long> blockedAmong(List<CrashSuspect> suspects) {
+        return suspects.stream()
+                .filter(s -> s.endpoints().size() >= ENDPOINTS_TO_BLOCK)
+                .map(CrashSuspect::fingerprint)
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Returns what this host stores.
+     *
+     * @param all whether to include requests that are not blocked, the newest of those with one and with more losses
+     */
+    List<CrashSuspect> toStore(boolean all, long nowNanos) {
+        List<CrashSuspect> stored = new ArrayList<>();
+        addNewest(table.withAtLeast(ENDPOINTS_TO_BLOCK), stored, nowNanos);
+        if (all) {
+            addNewest(table.with(2), stored, nowNanos);
+            addNewest(table.with(1), stored, nowNanos);
+        }
+        return stored;
+    }
+
+    private static void addNewest(Map<Long, RequestLosses> requests, List<CrashSuspect> to, long nowNanos) {
+        requests.entrySet().stream()
+                .skip(Math.max(0, requests.size() - MAX_STORED))
+                .filter(e -> nowNanos - e.getValue().lastNanos() < BLOCK_NANOS)
+                .forEach(e -> to.add(new CrashSuspect(
+                        e.getKey(), e.getValue().endpoints(), e.getValue().ageMs(nowNanos))));
+    }
+
     /** Remaining time for which a request is blocked, in nanoseconds; 0 if it may be sent. */
     public long remainingBlockNanos(long fingerprint, long nowNanos) {
         RequestLosses losses = table.get(fingerprint);
--- a/core/src/main/java/org/dragonflygw/core/crash/SuspectTable.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/SuspectTable.java
@@ -65,6 +65,11 @@
         return byLostEndpoints.stream().mapToInt(Map::size).sum();
     }
 
+    /** Returns the requests with just so many lost endpoints, fewer than three; the last change last. */
+    Map<Long, RequestLosses> with(int lostEndpoints) {
+        return byLostEndpoints.get(lostEndpoints - 1);
+    }
+
     /** Returns the requests with at least so many lost endpoints, by fingerprint; the last change of each group last. */
     Map<Long, RequestLosses> withAtLeast(int lostEndpoints) {
         Map<Long, RequestLosses> requests = new LinkedHashMap<>();
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -173,6 +173,11 @@
         return Set.copyOf(peers.keySet());
     }
 
+    /** Returns whether all known peers reported recently. */
+    public boolean hearsAll() {
+        return peers.values().stream().allMatch(p -> p.reporting);
+    }
+
     /** Returns whether a peer reported recently that it can reach the store. */
     public boolean reachesStore(String host) {
         Peer p = peers.get(host);
--- a/core/src/main/java/org/dragonflygw/core/storenews/ReadSchedule.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/ReadSchedule.java
@@ -1,39 +1,12 @@
 package org.dragonflygw.core.storenews;
 
-import java.util.function.Supplier;
-
-/**
- * Decides when this host reads a table, from the age of its copy. The reader of a group reads at short intervals; the
- * other hosts read only when the news they receive become too old, each a little later than the host before it.
- */
-public final class ReadSchedule {
-    private final ReaderSelection selection;
-    private final Supplier<ReadIntervals> intervals;
-
-    /**
-     * Creates a schedule.
-     *
-     * @param selection tells whether this host is the reader of its group
-     * @param intervals supplies the current intervals; called for each decision
-     */
-    public ReadSchedule(ReaderSelection selection, Supplier<ReadIntervals> intervals) {
-        this.selection = selection;
-        this.intervals = intervals;
-    }
-
+/** Decides when this host reads a table of the store. */
+public interface ReadSchedule {
     /**
      * Time until the next read of a table whose copy has the given age, in milliseconds; 0 or less means read at once.
      */
-    public long delayMs(long ageMs) {
-        int rank = selection.rank();
-        ReadIntervals current = intervals.get();
-        return rank == 0
-                ? current.readerMaxAgeMs() - ageMs
-                : current.followerMaxAgeMs() + (rank - 1) * current.staggerMs() - ageMs;
-    }
+    long delayMs(long ageMs);
 
-    /** Time for which the store should wait for a change before it answers a read, in milliseconds; 0 for followers. */
-    public long longPollMs() {
-        return selection.isReader() ? intervals.get().longPollMs() : 0;
-    }
+    /** Time for which the store should wait for a change before it answers a read, in milliseconds. */
+    long longPollMs();
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
@@ -1,14 +1,18 @@
 package org.dragonflygw.core.exchange;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.DispatchSettings;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -49,6 +53,7 @@
     private static final int RUN_DELAY_MS = 5;
     private static final int CONNECT_TIMEOUT_MS = 450;
     private static final int RESTART_MS = 3_000;
+    private static final int STORE_READ_MS = 1_000;
 
     /** Time until the entry of an engine that ended is gone: three heartbeats and a read of the store. */
     private static final int ENTRY_EXPIRY_MS = 4_000;
@@ -59,6 +64,7 @@
     private final List<Host> hosts = new ArrayList<>();
     private final List<Engine> engines = new ArrayList<>();
     private final List<Event> events = new ArrayList<>();
+    private final Map<String, StoredRow> store = new LinkedHashMap<>();
     private final List<Long> endsMs = new ArrayList<>();
     private final List<Long> sendsMs = new ArrayList<>();
     private int othersLostPerHost;
@@ -73,6 +79,8 @@
 
     private record Event(long atMs, Runnable action) {}
 
+    private record StoredRow(List<CrashSuspect> suspects, long writtenMs) {}
+
     CrashingRequestFleet(int hostCount, int engineCount, End end, long seed) {
         this.end = end;
         this.random = new SplittableRandom(seed);
@@ -126,6 +134,7 @@
             }
             if (nowMs % ROUND_MS == 0) {
                 hosts.forEach(Host::reportRound);
+                hosts.forEach(Host::useStore);
             }
         }
     }
@@ -144,6 +153,14 @@
         return endsMs.size();
     }
 
+    /** Ends the processes of all hosts at once and starts new ones, which know only what the store holds. */
+    void restartAllHosts() {
+        List<String> names = hosts.stream().map(Host::toString).toList();
+        hosts.clear();
+        names.forEach(n -> hosts.add(new Host(n)));
+        hosts.forEach(Host::useStore); // New requests are held until the rows were read.
+    }
+
     private void step() {
         clock.advanceMs(STEP_MS);
         nowMs += STEP_MS;
@@ -218,13 +235,16 @@
         private final String name;
         private final EndpointLoads loads = new EndpointLoads();
         private final CrashSuspects crashes = new CrashSuspects(new NoOpEventLog());
+        private final StoredSuspects stored;
         private final HostReportFactory reports;
         private final ExchangeContext context;
         private final List<Call> calls = new ArrayList<>();
         private int nextTarget;
+        private long storeReadMs = -1;
 
         Host(String name) {
             this.name = name;
+            this.stored = new StoredSuspects(name, crashes, () -> reportLoss < 1, clock);
             this.reports = new HostReportFactory(name, new HostAddress("10.0.0.2", 7_000), 1, loads, crashes, clock);
             engines.forEach(e -> loads.onUpdated(e.entry));
             FleetRetryShare retries = new FleetRetryShare(
@@ -283,6 +303,23 @@
             }
         }
 
+        /** Reads the rows that changed, once a second, and writes this host's row where it has to. */
+        void useStore() {
+            if (nowMs - storeReadMs >= STORE_READ_MS || storeReadMs < 0) {
+                store.forEach((owner, row) -> {
+                    if (row.writtenMs >= storeReadMs) {
+                        stored.onRow(owner, row.suspects, nowMs - row.writtenMs);
+                    }
+                });
+                stored.onRowsRead();
+                storeReadMs = nowMs;
+            }
+            stored.toWrite().ifPresent(suspects -> {
+                store.put(name, new StoredRow(suspects, nowMs));
+                stored.onWritten(suspects);
+            });
+        }
+
         private void receive(HostReport report) {
             crashes.accept(report.crashes(), clock.nanos());
         }
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
@@ -9,7 +9,6 @@
 import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.exchange.CrashingRequestFleet.End;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -90,7 +89,6 @@
     }
 
     /** Guards against hosts that reach the store but not each other, so that each counts to three alone. */
-    @Tag("known-red")
     @Test
     void isBlockedThoughHostsDoNotHearOfEachOther() {
         CrashingRequestFleet fleet = new CrashingRequestFleet(HOSTS, ENGINES, End.RESET, 1)
@@ -100,6 +98,18 @@
         assertKept(fleet);
     }
 
+    /** Guards against hosts that forget what was blocked when all of them restart, so that three more engines end. */
+    @Test
+    void isBlockedAfterAllHostsRestart() {
+        CrashingRequestFleet fleet = new CrashingRequestFleet(HOSTS, ENGINES, End.RESET, 1).nonIdempotent();
+        fleet.run(MINUTE_MS / 4, INTERVAL_MS);
+        int before = fleet.ends();
+        fleet.restartAllHosts();
+        fleet.run(MINUTE_MS / 4, INTERVAL_MS);
+        assertThat(fleet.ends()).isEqualTo(before);
+        assertKept(fleet);
+    }
+
     /** Guards against an engine that ends without a lost connection, so that its end is not held against the request. */
     @Nested
     final class EndsWithoutALostConnection {
--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -162,7 +162,7 @@
             this.random = random;
             this.peers = new PeerTable(name, new EndpointLoads(), new NoOpEventLog(), clock);
             this.selection = new ReaderSelection(name, peers);
-            this.schedule = new ReadSchedule(selection, () -> INTERVALS);
+            this.schedule = new GroupReadSchedule(selection, () -> INTERVALS);
             this.nextRoundMs = random.nextInt(ROUND_MS);
             MutableClock wall = MutableClock.of(Instant.EPOCH, ZoneOffset.UTC);
             this.applier = new StoreNewsApplier(
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -11,6 +11,7 @@
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
 import org.dragonflygw.core.discovery.EndpointRegistry;
@@ -71,7 +72,7 @@
     private final EventLoopGroup group;
     private final CatalogHolder catalogs = new CatalogHolder();
     private final FrontState frontState = new FrontState();
-    private final StartupHold startupHold = new StartupHold(this::canRoute, System::nanoTime);
+    private final StartupHold startupHold = new StartupHold(this::isPrepared, System::nanoTime);
     private final EdgeMetrics metrics;
     private final EndpointHeaders endpointHeaders = new EndpointHeaders();
     private final EndpointConnectionPool pool;
@@ -106,8 +107,10 @@
                 peers::fleetSize,
                 new SuspensionDetector(System::nanoTime, InstantSource.system()),
                 System.nanoTime());
-        this.store =
-                new StoreView(group, settings, catalogs, registry, contact, peers, metrics, log, this::reportToPeers);
+        StoredSuspects storedSuspects =
+                new StoredSuspects(identity.hostName(), crashes, peers::hearsAll, System::nanoTime);
+        this.store = new StoreView(
+                group, settings, catalogs, registry, contact, peers, storedSuspects, metrics, log, this::reportToPeers);
     }
 
     /**
@@ -151,6 +154,11 @@
         return catalogs.current().isPresent() && registry.loaded();
     }
 
+    /** Whether requests need not be held any more; a host that cannot read the suspects serves without them. */
+    private boolean isPrepared() {
+        return canRoute() && store.suspectsRead();
+    }
+
     private void logStart() {
         HostBounds bounds = settings.bounds();
         log.line(LogTopic.START)
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
+import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
@@ -34,6 +35,9 @@
     private final EndpointChangeLog changes = new EndpointChangeLog();
     private final TableFollower configuration;
     private final TableFollower endpoints;
+    private final EventLoopGroup group;
+    private final SuspectRows suspectRows;
+    private final TableFollower suspects;
     private final PeerDiscovery peerDiscovery;
     private final StoreNewsApplier newsApplier;
     private final StoreEra era;
@@ -50,9 +54,11 @@
             EndpointRegistry registry,
             StoreContact contact,
             PeerTable peers,
+            StoredSuspects storedSuspects,
             EdgeMetrics metrics,
             EventLog log,
             Runnable afterRead) {
+        this.group = group;
         this.settings = settings;
         this.registry = registry;
         this.peers = peers;
@@ -64,6 +70,8 @@
         configurationFeed = new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log);
         configuration = followers.configuration(configurationFeed, afterRead);
         endpoints = followers.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry, changes), afterRead);
+        suspectRows = followers.suspectRows(storedSuspects);
+        suspects = followers.suspects(suspectRows);
         peerDiscovery = followers.peerDiscovery(peers);
         newsApplier = new StoreNewsApplier(era, registry, changes, contact, System::nanoTime);
     }
@@ -71,6 +79,7 @@
     private void onNewEra() {
         configuration.onNewEra();
         endpoints.onNewEra();
+        suspects.onNewEra();
         HostIdentity identity = settings.current().identity();
         peerDiscovery.register(identity.hostName(), identity.internal());
     }
@@ -80,6 +89,8 @@
         HostIdentity identity = settings.current().identity();
         configuration.start();
         endpoints.start();
+        suspects.start();
+        suspectRows.start(group.next());
         peerDiscovery.register(identity.hostName(), identity.internal());
     }
 
@@ -101,6 +112,11 @@
                 configurationFeed.news());
     }
 
+    /** Returns whether this host knows which requests the store names as crashing endpoints. */
+    public boolean suspectsRead() {
+        return suspectRows.isRead();
+    }
+
     /** Returns the addresses of the hosts for which this host reads the store, if it is their reader. */
     public List<HostAddress> groupAddresses() {
         return peers.addressesOf(readerSelection.group());
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableFollowerFactory.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableFollowerFactory.java
@@ -1,9 +1,13 @@
 package org.dragonflygw.edge.store;
 
 import io.netty.channel.EventLoopGroup;
+import java.time.InstantSource;
+import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.core.storenews.GroupReadSchedule;
+import org.dragonflygw.core.storenews.LongPollSchedule;
 import org.dragonflygw.core.storenews.ReadIntervals;
 import org.dragonflygw.core.storenews.ReadSchedule;
 import org.dragonflygw.core.storenews.ReaderSelection;
@@ -40,6 +44,12 @@
     /** Delay after a failed call, in milliseconds. Calls to the store are charged, failed ones too. */
     private static final long RETRY_DELAY_MS = 250;
 
+    /** Least time between two reads of the suspects, in milliseconds: a fraction of the time in which hosts must agree. */
+    private static final long SUSPECTS_MIN_INTERVAL_MS = 1_000;
+
+    /** Long-poll time of a read of the suspects, which rarely change, in milliseconds. */
+    private static final long SUSPECTS_LONG_POLL_MS = 10_000;
+
     private final EventLoopGroup group;
     private final SettingsHolder settings;
     private final StoreApiCodec codec;
@@ -67,7 +77,7 @@
 
     /** Creates the follower of the operator's table, which holds the configuration. */
     TableFollower configuration(TableListener listener, Runnable afterRead) {
-        ReadSchedule schedule = new ReadSchedule(readerSelection, this::configurationIntervals);
+        ReadSchedule schedule = new GroupReadSchedule(readerSelection, this::configurationIntervals);
         return follower(
                 new TableFollowerSettings(StoreApiCodec.OPERATOR_TABLE, schedule, TIMEOUT_MS, RETRY_DELAY_MS),
                 listener,
@@ -85,7 +95,7 @@
 
     /** Creates the follower of the endpoint table. */
     TableFollower endpoints(TableListener listener, Runnable afterRead) {
-        ReadSchedule schedule = new ReadSchedule(readerSelection, this::endpointIntervals);
+        ReadSchedule schedule = new GroupReadSchedule(readerSelection, this::endpointIntervals);
         return follower(
                 new TableFollowerSettings(StoreApiCodec.ENDPOINT_TABLE, schedule, TIMEOUT_MS, RETRY_DELAY_MS),
                 listener,
@@ -101,6 +111,22 @@
                 (long) (boundMs * STAGGER_FRACTION));
     }
 
+    /** Creates the follower of the table in which hosts keep requests that crash endpoints. */
+    TableFollower suspects(TableListener listener) {
+        ReadSchedule schedule = new LongPollSchedule(SUSPECTS_MIN_INTERVAL_MS, SUSPECTS_LONG_POLL_MS);
+        return follower(
+                new TableFollowerSettings(StoreApiCodec.SUSPECT_TABLE, schedule, TIMEOUT_MS, RETRY_DELAY_MS),
+                listener,
+                () -> {});
+    }
+
+    /** Creates the rows in which hosts keep requests that crash endpoints. */
+    SuspectRows suspectRows(StoredSuspects stored) {
+        String host = settings.current().identity().hostName();
+        StoreClient client = new StoreClient(group, settings, metrics);
+        return new SuspectRows(host, stored, client, codec, log, InstantSource.system());
+    }
+
     /** Creates the discovery of the other hosts. */
     PeerDiscovery peerDiscovery(PeerTable peers) {
         return new PeerDiscovery(new StoreClient(group, settings, metrics), codec, group.next(), peers, log);
--- /dev/null
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/CrashRowCodec.java
@@ -0,0 +1,47 @@
+package org.dragonflygw.wire.codec;
+
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.dragonflygw.wire.hosts.CrashRowMessage;
+
+/** Encodes and decodes {@link CrashRow}s in the compact Thrift protocol. Not thread-safe: use one codec per thread. */
+public final class CrashRowCodec {
+    private final TSerializer serializer;
+    private final TDeserializer deserializer;
+
+    public CrashRowCodec() {
+        try {
+            serializer = new TSerializer(new TCompactProtocol.Factory());
+            deserializer = new TDeserializer(new TCompactProtocol.Factory());
+        } catch (TException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot create the codec of crash rows", e);
+        }
+    }
+
+    /** Encodes a row; throws {@link WireException} when Thrift rejects it. */
+    public byte[] encode(CrashRow row) {
+        try {
+            return serializer.serialize(new CrashRowMessage(
+                    row.writtenMs(),
+                    row.suspects().stream().map(CrashReportCodec::encode).toList()));
+        } catch (TException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot encode the crash row", e);
+        }
+    }
+
+    /** Decodes a row; throws {@link WireException} when the bytes are truncated or a field is invalid. */
+    public CrashRow decode(byte[] bytes) {
+        CrashRowMessage m = new CrashRowMessage();
+        try {
+            deserializer.deserialize(m, bytes);
+            m.validate();
+            return new CrashRow(
+                    m.getWrittenMillis(),
+                    m.getSuspects().stream().map(CrashReportCodec::decode).toList());
+        } catch (TException | RuntimeException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot decode the crash row", e);
+        }
+    }
+}
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -2,22 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
-import org.dragonflygw.core.crash.CrashReport;
-import org.dragonflygw.core.crash.CrashSuspect;
-import org.dragonflygw.core.crash.EndpointLosses;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.dispatch.PromptPart;
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PromptHolding;
 import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.wire.hosts.CrashSuspectMessage;
-import org.dragonflygw.wire.hosts.EndpointLossesMessage;
 import org.dragonflygw.wire.hosts.EndpointUseMessage;
 import org.dragonflygw.wire.hosts.HostReportMessage;
 import org.dragonflygw.wire.hosts.LeavingEndpointMessage;
@@ -60,17 +54,8 @@
                 uses,
                 holdings,
                 StoreNewsCodec.encode(report.news()),
-                report.crashes().suspects().stream()
-                        .map(HostReportCodec::encode)
-                        .toList());
-        if (!report.crashes().cleared().isEmpty()) {
-            message.setCleared(report.crashes().cleared());
-        }
-        if (!report.crashes().losses().isEmpty()) {
-            message.setLosses(report.crashes().losses().stream()
-                    .map(HostReportCodec::encode)
-                    .toList());
-        }
+                CrashReportCodec.encodeSuspects(report.crashes()));
+        CrashReportCodec.setOptional(message, report.crashes());
         if (!report.leaving().isEmpty()) {
             message.setLeaving(
                     report.leaving().stream().map(HostReportCodec::encode).toList());
@@ -82,19 +67,6 @@
         }
     }
 
-    private static CrashSuspectMessage encode(CrashSuspect suspect) {
-        return new CrashSuspectMessage(suspect.fingerprint(), List.copyOf(suspect.endpoints()))
-                .setAgeMillis(suspect.ageMs());
-    }
-
-    private static EndpointLossesMessage encode(EndpointLosses losses) {
-        return new EndpointLossesMessage(losses.endpoint(), losses.fingerprints(), losses.ageMs());
-    }
-
-    private static EndpointLosses decode(EndpointLossesMessage m) {
-        return new EndpointLosses(m.getEndpoint(), m.getFingerprints(), Math.max(0, m.getAgeMillis()));
-    }
-
     private static LeavingEndpointMessage encode(LeavingEndpoint leaving) {
         return new LeavingEndpointMessage(leaving.id(), leaving.startedMs(), leaving.ageMs());
     }
@@ -108,19 +80,6 @@
                 .toList();
     }
 
-    private static CrashReport decodeCrashes(HostReportMessage m) {
-        return new CrashReport(
-                m.getCrashes().stream().map(HostReportCodec::decode).toList(),
-                m.isSetLosses()
-                        ? m.getLosses().stream().map(HostReportCodec::decode).toList()
-                        : List.of(),
-                m.isSetCleared() ? m.getCleared() : List.of());
-    }
-
-    private static CrashSuspect decode(CrashSuspectMessage m) {
-        return new CrashSuspect(m.getFingerprint(), Set.copyOf(m.getEndpoints()), m.getAgeMillis());
-    }
-
     private static EndpointUseMessage encode(EndpointUse use) {
         EndpointUseMessage m = new EndpointUseMessage(use.endpoint(), use.inFlight(), use.unreadTokens());
         int hundredths = (int) Math.round(use.failureScore() * HUNDREDTHS);
@@ -161,7 +120,7 @@
                 m.getSequence(),
                 uses,
                 holdings,
-                decodeCrashes(m),
+                CrashReportCodec.decode(m),
                 decodeLeaving(m),
                 StoreNewsCodec.decode(m.getNews()));
     }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -153,3 +153,10 @@
   11: optional list<i64> cleared
   12: optional list<EndpointLossesMessage> losses
 }
+
+/** Row of the store in which a host keeps requests that may crash endpoints. */
+struct CrashRowMessage {
+  /** Unix time at which the row was written. */
+  1: required i64 writtenMillis
+  2: required list<CrashSuspectMessage> suspects
+}
