--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
@@ -0,0 +1,455 @@
+package org.dragonflygw.core.exchange;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.Prompt;
+import org.dragonflygw.core.dispatch.PromptPart;
+import org.dragonflygw.core.log.NoOpEventLog;
+import org.dragonflygw.core.peers.HostReport;
+import org.dragonflygw.core.peers.HostReportFactory;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.core.storenews.StoreNews;
+
+/**
+ * Hosts on virtual time in front of simulated model engines. An engine ends when it begins to write an answer to a prompt
+ * with a marked part; no two of these prompts are alike. Sound prompts share the other parts. Engines can also end for
+ * other reasons, or break all answers off without ending.
+ */
+final class CrashingPartFleet {
+    /** Time from the fifth end of an engine after which hosts must know of it, in milliseconds. */
+    static final long CONTACT_MS = 3_000;
+
+    /** The parts under which engines end. */
+    static final List<Long> MARKED_PARTS = List.of(0xdead01L, 0xdead02L);
+
+    private static final int STEP_MS = 5;
+    private static final int ROUND_MS = 200;
+    private static final int FAN_OUT = 8;
+    private static final int RESTART_MS = 3_000;
+    private static final int ENTRY_EXPIRY_MS = 2_000;
+    private static final int EVENTS = 15;
+    private static final int EVENT_INTERVAL_MS = 100;
+    private static final int SYSTEM_PROMPTS = 5;
+    private static final int SUBJECTS = 60;
+    private static final long MANY_TOKENS = 1_000_000;
+
+    private final ManualMonotonicClock clock = new ManualMonotonicClock();
+    private final SplittableRandom random;
+    private final List<Host> hosts = new ArrayList<>();
+    private final List<Engine> engines = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atMs));
+    private final List<Long> endsMs = new ArrayList<>();
+    private final List<Long> markedSendsMs = new ArrayList<>();
+    private final List<Long> blockedSoundMs = new ArrayList<>();
+    private int markedParts = 1;
+    private int markedIntervalMs = 1_000;
+    private int soundIntervalMs = 50;
+    private boolean endsOfOtherCauses;
+    private boolean allEndAtOnce;
+    private boolean answersBreakOff;
+    private boolean endsSilently;
+    private int completedSound;
+    private int startedEngines;
+    private long nextOwnPart = 1L << 40;
+    private long nowMs;
+
+    private record Event(long atMs, Runnable action) {}
+
+    CrashingPartFleet(int hostCount, int engineCount, long seed) {
+        this.random = new SplittableRandom(seed);
+        for (int i = 0; i < engineCount; i++) {
+            engines.add(new Engine());
+        }
+        for (int i = 0; i < hostCount; i++) {
+            hosts.add(new Host("h" + i));
+        }
+    }
+
+    /** Sets how many marked parts there are, and the mean time between two prompts with one, in milliseconds; 0 for none. */
+    CrashingPartFleet marked(int parts, int intervalMs) {
+        markedParts = parts;
+        markedIntervalMs = intervalMs;
+        return this;
+    }
+
+    /** Engines also end at random, one a second, and three at once every five seconds. */
+    CrashingPartFleet enginesEndForOtherCauses() {
+        endsOfOtherCauses = true;
+        return this;
+    }
+
+    /** All engines end at once, every six seconds. */
+    CrashingPartFleet allEnginesEndAtOnce() {
+        allEndAtOnce = true;
+        return this;
+    }
+
+    /** Engines break off nine in ten answers as they begin, and live on. */
+    CrashingPartFleet answersBreakOff() {
+        answersBreakOff = true;
+        return this;
+    }
+
+    /** The connections to an engine that ends fall silent and are not reset. */
+    CrashingPartFleet endsSilently() {
+        endsSilently = true;
+        return this;
+    }
+
+    /** Runs traffic for some time. */
+    void run(long millis) {
+        scheduleArrivals();
+        for (long until = nowMs + millis; nowMs < until; step()) {
+            if (nowMs % ROUND_MS == 0) {
+                hosts.forEach(Host::reportRound);
+            }
+        }
+    }
+
+    private void scheduleArrivals() {
+        after(soundIntervalMs, this::arriveSound);
+        if (markedIntervalMs > 0) {
+            after(markedIntervalMs, this::arriveMarked);
+        }
+        if (endsOfOtherCauses) {
+            after(1_000, this::endOne);
+            after(5_000, this::endThree);
+        }
+        if (allEndAtOnce) {
+            after(6_000, this::endAll);
+        }
+    }
+
+    private void arriveSound() {
+        anyHost().start(prompt(List.of(systemPrompt(), subject())), false);
+        after(randomInterval(soundIntervalMs), this::arriveSound);
+    }
+
+    private void arriveMarked() {
+        long marked = MARKED_PARTS.get(random.nextInt(markedParts));
+        List<Long> parts = random.nextBoolean()
+                ? List.of(systemPrompt(), marked, subject())
+                : List.of(systemPrompt(), subject(), marked);
+        anyHost().start(prompt(parts), true);
+        after(randomInterval(markedIntervalMs), this::arriveMarked);
+    }
+
+    private int randomInterval(int meanMs) {
+        return Math.max(STEP_MS, (int) (-Math.log(1 - random.nextDouble()) * meanMs));
+    }
+
+    private void endOne() {
+        engines.get(random.nextInt(engines.size())).end();
+        after(randomInterval(1_000), this::endOne);
+    }
+
+    private void endThree() {
+        for (int i = 0; i < 3; i++) {
+            engines.get(random.nextInt(engines.size())).end();
+        }
+        after(5_000, this::endThree);
+    }
+
+    private void endAll() {
+        engines.forEach(Engine::end);
+        after(6_000, this::endAll);
+    }
+
+    /** The first system prompts are the most popular. */
+    private long systemPrompt() {
+        return 0x1000L + Math.min(random.nextInt(SYSTEM_PROMPTS), random.nextInt(SYSTEM_PROMPTS));
+    }
+
+    private long subject() {
+        return 0x2000L + Math.min(random.nextInt(SUBJECTS), random.nextInt(SUBJECTS));
+    }
+
+    private Prompt prompt(List<Long> shared) {
+        List<PromptPart> parts = new ArrayList<>();
+        shared.forEach(id -> parts.add(new PromptPart(id, 800)));
+        parts.add(new PromptPart(nextOwnPart++, 100));
+        return new Prompt(parts, parts.size() * 800, 400);
+    }
+
+    private boolean isMarked(Prompt prompt) {
+        return prompt.parts().stream().anyMatch(p -> MARKED_PARTS.contains(p.id()));
+    }
+
+    /** Returns how many prompts with a marked part reached an engine later than hosts must know of five ends. */
+    int lateSends() {
+        if (endsMs.size() < 5) {
+            return 0;
+        }
+        long from = endsMs.get(4) + CONTACT_MS;
+        return (int) markedSendsMs.stream().filter(t -> t > from).count();
+    }
+
+    /** Returns how many engines ended under a marked part. */
+    int ends() {
+        return endsMs.size();
+    }
+
+    /** Returns how many sound prompts were refused as ending engines. */
+    int blockedSound() {
+        return blockedSoundMs.size();
+    }
+
+    /** Returns how many sound prompts were answered. */
+    int completedSound() {
+        return completedSound;
+    }
+
+    private void step() {
+        clock.advanceMs(STEP_MS);
+        nowMs += STEP_MS;
+        while (!events.isEmpty() && events.peek().atMs <= nowMs) {
+            events.poll().action.run();
+        }
+        hosts.forEach(Host::runTimers);
+    }
+
+    private void after(int ms, Runnable action) {
+        events.add(new Event(nowMs + ms, action));
+    }
+
+    private Host anyHost() {
+        return hosts.get(random.nextInt(hosts.size()));
+    }
+
+    private final class Engine {
+        private final List<Call> calls = new ArrayList<>();
+        private DiscoveredEndpoint entry;
+        private boolean alive = true;
+
+        Engine() {
+            entry = newEntry();
+        }
+
+        private DiscoveredEndpoint newEntry() {
+            return new DiscoveredEndpoint("i-" + startedEngines++, "llm", "10.0.0.1", 80, "a", 64, false, 0, 1 + nowMs);
+        }
+
+        boolean runs(DiscoveredEndpoint expected) {
+            return alive && entry.equals(expected);
+        }
+
+        void receive(Call call) {
+            calls.add(call);
+            if (isMarked(call.prompt)) {
+                markedSendsMs.add(nowMs);
+            }
+            after(100 + random.nextInt(300), () -> begin(call));
+        }
+
+        private void begin(Call call) {
+            if (!calls.contains(call)) {
+                return;
+            }
+            call.exchange.onHead(ExchangeFixture.signedHead(200));
+            if (isMarked(call.prompt)) {
+                after(90, () -> endUnder(call));
+                return;
+            }
+            if (answersBreakOff && random.nextInt(10) > 0) {
+                after(20, () -> lose(call));
+                return;
+            }
+            after(EVENT_INTERVAL_MS, () -> write(call, 1));
+        }
+
+        private void write(Call call, int event) {
+            if (!calls.contains(call)) {
+                return;
+            }
+            call.exchange.onBody(("id: " + event + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8));
+            if (event < EVENTS) {
+                after(EVENT_INTERVAL_MS, () -> write(call, event + 1));
+                return;
+            }
+            calls.remove(call);
+            completedSound++;
+            call.exchange.onComplete();
+        }
+
+        private void endUnder(Call call) {
+            if (calls.contains(call)) {
+                endsMs.add(nowMs);
+                end();
+            }
+        }
+
+        void end() {
+            if (!alive) {
+                return;
+            }
+            alive = false;
+            DiscoveredEndpoint ended = entry;
+            List<Call> lost = List.copyOf(calls);
+            calls.clear();
+            if (!endsSilently) {
+                after(STEP_MS, () -> lost.forEach(c -> c.fail(this, AttemptFailure.CONNECTION_LOST)));
+            }
+            after(ENTRY_EXPIRY_MS, () -> hosts.forEach(h -> h.onRemoved(ended)));
+            after(RESTART_MS, this::restart);
+        }
+
+        private void lose(Call call) {
+            if (calls.remove(call)) {
+                call.fail(this, AttemptFailure.CONNECTION_LOST);
+            }
+        }
+
+        private void restart() {
+            entry = newEntry();
+            alive = true;
+            hosts.forEach(h -> h.loads.onUpdated(entry));
+        }
+    }
+
+    private final class Host {
+        private final String name;
+        private final EndpointLoads loads = new EndpointLoads();
+        private final CrashSuspects crashes = new CrashSuspects(new NoOpEventLog());
+        private final HostReportFactory reports;
+        private final ExchangeContext context;
+        private final List<Call> calls = new ArrayList<>();
+        private int nextTarget;
+
+        Host(String name) {
+            this.name = name;
+            this.reports = new HostReportFactory(name, new HostAddress("10.0.0.2", 7_000), 1, loads, crashes, clock);
+            engines.forEach(e -> loads.onUpdated(e.entry));
+            this.context = ExchangeFixture.context(loads, crashes, clock);
+        }
+
+        void start(Prompt prompt, boolean marked) {
+            Call call = new Call(this, prompt, marked);
+            calls.add(call);
+            call.exchange.start();
+        }
+
+        void runTimers() {
+            calls.removeIf(c -> c.exchange.ended());
+            List.copyOf(calls).forEach(Call::runTimer);
+        }
+
+        void onRemoved(DiscoveredEndpoint endpoint) {
+            loads.onRemoved(endpoint);
+            crashes.onEndpointEnded(endpoint.instanceKey(), clock.nanos());
+        }
+
+        void reportRound() {
+            int others = hosts.size() - 1;
+            HostReport report = reports.next((others + FAN_OUT - 1) / FAN_OUT, StoreNews.NONE);
+            for (int i = 0; i < Math.min(FAN_OUT, others); i++) {
+                Host target = hosts.get(nextTarget++ % hosts.size());
+                if (target == this) {
+                    target = hosts.get(nextTarget++ % hosts.size());
+                }
+                target.receive(report);
+            }
+        }
+
+        private void receive(HostReport report) {
+            crashes.accept(report.crashes(), clock.nanos());
+        }
+
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    /** One prompt at a host. */
+    private final class Call implements ExchangeOutput {
+        private final Prompt prompt;
+        private final boolean marked;
+        private final Exchange exchange;
+        private long wakeNanos = Long.MAX_VALUE;
+        private Engine engine;
+
+        Call(Host host, Prompt prompt, boolean marked) {
+            this.prompt = prompt;
+            this.marked = marked;
+            CatalogService service = new CatalogService("llm", "/", 360, 64, MANY_TOKENS, 0);
+            ExchangeRequest request = new ExchangeRequest(
+                    "id",
+                    "team",
+                    ExchangeFixture.streamingRoute(),
+                    service,
+                    1,
+                    prompt,
+                    clock.nanos(),
+                    TimeUnit.SECONDS.toMillis(10),
+                    nextOwnPart);
+            exchange = new Exchange(request, host.context, this);
+        }
+
+        void runTimer() {
+            if (clock.nanos() >= wakeNanos) {
+                wakeNanos = Long.MAX_VALUE;
+                exchange.onTimer();
+            }
+        }
+
+        void fail(Engine from, AttemptFailure failure) {
+            if (engine == from) {
+                engine = null;
+                exchange.onAttemptFailed(failure);
+            }
+        }
+
+        @Override
+        public void send(Dispatch dispatch) {
+            DiscoveredEndpoint to = dispatch.endpoint();
+            engine = engines.stream().filter(e -> e.runs(to)).findFirst().orElse(null);
+            if (engine == null) {
+                after(STEP_MS, () -> fail(null, AttemptFailure.CONNECT_REFUSED));
+                return;
+            }
+            engine.receive(this);
+        }
+
+        @Override
+        public void cancelAttempt() {
+            if (engine != null) {
+                engine.calls.remove(this);
+                engine = null;
+            }
+        }
+
+        @Override
+        public void wakeAt(long nanos) {
+            wakeNanos = nanos;
+        }
+
+        @Override
+        public void reject(Rejection rejection) {
+            if (!marked && rejection.reason().name().startsWith("CRASH")) {
+                blockedSoundMs.add(nowMs);
+            }
+        }
+
+        @Override
+        public void forwardHead(ResponseHead head) {}
+
+        @Override
+        public void forwardBody(byte[] body) {}
+
+        @Override
+        public void finish() {}
+
+        @Override
+        public void abort() {}
+    }
+}
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
@@ -4,9 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalInt;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.catalog.RouteKind;
@@ -14,18 +12,12 @@
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
-import org.dragonflygw.core.dispatch.DispatchSettings;
 import org.dragonflygw.core.dispatch.EndpointLoads;
-import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.dispatch.Prompt;
-import org.dragonflygw.core.lease.SuspensionDetector;
-import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
-import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.settings.RetryBounds;
 import org.dragonflygw.core.storenews.StoreNews;
 
 /**
@@ -247,20 +239,7 @@
             this.stored = new StoredSuspects(name, crashes, () -> reportLoss < 1, clock);
             this.reports = new HostReportFactory(name, new HostAddress("10.0.0.2", 7_000), 1, loads, crashes, clock);
             engines.forEach(e -> loads.onUpdated(e.entry));
-            FleetRetryShare retries = new FleetRetryShare(
-                    () -> new RetryBounds(1, 1_000, TimeUnit.SECONDS.toNanos(10)),
-                    () -> OptionalInt.of(1),
-                    new SuspensionDetector(clock, clock),
-                    clock.nanos() - TimeUnit.SECONDS.toNanos(10));
-            this.context = new ExchangeContext(
-                    new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all),
-                    loads,
-                    new EndpointNotices(loads, new NoOpEventLog(), clock),
-                    retries,
-                    crashes,
-                    new RetryAfterDelays(new SplittableRandom(1)),
-                    new NoOpEventLog(),
-                    clock);
+            this.context = ExchangeFixture.context(loads, crashes, clock);
         }
 
         void start() {
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -111,6 +111,42 @@
         return exchange;
     }
 
+    /** A route for streams that may not be resumed. */
+    static CatalogRoute streamingRoute() {
+        return new CatalogRoute(
+                "stream",
+                "h",
+                "/p/",
+                RouteKind.STREAMING,
+                15_000,
+                800,
+                1,
+                List.of(new WeightedService("llm", 1)),
+                2,
+                false,
+                true,
+                false,
+                400);
+    }
+
+    /** The objects that the exchanges of one host of a simulated fleet share; retries are plentiful. */
+    static ExchangeContext context(EndpointLoads loads, CrashSuspects crashes, ManualMonotonicClock clock) {
+        FleetRetryShare retries = new FleetRetryShare(
+                () -> new RetryBounds(1, 1_000, WINDOW_NANOS),
+                () -> OptionalInt.of(1),
+                new SuspensionDetector(clock, clock),
+                clock.nanos() - WINDOW_NANOS);
+        return new ExchangeContext(
+                new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all),
+                loads,
+                new EndpointNotices(loads, new NoOpEventLog(), clock),
+                retries,
+                crashes,
+                new RetryAfterDelays(new SplittableRandom(1)),
+                new NoOpEventLog(),
+                clock);
+    }
+
     static ResponseHead signedHead(int status) {
         return new ResponseHead(status, true, false, false, -1, Optional.empty(), EndpointNotice.NONE, List.of());
     }
