Block parts of prompts under which engines end

Callers saw engines end one after the other under requests of one kind, and lost what ran beside them. Cause: hosts know requests only as a whole, by the hash of method, target, body and team; no two of these requests are alike, so no two ends were ever counted together.

A part is blamed for the end of an endpoint under a request that was just beginning to be answered (head read, or less than 0.5 s of a body), and cleared on all hosts by any answer on it that went on or was completed since. The endpoint must have ended: a lost connection is followed by a probe, a silent one waits for its entry to go. Blocked at three ends of which not all fell together, more while other endpoints end; an end that a blocked part explains is not held against the parts beside it. Reports and the row in the store have bounds.

--- a/core/src/main/java/org/dragonflygw/core/crash/CompletedRequests.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CompletedRequests.java
@@ -1,8 +1,5 @@
 package org.dragonflygw.core.crash;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
-
 /**
  * Requests that received a complete response a short time ago, on any host. They are not the reason for the losses of
  * endpoints that ran them. Not thread-safe.
@@ -14,18 +11,14 @@
     /** Maximum number of remembered requests; those that a busy host completes in some ten seconds. */
     private static final int CAPACITY = 2_048;
 
-    private final Map<Long, Long> completedNanos = new LinkedHashMap<>();
+    private final LatestTimes completed = new LatestTimes(CAPACITY);
 
     void add(long fingerprint, long atNanos) {
-        Long known = completedNanos.remove(fingerprint);
-        completedNanos.put(fingerprint, known == null ? atNanos : Math.max(known, atNanos));
-        if (completedNanos.size() > CAPACITY) {
-            completedNanos.remove(completedNanos.keySet().iterator().next());
-        }
+        completed.add(fingerprint, atNanos);
     }
 
     boolean contains(long fingerprint, long nowNanos) {
-        Long at = completedNanos.get(fingerprint);
+        Long at = completed.get(fingerprint);
         return at != null && nowNanos - at <= RETENTION_NANOS;
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
@@ -53,13 +53,14 @@
 
     private static final long NANOS_PER_MS = 1_000_000;
 
-    private final SuspectTable table = new SuspectTable();
+    private final LossTable<RequestLosses> table =
+            new LossTable<>(losses -> losses.endpoints().size());
     private final CompletedRequests completed = new CompletedRequests();
     private final ReportQueue clearedToReport = new ReportQueue(MAX_CLEARED_REPORTED, MAX_WAITING);
     private final ReportQueue lossesToReport = new ReportQueue(MAX_LOSSES_REPORTED, MAX_WAITING);
     private final ReportQueue suspectsToReport = new ReportQueue(MAX_SUSPECTS_REPORTED, MAX_WAITING);
     private final Set<Long> lastLostHere = new LinkedHashSet<>();
-    private final UnfinishedAttempts unfinished = new UnfinishedAttempts();
+    private final UnfinishedAttempts<Long> unfinished = new UnfinishedAttempts<>();
     private final EventLog log;
 
     public CrashSuspects(EventLog log) {
@@ -149,10 +150,9 @@
     /** Adds losses to a request; earlier ones that no longer count are dropped. */
     private RequestLosses add(long fingerprint, Set<String> endpoints, long atNanos) {
         RequestLosses before = table.get(fingerprint);
-        if (before != null && atNanos - before.lastNanos() > LOSS_RETENTION_NANOS) {
-            table.remove(fingerprint);
-        }
-        RequestLosses losses = table.add(fingerprint, endpoints, atNanos);
+        boolean counts = before != null && atNanos - before.lastNanos() <= LOSS_RETENTION_NANOS;
+        RequestLosses losses = counts ? before.with(endpoints, atNanos) : new RequestLosses(endpoints, atNanos);
+        table.put(fingerprint, losses);
         if (losses.endpoints().size() >= ENDPOINTS_TO_PASS_ON) {
             suspectsToReport.add(fingerprint);
         }
--- a/core/src/main/java/org/dragonflygw/core/crash/StoredSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/StoredSuspects.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.crash;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,13 +10,13 @@
 import org.dragonflygw.core.lease.MonotonicClock;
 
 /**
- * Decides what this host keeps in the store about requests that crash endpoints, in a row of its own. Blocked requests are
- * stored, so that they stay blocked when all hosts have restarted. A host that does not hear from some of its peers also
+ * Decides what this host keeps in the store about requests and parts of prompts that crash endpoints, in a row of its own.
+ * What is blocked is stored, so that it stays blocked when all hosts have restarted. A host that does not hear from some of its peers also
  * stores what it would report to them. Not thread-safe.
  */
 public final class StoredSuspects {
     /**
-     * Time for which a blocked request is expected in the row of another host before this host stores it too, in
+     * Time for which something blocked is expected in the row of another host before this host stores it too, in
      * nanoseconds. The host that saw the last of its losses stores it at once.
      */
     private static final long OTHER_HOST_STORES_NANOS = 3_000_000_000L;
@@ -27,6 +28,7 @@
 
     private final String host;
     private final CrashSuspects crashes;
+    private final CrashingParts parts;
     private final BooleanSupplier hearsAllPeers;
     private final MonotonicClock clock;
     private final Map<String, Set<Long>> blockedByHost = new HashMap<>();
@@ -40,9 +42,15 @@
      * @param host name of this host, the key of its row
      * @param hearsAllPeers whether reports arrive from all hosts that are listed in the store
      */
-    public StoredSuspects(String host, CrashSuspects crashes, BooleanSupplier hearsAllPeers, MonotonicClock clock) {
+    public StoredSuspects(
+            String host,
+            CrashSuspects crashes,
+            CrashingParts parts,
+            BooleanSupplier hearsAllPeers,
+            MonotonicClock clock) {
         this.host = host;
         this.crashes = crashes;
+        this.parts = parts;
         this.hearsAllPeers = hearsAllPeers;
         this.clock = clock;
         this.lastWriteNanos = clock.nanos() - MIN_WRITE_INTERVAL_NANOS;
@@ -52,16 +60,19 @@
      * Applies a row that was read; the row of this host counts only when its earlier process wrote it.
      *
      * @param owner host that wrote the row
-     * @param suspects content of the row
+     * @param content content of the row
      * @param ageMs time since the row was written, in milliseconds
      */
-    public void onRow(String owner, List<CrashSuspect> suspects, long ageMs) {
+    public void onRow(String owner, StoredCrashes content, long ageMs) {
         if (owner.equals(host) && read) {
             return;
         }
         long asOfNanos = clock.nanos() - ageMs * NANOS_PER_MS;
-        crashes.accept(new CrashReport(suspects, List.of(), List.of()), asOfNanos);
-        blockedByHost.put(owner, crashes.blockedAmong(suspects));
+        crashes.accept(new CrashReport(content.requests(), List.of(), List.of()), asOfNanos);
+        parts.accept(new PartReport(content.parts(), List.of()), asOfNanos);
+        Set<Long> blocked = new HashSet<>(crashes.blockedAmong(content.requests()));
+        blocked.addAll(parts.blockedAmong(content.parts(), clock.nanos()));
+        blockedByHost.put(owner, blocked);
     }
 
     /** Records that all rows were read once; this host may then replace its own. */
@@ -70,41 +81,45 @@
     }
 
     /** Returns the new content of this host's row, if it has to be written now. */
-    public Optional<List<CrashSuspect>> toWrite() {
+    public Optional<StoredCrashes> toWrite() {
         long now = clock.nanos();
         if (!read || now - lastWriteNanos < MIN_WRITE_INTERVAL_NANOS) {
             return Optional.empty();
         }
         boolean alone = !hearsAllPeers.getAsBoolean();
-        List<CrashSuspect> content = crashes.toStore(alone, now);
-        if (endpoints(content).equals(written) || (!alone && !mustWrite(content))) {
+        StoredCrashes content = new StoredCrashes(crashes.toStore(alone, now), parts.toStore(alone, now));
+        if (content.endpoints().equals(written) || (!alone && !mustWrite(content, now))) {
             return Optional.empty();
         }
         lastWriteNanos = now;
         return Optional.of(content);
     }
 
-    /** Whether the row names requests that are no longer blocked, or lacks one that no other row names. */
-    private boolean mustWrite(List<CrashSuspect> blocked) {
-        Map<Long, Set<String>> current = endpoints(blocked);
-        if (!current.keySet().containsAll(written.keySet())) {
+    /** Whether the row names something that is no longer blocked, or lacks something that no other row names. */
+    private boolean mustWrite(StoredCrashes blocked, long now) {
+        if (!blocked.endpoints().keySet().containsAll(written.keySet())) {
             return true;
         }
-        return blocked.stream().anyMatch(s -> !isStored(s.fingerprint()) && isDue(s));
+        return blocked.requests().stream().anyMatch(r -> !isStored(r.fingerprint()) && isDue(r))
+                || blocked.parts().stream().anyMatch(p -> !isStored(p.part()) && isDue(p.part(), now));
     }
 
-    private boolean isStored(long fingerprint) {
-        return written.containsKey(fingerprint)
-                || blockedByHost.values().stream().anyMatch(stored -> stored.contains(fingerprint));
+    private boolean isStored(long subject) {
+        return written.containsKey(subject)
+                || blockedByHost.values().stream().anyMatch(stored -> stored.contains(subject));
     }
 
-    private boolean isDue(CrashSuspect suspect) {
-        return crashes.sawLastLoss(suspect.fingerprint()) || suspect.ageMs() * NANOS_PER_MS >= OTHER_HOST_STORES_NANOS;
+    private boolean isDue(CrashSuspect request) {
+        return crashes.sawLastLoss(request.fingerprint()) || request.ageMs() * NANOS_PER_MS >= OTHER_HOST_STORES_NANOS;
+    }
+
+    private boolean isDue(long part, long now) {
+        return parts.sawLastLoss(part) || parts.sinceLastLossNanos(part, now) >= OTHER_HOST_STORES_NANOS;
     }
 
     /** Records that the row was written with this content. */
-    public void onWritten(List<CrashSuspect> content) {
-        written = endpoints(content);
+    public void onWritten(StoredCrashes content) {
+        written = content.endpoints();
     }
 
     /** Records that the store may have lost the row of this host, because it came back from a copy. */
@@ -112,10 +127,4 @@
         written = Map.of();
         blockedByHost.clear();
     }
-
-    private static Map<Long, Set<String>> endpoints(List<CrashSuspect> suspects) {
-        Map<Long, Set<String>> endpoints = new HashMap<>();
-        suspects.forEach(s -> endpoints.put(s.fingerprint(), s.endpoints()));
-        return endpoints;
-    }
 }
--- a/core/src/main/java/org/dragonflygw/core/crash/UnfinishedAttempts.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/UnfinishedAttempts.java
@@ -12,8 +12,10 @@
  * Attempts that ended without a complete response while their endpoint may still be alive: it fell silent, sent malformed
  * bytes or was too late, or the caller left. If the endpoint turns out to have ended, the requests may be the reason. Not
  * thread-safe.
+ *
+ * @param <T> what is remembered of an attempt
  */
-final class UnfinishedAttempts {
+final class UnfinishedAttempts<T> {
     /** Time after an attempt within which an end of its endpoint is attributed to it: an entry outlives its endpoint. */
     private static final long ATTRIBUTION_NANOS = 10_000_000_000L;
 
@@ -23,10 +25,10 @@
     /** Maximum number of endpoints with remembered attempts, and of remembered ends. */
     private static final int MAX_ENDPOINTS = 1_000;
 
-    private final Map<String, Deque<Attempt>> byEndpoint = new HashMap<>();
+    private final Map<String, Deque<Attempt<T>>> byEndpoint = new HashMap<>();
     private final Map<String, Boolean> ended = new LinkedHashMap<>();
 
-    private record Attempt(long fingerprint, long atNanos) {}
+    private record Attempt<T>(T value, long atNanos) {}
 
     /**
      * Records an attempt that ended without a complete response.
@@ -34,11 +36,11 @@
      * @param endpoint instance of the endpoint
      * @return whether the endpoint is known to have ended, so that the attempt need not be remembered
      */
-    boolean add(long fingerprint, String endpoint, long nowNanos) {
+    boolean add(T value, String endpoint, long nowNanos) {
         if (ended.containsKey(endpoint)) {
             return true;
         }
-        Deque<Attempt> attempts = byEndpoint.get(endpoint);
+        Deque<Attempt<T>> attempts = byEndpoint.get(endpoint);
         if (attempts == null) {
             removeOld(nowNanos);
             if (byEndpoint.size() >= MAX_ENDPOINTS) {
@@ -47,7 +49,7 @@
             attempts = new ArrayDeque<>();
             byEndpoint.put(endpoint, attempts);
         }
-        attempts.addLast(new Attempt(fingerprint, nowNanos));
+        attempts.addLast(new Attempt<>(value, nowNanos));
         if (attempts.size() > MAX_PER_ENDPOINT) {
             attempts.removeFirst();
         }
@@ -66,15 +68,15 @@
         }
     }
 
-    /** Removes the recent attempts at an endpoint and returns the fingerprints of their requests. */
-    List<Long> take(String endpoint, long nowNanos) {
-        Deque<Attempt> attempts = byEndpoint.remove(endpoint);
-        List<Long> fingerprints = new ArrayList<>();
+    /** Removes the recent attempts at an endpoint and returns what was remembered of them. */
+    List<T> take(String endpoint, long nowNanos) {
+        Deque<Attempt<T>> attempts = byEndpoint.remove(endpoint);
+        List<T> values = new ArrayList<>();
         if (attempts != null) {
             attempts.stream()
                     .filter(a -> nowNanos - a.atNanos <= ATTRIBUTION_NANOS)
-                    .forEach(a -> fingerprints.add(a.fingerprint));
+                    .forEach(a -> values.add(a.value));
         }
-        return fingerprints;
+        return values;
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
@@ -22,6 +22,11 @@
         return parts.subList(0, Math.max(0, parts.size() - 1));
     }
 
+    /** Returns the ids of the parts that other requests may share. */
+    public List<Long> sharedPartIds() {
+        return sharedParts().stream().map(PromptPart::id).toList();
+    }
+
     /** Returns the total length of the shared parts, in tokens. */
     public int sharedTokens() {
         return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.exchange;
 
 import java.util.Optional;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
@@ -27,7 +28,10 @@
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
     /** Time after the first part of a response from which its request is not the reason for an end of the endpoint. */
-    private static final long SETTLED_NANOS = 1_000_000_000L;
+    private static final long SETTLED_NANOS = 500_000_000L;
+
+    /** Time without a part of a response that has just begun after which its endpoint may have ended without a reset. */
+    private static final long STALL_NANOS = 1_500_000_000L;
 
     private enum Phase {
         CHOOSING,
@@ -49,11 +53,13 @@
     private int uncachedTokens;
     private boolean firstPartSeen;
     private boolean ignoreResponse;
+    private boolean soundRecorded;
+    private boolean stallRecorded;
     private boolean mayHaveRun;
     private long attemptStartNanos;
     private long firstPartAtNanos;
 
-    /** When the first part of the response to the current attempt was read. */
+    /** When the first part of the response to the current attempt was read; 0 if none was. */
     private long begunNanos;
 
     private long longestGapNanos;
@@ -81,8 +87,9 @@
     }
 
     private void sendToEndpoint() {
-        if (isBlocked()) {
-            refuseOrFail(RejectReason.CRASHES_ENDPOINTS, 0);
+        Optional<RejectReason> blocked = blockedReason();
+        if (blocked.isPresent()) {
+            refuseOrFail(blocked.get(), 0);
             return;
         }
         long now = now();
@@ -107,7 +114,10 @@
         endpoint = choice.endpoint().orElseThrow();
         uncachedTokens = choice.uncachedTokens();
         firstPartSeen = false;
+        begunNanos = 0;
         ignoreResponse = false;
+        soundRecorded = false;
+        stallRecorded = false;
         phase = Phase.SENT;
         attemptStartNanos = now;
         silence.restart(now);
@@ -186,6 +196,9 @@
         }
         silence.restart(now);
         onFirstPart(now);
+        if (progress(now) == ResponseProgress.SETTLED) {
+            recordSound(now);
+        }
         if (!response.appendBody(body)) {
             onAttemptFailed(AttemptFailure.MALFORMED);
             return;
@@ -196,6 +209,14 @@
         scheduleTimer();
     }
 
+    /** An endpoint wrote an answer to the prompt for a while, or completed it, so its parts do not crash endpoints. */
+    private void recordSound(long now) {
+        if (!soundRecorded && response.head().isSuccess()) {
+            soundRecorded = true;
+            context.crashingParts().onSound(request.sharedPartIds(), now);
+        }
+    }
+
     private void onFirstPart(long now) {
         if (firstPartSeen) {
             return;
@@ -222,6 +243,7 @@
         if (head.isSuccess()) {
             endpoint.onSuccess(now);
             context.crashes().onCompleted(request.fingerprint(), now);
+            recordSound(now);
             endAttempt();
             response.complete();
             end("ok", head.status());
@@ -272,8 +294,7 @@
             return;
         }
         if (cause == AttemptFailure.CONNECTION_LOST) {
-            context.crashes()
-                    .onConnectionLost(request.fingerprint(), endpoint.entry().instanceKey(), now);
+            recordLost(now);
         } else {
             recordUnfinished(now);
         }
@@ -290,8 +311,42 @@
         retryOrFail(RejectReason.ENDPOINT_FAILED, true);
     }
 
+    private void recordLost(long now) {
+        DiscoveredEndpoint lost = endpoint.entry();
+        context.crashes().onConnectionLost(request.fingerprint(), lost.instanceKey(), now);
+        recordLostAtBeginning(now);
+    }
+
+    /** Records the parts of a prompt that the endpoint was beginning to answer, and looks whether the endpoint has ended. */
+    private void recordLostAtBeginning(long now) {
+        if (!isBeginning(now)) {
+            return;
+        }
+        DiscoveredEndpoint lost = endpoint.entry();
+        context.crashingParts().onLostAtBeginning(request.sharedPartIds(), lost.instanceKey(), attemptStartNanos, now);
+        context.probe().probe(lost, result -> onProbed(lost, result));
+    }
+
+    private void onProbed(DiscoveredEndpoint probed, EndpointProbe.Result result) {
+        long now = now();
+        if (result == EndpointProbe.Result.ENDED) {
+            context.crashes().onConnectionRefused(probed.instanceKey(), now);
+            context.crashingParts().onEndpointEnded(probed.instanceKey(), now);
+        } else if (result == EndpointProbe.Result.ALIVE) {
+            context.crashingParts().onEndpointAlive(probed.instanceKey(), now);
+        }
+    }
+
+    private boolean isBeginning(long now) {
+        ResponseProgress progress = progress(now);
+        return (progress == ResponseProgress.HEAD || progress == ResponseProgress.BEGUN)
+                && response.head().isSuccess()
+                && !request.sharedPartIds().isEmpty();
+    }
+
     /** The endpoint may be ending under the request, which shows only later. */
     private void recordUnfinished(long now) {
+        recordLostAtBeginning(now);
         context.crashes().onUnfinished(request.fingerprint(), endpoint.entry().instanceKey(), now);
     }
 
@@ -303,7 +358,7 @@
         if (!response.hasHead()) {
             return ResponseProgress.NONE;
         }
-        if (!firstPartSeen) {
+        if (begunNanos == 0) {
             return ResponseProgress.HEAD;
         }
         return now - begunNanos < SETTLED_NANOS ? ResponseProgress.BEGUN : ResponseProgress.SETTLED;
@@ -326,13 +381,23 @@
     }
 
     private long crashBlockNanos() {
-        return context.crashes().remainingBlockNanos(request.fingerprint(), now());
+        long now = now();
+        long requestBlockNanos = context.crashes().remainingBlockNanos(request.fingerprint(), now);
+        return Math.max(requestBlockNanos, context.crashingParts().remainingBlockNanos(request.sharedPartIds(), now));
     }
 
     private boolean isBlocked() {
         return crashBlockNanos() > 0;
     }
 
+    private Optional<RejectReason> blockedReason() {
+        if (!isBlocked()) {
+            return Optional.empty();
+        }
+        boolean wholeRequest = context.crashes().remainingBlockNanos(request.fingerprint(), now()) > 0;
+        return Optional.of(wholeRequest ? RejectReason.CRASHES_ENDPOINTS : RejectReason.CRASHING_PROMPT_PART);
+    }
+
     private boolean mayRetry(long now) {
         return !isBlocked() && attempts.mayRunAgain(0) && response.canResume() && hasTimeToRetry(now) && takeRetry(now);
     }
@@ -391,6 +456,10 @@
             onTimeout(now);
             return;
         }
+        if (mayBeStalled(now) && now >= stallNanos()) {
+            stallRecorded = true;
+            recordLostAtBeginning(now);
+        }
         if (mayReplaceIfSilent(now) && now >= silence.expiryNanos(firstPartSeen)) {
             if (takeRetry(now)) {
                 replaceSilentAttempt(now);
@@ -401,6 +470,15 @@
         scheduleTimer();
     }
 
+    /** Whether the endpoint may have ended without a reset, as it was beginning to answer a prompt. */
+    private boolean mayBeStalled(long now) {
+        return !stallRecorded && isBeginning(now);
+    }
+
+    private long stallNanos() {
+        return silence.lastReadNanos() + STALL_NANOS;
+    }
+
     private boolean mayReplaceIfSilent(long now) {
         return attempts.mayRunAgain(1)
                 && response.canResume()
@@ -435,6 +513,9 @@
         if (mayReplaceIfSilent(now())) {
             wakeNanos = Math.min(wakeNanos, silence.expiryNanos(firstPartSeen));
         }
+        if (mayBeStalled(now())) {
+            wakeNanos = Math.min(wakeNanos, stallNanos());
+        }
         out.wakeAt(wakeNanos);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.exchange;
 
 import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.crash.CrashingParts;
 import org.dragonflygw.core.dispatch.EndpointChooser;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.MonotonicClock;
@@ -16,6 +17,8 @@
  * @param notices applies what endpoints say of themselves
  * @param retries this host's share of the retry budget
  * @param crashes requests that are suspected of crashing endpoints
+ * @param crashingParts parts of prompts that are suspected of crashing endpoints
+ * @param probe finds out whether an endpoint has ended
  * @param retryAfterDelays computes the time after which a rejected caller may retry
  * @param log log of decisions
  * @param clock monotonic clock
@@ -26,6 +29,8 @@
         EndpointNotices notices,
         FleetRetryShare retries,
         CrashSuspects crashes,
+        CrashingParts crashingParts,
+        EndpointProbe probe,
         RetryAfterDelays retryAfterDelays,
         EventLog log,
         MonotonicClock clock) {}
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -90,6 +90,11 @@
                 .with("expectedMs", expectedMs)
                 .with("remainingMs", remainingMs)
                 .with("fingerprint", Long.toHexString(request.fingerprint()))
+                .with(
+                        "promptParts",
+                        reason == RejectReason.CRASHING_PROMPT_PART
+                                ? hexIds(request.prompt().sharedParts())
+                                : null)
                 .end();
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
@@ -26,6 +26,8 @@
     UNREACHABLE(503),
     /** Connections to several endpoints were lost while they worked on this request, so it is blocked for a while. */
     CRASHES_ENDPOINTS(503),
+    /** Several endpoints ended as they began to answer prompts with one part of this one, so the part is blocked. */
+    CRASHING_PROMPT_PART(503),
     /** The request bodies that this host holds in memory exceed its limit. */
     OVERLOADED(503),
     /** An endpoint failed after the request was sent; it may have run. */
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -32,6 +32,11 @@
     RETRY,
     /** Endpoints were lost while they ran a request, or the request was cleared; the line has the lost endpoints. */
     CRASH_SUSPECT,
+    /**
+     * Endpoints ended while they began to answer prompts with some part, or the part was cleared; the line has the ended
+     * endpoints.
+     */
+    CRASHING_PART,
     /** A request ended; the line has its outcome. */
     END,
     /** The state of a peer, as this host sees it, changed. */
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.dragonflygw.core.crash.CrashReport;
+import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -16,6 +17,7 @@
  * @param uses load of the host on each endpoint
  * @param holdings prompt prefixes that the host sent to endpoints recently
  * @param crashes requests suspected of crashing endpoints
+ * @param parts parts of prompts suspected of crashing endpoints
  * @param leaving endpoints that said in a response that they are leaving
  * @param news what the host has read from the store
  */
@@ -27,6 +29,7 @@
         List<EndpointUse> uses,
         List<PromptHolding> holdings,
         CrashReport crashes,
+        PartReport parts,
         List<LeavingEndpoint> leaving,
         StoreNews news) {
     public HostReport {
@@ -37,13 +40,13 @@
 
     /** Returns a copy without the prompt prefixes, for use when the message would be too large. */
     public HostReport withoutHoldings() {
-        return new HostReport(host, address, startedMs, sequence, uses, List.of(), crashes, leaving, news);
+        return new HostReport(host, address, startedMs, sequence, uses, List.of(), crashes, parts, leaving, news);
     }
 
     /** Returns a copy without the prompt prefixes and the requests of single lost endpoints, if the message is still too large. */
     public HostReport withoutHoldingsAndLosses() {
         CrashReport suspects = new CrashReport(crashes.suspects(), List.of(), List.of());
-        return new HostReport(host, address, startedMs, sequence, uses, List.of(), suspects, leaving, news);
+        return new HostReport(host, address, startedMs, sequence, uses, List.of(), suspects, parts, leaving, news);
     }
 
     /** Returns whether this report is newer than another report of the same host. */
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.crash.CrashingParts;
+import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.MonotonicClock;
@@ -31,6 +33,7 @@
     private final long startedMs;
     private final EndpointLoads loads;
     private final CrashSuspects crashes;
+    private final CrashingParts crashingParts;
     private final MonotonicClock clock;
     private final Deque<RecentHolding> recentHoldings = new ArrayDeque<>();
     private long sequence;
@@ -49,12 +52,14 @@
             long startedMs,
             EndpointLoads loads,
             CrashSuspects crashes,
+            CrashingParts crashingParts,
             MonotonicClock clock) {
         this.host = host;
         this.address = address;
         this.startedMs = startedMs;
         this.loads = loads;
         this.crashes = crashes;
+        this.crashingParts = crashingParts;
         this.clock = clock;
     }
 
@@ -74,7 +79,8 @@
         }
         List<PromptHolding> holdings = new ArrayList<>();
         recentHoldings.forEach(t -> holdings.add(t.holding));
-        return report(holdings, crashes.nextReport(rounds, clock.nanos()), news);
+        long now = clock.nanos();
+        return report(holdings, crashes.nextReport(rounds, now), crashingParts.nextReport(rounds, now), news);
     }
 
     /**
@@ -82,10 +88,11 @@
      * has news. Short messages are not lost on a narrow link. What is left out stays in the next reports.
      */
     public HostReport nextWithoutHoldings(StoreNews news) {
-        return report(List.of(), CrashReport.NONE, news);
+        return report(List.of(), CrashReport.NONE, PartReport.NONE, news);
     }
 
-    private HostReport report(List<PromptHolding> holdings, CrashReport crashReport, StoreNews news) {
+    private HostReport report(
+            List<PromptHolding> holdings, CrashReport crashReport, PartReport partReport, StoreNews news) {
         return new HostReport(
                 host,
                 address,
@@ -94,6 +101,7 @@
                 uses(),
                 holdings,
                 crashReport,
+                partReport,
                 loads.recentLeaves(clock.nanos()),
                 news);
     }
--- a/core/src/test/java/org/dragonflygw/core/peers/HostReportFactoryTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/HostReportFactoryTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.crash.CrashingParts;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.Prompt;
@@ -25,6 +26,7 @@
             1,
             loads,
             new CrashSuspects(new NoOpEventLog()),
+            new CrashingParts(new NoOpEventLog()),
             new ManualMonotonicClock());
 
     @BeforeEach
--- a/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.crash.CrashReport;
+import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.log.NoOpEventLog;
@@ -168,6 +169,7 @@
                     List.of(),
                     List.of(),
                     CrashReport.NONE,
+                    PartReport.NONE,
                     List.of(),
                     StoreNews.NONE);
             for (Host h : hosts) {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -11,6 +11,7 @@
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.crash.CrashingParts;
 import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
@@ -32,6 +33,7 @@
 import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.retry.FleetRetryShare;
@@ -47,6 +49,7 @@
 import org.dragonflygw.edge.peers.PeerReports;
 import org.dragonflygw.edge.stop.GracefulStop;
 import org.dragonflygw.edge.store.StoreView;
+import org.dragonflygw.edge.upstream.ConnectProbe;
 import org.dragonflygw.edge.upstream.EndpointConnectionPool;
 import org.dragonflygw.platform.adapter.CallerHeaders;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
@@ -82,6 +85,7 @@
     private final EndpointRegistry registry;
     private final FleetRetryShare retries;
     private final CrashSuspects crashes;
+    private final CrashingParts crashingParts;
     private final PeerTable peers;
     private final StoreView store;
     private PeerReports reports;
@@ -101,6 +105,7 @@
         this.contact = new StoreContact(this::maxKeyAgeNanos, System::nanoTime, InstantSource.system());
         this.registry = new EndpointRegistry(new EndpointUpdates(), this::heartbeatNanos, log);
         this.crashes = new CrashSuspects(log);
+        this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
         this.retries = new FleetRetryShare(
                 () -> settings.bounds().retries(),
@@ -108,7 +113,7 @@
                 new SuspensionDetector(System::nanoTime, InstantSource.system()),
                 System.nanoTime());
         StoredSuspects storedSuspects =
-                new StoredSuspects(identity.hostName(), crashes, peers::hearsAll, System::nanoTime);
+                new StoredSuspects(identity.hostName(), crashes, crashingParts, peers::hearsAll, System::nanoTime);
         this.store = new StoreView(
                 group, settings, catalogs, registry, contact, peers, storedSuspects, metrics, log, this::reportToPeers);
     }
@@ -127,6 +132,8 @@
         metrics.registerGauge("retries_denied_total", retries::deniedCount);
         metrics.registerGauge("crash_suspects", crashes::count);
         metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
+        metrics.registerGauge("crashing_parts", crashingParts::count);
+        metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
@@ -183,19 +190,18 @@
     private void startStoreAndPeers() {
         long startedMs = InstantSource.system().instant().toEpochMilli();
         HostReportFactory reportFactory = new HostReportFactory(
-                identity.hostName(), identity.internal(), startedMs, loads, crashes, System::nanoTime);
-        reports = new PeerReports(
-                group,
-                peers,
-                reportFactory,
-                log,
-                r -> crashes.accept(r, System.nanoTime()),
-                store::news,
-                store::applyNews);
+                identity.hostName(), identity.internal(), startedMs, loads, crashes, crashingParts, System::nanoTime);
+        reports = new PeerReports(group, peers, reportFactory, log, this::acceptCrashes, store::news, store::applyNews);
         reports.listen(identity.internal());
         store.start();
     }
 
+    private void acceptCrashes(HostReport report) {
+        long now = System.nanoTime();
+        crashes.accept(report.crashes(), now);
+        crashingParts.accept(report.parts(), now);
+    }
+
     /**
      * Runs a task on the event loop at a fixed delay until the process ends. The task must be short, because requests
      * wait while it runs.
@@ -230,6 +236,8 @@
                 notices,
                 retries,
                 crashes,
+                crashingParts,
+                new ConnectProbe(group, metrics, log),
                 new RetryAfterDelays(new SplittableRandom()),
                 log,
                 System::nanoTime);
@@ -286,7 +294,9 @@
             loads.onRemoved(endpoint);
             pool.removeEndpoint(endpoint);
             if (!endpoint.draining()) {
-                crashes.onEndpointEnded(endpoint.instanceKey(), System.nanoTime());
+                long now = System.nanoTime();
+                crashes.onEndpointEnded(endpoint.instanceKey(), now);
+                crashingParts.onEndpointEnded(endpoint.instanceKey(), now);
             }
         }
     }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.error.CodedException;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
@@ -53,7 +52,7 @@
     private final PeerTable peers;
     private final HostReportFactory reports;
     private final EventLog log;
-    private final Consumer<CrashReport> crashReportListener;
+    private final Consumer<HostReport> crashListener;
     private final Supplier<StoreNews> storeNews;
     private final Consumer<StoreNews> storeNewsListener;
     private final HostReportCodec codec = new HostReportCodec();
@@ -65,7 +64,7 @@
     /**
      * Creates an exchange that {@link #listen} starts.
      *
-     * @param crashReportListener receives what peers know about requests that may crash endpoints
+     * @param crashListener receives the accepted reports, for what peers know about crashes of endpoints
      * @param storeNews supplies this host's news about the store
      * @param storeNewsListener receives the peers' news about the store
      */
@@ -74,14 +73,14 @@
             PeerTable peers,
             HostReportFactory reports,
             EventLog log,
-            Consumer<CrashReport> crashReportListener,
+            Consumer<HostReport> crashListener,
             Supplier<StoreNews> storeNews,
             Consumer<StoreNews> storeNewsListener) {
         this.group = group;
         this.peers = peers;
         this.reports = reports;
         this.log = log;
-        this.crashReportListener = crashReportListener;
+        this.crashListener = crashListener;
         this.storeNews = storeNews;
         this.storeNewsListener = storeNewsListener;
     }
@@ -148,7 +147,7 @@
                 boolean stalled = System.nanoTime() - lastRoundNanos > MAX_STALL_NANOS;
                 boolean accepted = peers.onReport(report);
                 if (accepted) {
-                    crashReportListener.accept(report.crashes());
+                    crashListener.accept(report);
                 }
                 if (accepted && !stalled) {
                     storeNewsListener.accept(report.news());
--- a/edge/src/main/java/org/dragonflygw/edge/store/SuspectRows.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/SuspectRows.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.dragonflygw.core.crash.CrashSuspect;
+import org.dragonflygw.core.crash.StoredCrashes;
 import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.error.CodedException;
 import org.dragonflygw.core.log.EventLog;
@@ -16,7 +16,7 @@
 import org.dragonflygw.wire.codec.CrashRowCodec;
 
 /**
- * Applies the rows in which hosts keep requests that crash endpoints, and writes the row of this host when its content
+ * Applies the rows in which hosts keep what crashes endpoints, and writes the row of this host when its content
  * changes. Used by the event loop only.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A task of the event loop is lost only when the loop shuts down.
@@ -89,9 +89,9 @@
             return;
         }
         try {
-            CrashRow content = rowCodec.decode(row.data());
-            long ageMs = Math.max(0, wallClock.millis() - content.writtenMs());
-            stored.onRow(row.key(), content.suspects(), ageMs);
+            CrashRow decoded = rowCodec.decode(row.data());
+            long ageMs = Math.max(0, wallClock.millis() - decoded.writtenMs());
+            stored.onRow(row.key(), decoded.content(), ageMs);
         } catch (CodedException e) {
             log.line(LogTopic.CRASH_SUSPECT)
                     .with("outcome", "unreadable row")
@@ -105,11 +105,11 @@
         if (writing) {
             return;
         }
-        Optional<List<CrashSuspect>> content = stored.toWrite();
+        Optional<StoredCrashes> content = stored.toWrite();
         content.ifPresent(this::write);
     }
 
-    private void write(List<CrashSuspect> content) {
+    private void write(StoredCrashes content) {
         writing = true;
         byte[] data = rowCodec.encode(new CrashRow(wallClock.millis(), content));
         byte[] body = storeCodec.writeBody(StoreApiCodec.SUSPECT_TABLE, host, data);
@@ -120,7 +120,8 @@
             }
             log.line(LogTopic.CRASH_SUSPECT)
                     .with("outcome", response.isOk() ? "row written" : "row not written")
-                    .with("requests", content.size())
+                    .with("requests", content.requests().size())
+                    .with("promptParts", content.parts().size())
                     .with("reason", response.isOk() ? null : response.problem())
                     .end();
         });
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/ConnectProbe.java
@@ -0,0 +1,104 @@
+package org.dragonflygw.edge.upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.exchange.EndpointProbe;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.edge.ops.EdgeMetrics;
+
+/**
+ * Opens a connection to an endpoint and closes it. Each endpoint is probed at a bounded rate, one probe at a time. Used by
+ * the event loop only.
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // A probe without a result changes nothing.
+public final class ConnectProbe implements EndpointProbe {
+    private static final int CONNECT_TIMEOUT_MS = 450;
+
+    /** Least time between two probes of an endpoint, in milliseconds. An endpoint may break off many responses. */
+    private static final long MIN_INTERVAL_MS = 250;
+
+    /** Maximum number of endpoints whose last probe is remembered. */
+    private static final int MAX_ENDPOINTS = 1_024;
+
+    private final Bootstrap bootstrap;
+    private final EventLoop loop;
+    private final EdgeMetrics metrics;
+    private final EventLog log;
+
+    /** Time of the last or the next probe by instance of the endpoint, from {@link System#nanoTime()}. */
+    private final Map<String, Long> probeNanos = new LinkedHashMap<>();
+
+    public ConnectProbe(EventLoopGroup group, EdgeMetrics metrics, EventLog log) {
+        this.metrics = metrics;
+        this.log = log;
+        this.loop = group.next();
+        this.bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        // Nothing is sent or read.
+                    }
+                });
+    }
+
+    @Override
+    public void probe(DiscoveredEndpoint endpoint, Consumer<Result> listener) {
+        long now = System.nanoTime();
+        Long known = probeNanos.get(endpoint.instanceKey());
+        if (known != null && known > now) {
+            return; // The probe that is due tells the same.
+        }
+        long minInterval = TimeUnit.MILLISECONDS.toNanos(MIN_INTERVAL_MS);
+        long delay = known == null ? 0 : Math.max(0, known + minInterval - now);
+        probeNanos.put(endpoint.instanceKey(), now + delay);
+        if (probeNanos.size() > MAX_ENDPOINTS) {
+            probeNanos.remove(probeNanos.keySet().iterator().next());
+        }
+        if (delay == 0) {
+            connect(endpoint, listener);
+        } else {
+            loop.schedule(() -> connect(endpoint, listener), delay, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void connect(DiscoveredEndpoint endpoint, Consumer<Result> listener) {
+        metrics.onEndpointConnectionOpened();
+        bootstrap.connect(endpoint.host(), endpoint.port()).addListener((ChannelFuture f) -> {
+            f.channel().close();
+            Result result = result(f);
+            log.line(LogTopic.ENDPOINT)
+                    .with("endpoint", endpoint.id())
+                    .with("outcome", "probed after a lost connection")
+                    .with("result", result.name())
+                    .end();
+            listener.accept(result);
+        });
+    }
+
+    private static Result result(ChannelFuture connected) {
+        if (connected.isSuccess()) {
+            return Result.ALIVE;
+        }
+        Throwable cause = connected.cause();
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
+                ? Result.ENDED
+                : Result.UNKNOWN;
+    }
+}
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -28,6 +28,7 @@
 import org.dragonflygw.core.catalog.WeightedService;
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.crash.CrashSuspects;
+import org.dragonflygw.core.crash.CrashingParts;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.DispatchSettings;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -47,6 +48,7 @@
 import org.dragonflygw.edge.front.FrontState;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.stop.GracefulStop;
+import org.dragonflygw.edge.upstream.ConnectProbe;
 import org.dragonflygw.edge.upstream.EndpointConnectionPool;
 import org.dragonflygw.platform.adapter.CallerHeaders;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
@@ -84,6 +86,8 @@
                 notices,
                 retries,
                 new CrashSuspects(new NoOpEventLog()),
+                new CrashingParts(new NoOpEventLog()),
+                new ConnectProbe(group, metrics, new NoOpEventLog()),
                 new RetryAfterDelays(new SplittableRandom(1)),
                 new NoOpEventLog(),
                 System::nanoTime);
--- a/wire/src/main/java/org/dragonflygw/wire/codec/CrashRow.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/CrashRow.java
@@ -1,16 +1,11 @@
 package org.dragonflygw.wire.codec;
 
-import java.util.List;
-import org.dragonflygw.core.crash.CrashSuspect;
+import org.dragonflygw.core.crash.StoredCrashes;
 
 /**
- * Row of the store in which a host keeps requests that may crash endpoints.
+ * Row of the store in which a host keeps what may crash endpoints.
  *
  * @param writtenMs Unix time at which the row was written, in milliseconds
- * @param suspects the requests
+ * @param content what the host knows
  */
-public record CrashRow(long writtenMs, List<CrashSuspect> suspects) {
-    public CrashRow {
-        suspects = List.copyOf(suspects);
-    }
-}
+public record CrashRow(long writtenMs, StoredCrashes content) {}
--- a/wire/src/main/java/org/dragonflygw/wire/codec/CrashRowCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/CrashRowCodec.java
@@ -1,9 +1,11 @@
 package org.dragonflygw.wire.codec;
 
+import java.util.List;
 import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.dragonflygw.core.crash.StoredCrashes;
 import org.dragonflygw.wire.hosts.CrashRowMessage;
 
 /** Encodes and decodes {@link CrashRow}s in the compact Thrift protocol. Not thread-safe: use one codec per thread. */
@@ -23,9 +25,13 @@
     /** Encodes a row; throws {@link WireException} when Thrift rejects it. */
     public byte[] encode(CrashRow row) {
         try {
-            return serializer.serialize(new CrashRowMessage(
+            CrashRowMessage m = new CrashRowMessage(
                     row.writtenMs(),
-                    row.suspects().stream().map(CrashReportCodec::encode).toList()));
+                    row.content().requests().stream()
+                            .map(CrashReportCodec::encode)
+                            .toList());
+            return serializer.serialize(
+                    m.setPartSuspects(PartReportCodec.encode(row.content().parts())));
         } catch (TException e) {
             throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot encode the crash row", e);
         }
@@ -37,9 +43,10 @@
         try {
             deserializer.deserialize(m, bytes);
             m.validate();
-            return new CrashRow(
-                    m.getWrittenMillis(),
-                    m.getSuspects().stream().map(CrashReportCodec::decode).toList());
+            StoredCrashes content = new StoredCrashes(
+                    m.getSuspects().stream().map(CrashReportCodec::decode).toList(),
+                    m.isSetPartSuspects() ? PartReportCodec.decode(m.getPartSuspects()) : List.of());
+            return new CrashRow(m.getWrittenMillis(), content);
         } catch (TException | RuntimeException e) {
             throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot decode the crash row", e);
         }
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -56,6 +56,7 @@
                 StoreNewsCodec.encode(report.news()),
                 CrashReportCodec.encodeSuspects(report.crashes()));
         CrashReportCodec.setOptional(message, report.crashes());
+        PartReportCodec.set(message, report.parts());
         if (!report.leaving().isEmpty()) {
             message.setLeaving(
                     report.leaving().stream().map(HostReportCodec::encode).toList());
@@ -121,6 +122,7 @@
                 uses,
                 holdings,
                 CrashReportCodec.decode(m),
+                PartReportCodec.decode(m),
                 decodeLeaving(m),
                 StoreNewsCodec.decode(m.getNews()));
     }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -127,6 +127,28 @@
   3: required i64 ageMillis
 }
 
+/** The end of an endpoint while it was beginning to write an answer to a prompt. */
+struct PartLossMessage {
+  1: required string endpoint
+  /** Time since the request was sent. */
+  2: required i64 sentAgeMillis
+  /** Time since the connection was lost. */
+  3: required i64 lostAgeMillis
+}
+
+/** A part of prompts, and the endpoints that ended while they were beginning to write an answer on it. */
+struct PartSuspectMessage {
+  1: required i64 part
+  2: required list<PartLossMessage> losses
+}
+
+/** A part of prompts on which an endpoint wrote an answer and lived on. */
+struct SoundPartMessage {
+  1: required i64 part
+  /** Time since then. */
+  2: required i64 ageMillis
+}
+
 /** An instance of an endpoint that said in a response that it is leaving. */
 struct LeavingEndpointMessage {
   1: required string id
@@ -152,6 +174,8 @@
   /** Fingerprints of requests that received a complete response after a loss. */
   11: optional list<i64> cleared
   12: optional list<EndpointLossesMessage> losses
+  13: optional list<PartSuspectMessage> partSuspects
+  14: optional list<SoundPartMessage> soundParts
 }
 
 /** Row of the store in which a host keeps requests that may crash endpoints. */
@@ -159,4 +183,5 @@
   /** Unix time at which the row was written. */
   1: required i64 writtenMillis
   2: required list<CrashSuspectMessage> suspects
+  3: optional list<PartSuspectMessage> partSuspects
 }
