Take a response that ends inside an event, or with its head, for broken off

A response may have neither a length nor chunks and end with its connection. Callers saw a stream that had broken off inside an event, or an empty one, as complete; a resumable stream was not resumed. Where a response ended with its connection it clears nobody of ending endpoints before a probe finds the endpoint alive, since the endpoint may have ended in that moment.

--- a/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashSuspects.java
@@ -169,6 +169,11 @@
                 .end();
     }
 
+    /** Whether an endpoint was lost while it ran a request. */
+    public boolean isSuspected(long fingerprint) {
+        return table.get(fingerprint) != null;
+    }
+
     /** Returns the number of requests that are suspected. */
     public int count() {
         return table.size();
--- a/core/src/main/java/org/dragonflygw/core/crash/CrashingParts.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashingParts.java
@@ -297,6 +297,11 @@
         }
     }
 
+    /** Whether an endpoint ended as it began to answer a prompt with one of these parts. */
+    public boolean isSuspected(List<Long> parts) {
+        return parts.stream().anyMatch(p -> table.get(p) != null);
+    }
+
     /** Returns the number of parts that are suspected. */
     public int count() {
         return table.size();
--- a/core/src/main/java/org/dragonflygw/core/exchange/EventSplitter.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EventSplitter.java
@@ -15,20 +15,15 @@
     private static final String ID_FIELD = "id:";
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
-    private int lineLength;
+    private final EventBoundary boundary = new EventBoundary();
 
     /** Appends bytes and returns the events that these bytes complete, in order. */
     List<StreamEvent> append(byte[] bytes) {
         List<StreamEvent> events = new ArrayList<>();
         for (byte b : bytes) {
             pending.write(b);
-            if (b == '\n') {
-                if (lineLength == 0) {
-                    events.add(removeEvent());
-                }
-                lineLength = 0;
-            } else if (b != '\r') {
-                lineLength++;
+            if (boundary.endsEvent(b)) {
+                events.add(removeEvent());
             }
         }
         return events;
@@ -43,7 +38,7 @@
     byte[] drain() {
         byte[] remainder = pending.toByteArray();
         pending.reset();
-        lineLength = 0;
+        boundary.restart();
         return remainder;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -238,12 +238,15 @@
             onAttemptFailed(AttemptFailure.MALFORMED);
             return;
         }
+        if (!response.mayBeComplete()) {
+            onAttemptFailed(AttemptFailure.CONNECTION_LOST);
+            return;
+        }
         long now = now();
         ResponseHead head = response.head();
         if (head.isSuccess()) {
             endpoint.onSuccess(now);
-            context.crashes().onCompleted(request.fingerprint(), now);
-            recordSound(now);
+            recordCompleted(now);
             endAttempt();
             response.complete();
             end("ok", head.status());
@@ -252,6 +255,31 @@
         onErrorResponse(head, now);
     }
 
+    /**
+     * Records that the endpoint answered and lived on. Where the response ended with its connection, the endpoint may have
+     * ended in the same moment, which matters only to a request that is suspected already.
+     */
+    private void recordCompleted(long now) {
+        if (!response.head().endsWithConnection()) {
+            clearSuspicion(now);
+            return;
+        }
+        boolean suspected = context.crashes().isSuspected(request.fingerprint())
+                || context.crashingParts().isSuspected(request.sharedPartIds());
+        if (suspected) {
+            context.probe().probe(endpoint.entry(), result -> {
+                if (result == EndpointProbe.Result.ALIVE) {
+                    clearSuspicion(now);
+                }
+            });
+        }
+    }
+
+    private void clearSuspicion(long now) {
+        context.crashes().onCompleted(request.fingerprint(), now);
+        recordSound(now);
+    }
+
     private void onErrorResponse(ResponseHead head, long now) {
         endpoint.onFailure(head.status() >= 500 ? 1 : 0, now);
         logFailure("failure answer", head.status(), now);
--- a/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
@@ -16,13 +16,17 @@
      */
     private static final int MAX_HELD_BYTES = 131_072;
 
+    private static final int STATUS_NO_CONTENT = 204;
+
     private final CatalogRoute route;
     private final ExchangeOutput out;
     private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
     private final EventSplitter splitter = new EventSplitter();
+    private final EventBoundary boundary = new EventBoundary();
 
     private ResponseHead head;
     private boolean started;
+    private boolean empty = true;
     private Optional<String> lastEventId = Optional.empty();
     private boolean forwardedWithoutId;
 
@@ -64,6 +68,12 @@
      * @return false if the body is invalid: an event id that does not increase, or an event or an error that is too long
      */
     boolean appendBody(byte[] body) {
+        empty &= body.length == 0;
+        if (route.streaming()) {
+            for (byte b : body) {
+                boundary.endsEvent(b);
+            }
+        }
         if (!forwardsImmediately()) {
             return hold(body);
         }
@@ -75,6 +85,21 @@
         return true;
     }
 
+    /**
+     * Whether what was read can be a whole response: a stream ends after an event, and a body that ends with its connection
+     * is not empty.
+     */
+    boolean mayBeComplete() {
+        if (!head.isSuccess()) {
+            return true;
+        }
+        return route.streaming() ? boundary.mayEnd() : !(empty && head.endsWithConnection() && hasBody());
+    }
+
+    private boolean hasBody() {
+        return head.status() != STATUS_NO_CONTENT;
+    }
+
     private boolean hold(byte[] body) {
         boolean fits = held.size() + body.length <= MAX_HELD_BYTES;
         if (!fits && !head.isSuccess()) {
@@ -135,6 +160,8 @@
     void discardUnsent() {
         held.reset();
         splitter.drain();
+        boundary.restart();
+        empty = true;
         head = null;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/ResponseHead.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ResponseHead.java
@@ -12,6 +12,7 @@
  * @param notExecuted whether the response states that the request was not run
  * @param encoded whether the body has a content encoding, which means that it is not the body as the endpoint wrote it
  * @param contentLength declared length of the body in bytes, or -1 if none is declared
+ * @param endsWithConnection whether the body has neither a length nor chunks, so that the end of the connection ends it
  * @param load load that the endpoint reports, if any
  * @param notice what the endpoint says about itself
  * @param fields header fields that are forwarded to the caller
@@ -22,6 +23,7 @@
         boolean notExecuted,
         boolean encoded,
         long contentLength,
+        boolean endsWithConnection,
         Optional<LoadReport> load,
         EndpointNotice notice,
         List<HeaderField> fields) {
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -166,19 +166,22 @@
     }
 
     static ResponseHead signedHead(int status) {
-        return new ResponseHead(status, true, false, false, -1, Optional.empty(), EndpointNotice.NONE, List.of());
+        return new ResponseHead(
+                status, true, false, false, -1, false, Optional.empty(), EndpointNotice.NONE, List.of());
     }
 
     static ResponseHead unsignedHead(int status) {
-        return new ResponseHead(status, false, false, false, -1, Optional.empty(), EndpointNotice.NONE, List.of());
+        return new ResponseHead(
+                status, false, false, false, -1, false, Optional.empty(), EndpointNotice.NONE, List.of());
     }
 
     static ResponseHead notExecutedHead(int status) {
-        return new ResponseHead(status, false, true, false, -1, Optional.empty(), EndpointNotice.NONE, List.of());
+        return new ResponseHead(
+                status, false, true, false, -1, false, Optional.empty(), EndpointNotice.NONE, List.of());
     }
 
     static ResponseHead headWithNotice(int status, boolean notExecuted, EndpointNotice notice) {
-        return new ResponseHead(status, true, notExecuted, false, -1, Optional.empty(), notice, List.of());
+        return new ResponseHead(status, true, notExecuted, false, -1, false, Optional.empty(), notice, List.of());
     }
 
     int totalInFlight() {
