Blame the part with the most ends first, and none alone of those with the same ends

Cause: of two parts with the same ends the first in the prompt was blamed, and its blame explained the ends, so that the other was never blamed. Parts with the same ends block only prompts that hold all of them, until an answer clears one or another end tells them apart; a part with more ends is blamed first. The choice is a class of its own, PartBlame.

--- a/core/src/main/java/org/dragonflygw/core/crash/CrashingParts.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashingParts.java
@@ -18,22 +18,11 @@
  *
  * <p>A part is blamed for the end of an endpoint if a request that holds it was just beginning to be answered there. It is
  * cleared, on all hosts, by each answer on it that went on for a while or was completed since. It is blocked when
- * several endpoints have ended, most of them one after the other and not together, and nothing cleared it meanwhile. A lost connection
+ * several endpoints have ended, most of them one after the other and not together, and nothing cleared it meanwhile
+ * ({@link PartBlame}). A lost connection
  * alone is no evidence: the endpoint must have ended. Not thread-safe; confined to one thread.
  */
 public final class CrashingParts {
-    /**
-     * Number of different lost endpoints from which a part is blocked, if hardly another endpoint ended meanwhile. The more
-     * end without the part, the likelier a sound part is hit by chance, and the more losses it takes.
-     */
-    private static final int MIN_ENDPOINTS_TO_BLOCK = 3;
-
-    /** Least time before the last loss in which other ends are counted, in nanoseconds. */
-    private static final long OTHER_ENDS_NANOS = 10_000_000_000L;
-
-    /** Number of other ended endpoints that are borne without more losses. */
-    private static final int FEW_OTHER_ENDS = 1;
-
     /** Maximum number of ends of endpoints that are remembered. */
     private static final int MAX_ENDS = 1_024;
 
@@ -66,12 +55,10 @@
     private final ReportQueue suspectsToReport = new ReportQueue(MAX_SUSPECTS_REPORTED, MAX_WAITING);
     private final ReportQueue soundToReport = new ReportQueue(MAX_SOUND_REPORTED, MAX_WAITING);
 
-    /** The blocked part that explains the end of an endpoint, by instance; its end is not held against other parts. */
-    private final Map<String, Long> culprits = new HashMap<>();
-
     private final Map<String, Long> endedNanos = new LinkedHashMap<>();
     private final Set<Long> lastLostHere = new LinkedHashSet<>();
     private final EventLog log;
+    private PartBlame blame = PartBlame.NONE;
 
     private record BegunAttempt(List<Long> parts, PartLoss loss) {}
 
@@ -136,9 +123,7 @@
             return false;
         }
         table.put(part, after);
-        if (isBlamed(part, after)) {
-            after.byEndpoint().keySet().forEach(endpoint -> culprits.putIfAbsent(endpoint, part));
-        }
+        updateBlame();
         return true;
     }
 
@@ -164,11 +149,15 @@
         }
         log(outcome, part, soundNanos);
         table.remove(part);
-        losses.byEndpoint().keySet().forEach(endpoint -> culprits.remove(endpoint, part));
         later.ifPresent(l -> table.put(part, l));
+        updateBlame();
         return true;
     }
 
+    private void updateBlame() {
+        blame = PartBlame.of(table.withAtLeast(PartBlame.MIN_ENDPOINTS), endedNanos);
+    }
+
     /** Applies what another host reported, or what was stored, as of a moment on the monotonic clock. */
     public void accept(PartReport report, long asOfNanos) {
         for (SoundPart s : report.sound()) {
@@ -209,42 +198,18 @@
         }
     }
 
-    /** Remaining time for which any of these parts is blocked, in nanoseconds; 0 if prompts with them may be sent. */
+    /** Remaining time for which a prompt with these parts is blocked, in nanoseconds; 0 if it may be sent. */
     public long remainingBlockNanos(List<Long> parts, long nowNanos) {
-        return parts.stream()
+        return blame.blocking(parts).stream()
                 .mapToLong(p -> remainingBlockNanos(p, nowNanos))
                 .max()
                 .orElse(0);
     }
 
-    /** Remaining time for which a part is blocked, in nanoseconds; 0 if prompts with it may be sent. */
-    public long remainingBlockNanos(long part, long nowNanos) {
+    /** Remaining time for which a part is blamed, alone or with others, in nanoseconds. */
+    private long remainingBlockNanos(long part, long nowNanos) {
         PartLosses losses = table.get(part);
-        return losses == null || !isBlamed(part, losses) ? 0 : Math.max(0, losses.lastNanos() + BLOCK_NANOS - nowNanos);
-    }
-
-    private boolean isBlamed(long part, PartLosses losses) {
-        if (losses.endpoints() < MIN_ENDPOINTS_TO_BLOCK) {
-            return false;
-        }
-        Optional<PartLosses> unexplained = losses.without(endpoint -> culprits.getOrDefault(endpoint, part) != part);
-        return unexplained.isPresent() && isEnough(unexplained.get());
-    }
-
-    private boolean isEnough(PartLosses losses) {
-        long others = endsWithout(losses);
-        int needed = MIN_ENDPOINTS_TO_BLOCK + (others > FEW_OTHER_ENDS ? 1 : 0) + (others > losses.endpoints() ? 1 : 0);
-        return losses.endpoints() >= needed && losses.trials() >= needed - 1;
-    }
-
-    /** Returns how many other endpoints are known to have ended meanwhile, for which no blocked part is the reason. */
-    private long endsWithout(PartLosses losses) {
-        long last = losses.lastNanos();
-        long first = Math.min(losses.firstNanos(), last - OTHER_ENDS_NANOS);
-        return endedNanos.entrySet().stream()
-                .filter(e -> e.getValue() >= first && e.getValue() <= last)
-                .filter(e -> !losses.byEndpoint().containsKey(e.getKey()) && !culprits.containsKey(e.getKey()))
-                .count();
+        return losses == null || !blame.names(part) ? 0 : Math.max(0, losses.lastNanos() + BLOCK_NANOS - nowNanos);
     }
 
     /** Whether this host saw the last known loss of a part itself. */
@@ -273,8 +238,8 @@
      */
     List<PartSuspect> toStore(boolean all, long nowNanos) {
         List<PartSuspect> stored = new ArrayList<>();
-        table.withAtLeast(MIN_ENDPOINTS_TO_BLOCK).forEach((part, losses) -> {
-            if (all || isBlamed(part, losses)) {
+        table.withAtLeast(PartBlame.MIN_ENDPOINTS).forEach((part, losses) -> {
+            if (all || blame.names(part)) {
                 addCounting(part, losses, stored, nowNanos);
             }
         });
@@ -307,11 +272,9 @@
         return table.size();
     }
 
-    /** Returns the number of suspected parts that are blocked. */
-    public long blockedCount(long nowNanos) {
-        return table.withAtLeast(MIN_ENDPOINTS_TO_BLOCK).keySet().stream()
-                .filter(p -> remainingBlockNanos(p, nowNanos) > 0)
-                .count();
+    /** Returns the number of parts that are blocked, of those that cannot be told apart one. */
+    public int blockedCount() {
+        return blame.size();
     }
 
     /**
@@ -361,7 +324,7 @@
                         losses.byEndpoint().keySet().stream().sorted().collect(Collectors.joining(" ")))
                 .with("trials", losses.trials())
                 .with("sinceLastLossMs", (atNanos - losses.lastNanos()) / NANOS_PER_MS)
-                .with("blocked", isBlamed(part, losses))
+                .with("blocked", blame.names(part))
                 .end();
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
@@ -48,6 +48,7 @@
     private static final int EVENT_INTERVAL_MS = 100;
     private static final int SYSTEM_PROMPTS = 5;
     private static final int SUBJECTS = 60;
+    private static final long COMPANION = 0x2000L + SUBJECTS / 2;
     private static final long MANY_TOKENS = 1_000_000;
 
     private final ManualMonotonicClock clock = new ManualMonotonicClock();
@@ -67,6 +68,7 @@
     private boolean answersBreakOff;
     private boolean endsSilently;
     private boolean reportsLost;
+    private boolean oneCompanion;
     private int completedSound;
     private int startedEngines;
     private long nextOwnPart = 1L << 40;
@@ -117,6 +119,12 @@
         return this;
     }
 
+    /** The marked part always stands beside the same other part, which sound prompts hold rarely. */
+    CrashingPartFleet besideOneCompanion() {
+        oneCompanion = true;
+        return this;
+    }
+
     /** Hosts reach the store but not each other. */
     CrashingPartFleet reportsLost() {
         reportsLost = true;
@@ -165,9 +173,10 @@
 
     private void arriveMarked() {
         long marked = MARKED_PARTS.get(random.nextInt(markedParts));
-        List<Long> parts = random.nextBoolean()
-                ? List.of(systemPrompt(), marked, subject())
-                : List.of(systemPrompt(), subject(), marked);
+        long companion = oneCompanion ? COMPANION : subject();
+        List<Long> parts = oneCompanion || random.nextBoolean()
+                ? List.of(systemPrompt(), companion, marked)
+                : List.of(systemPrompt(), marked, companion);
         anyHost().start(prompt(parts), true);
         after(randomInterval(markedIntervalMs), this::arriveMarked);
     }
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartTest.java
@@ -54,6 +54,15 @@
             assertSoundServed(fleet);
         }
 
+        /** Guards against a sound part that is blocked for the marked one which always stands beside it. */
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3, 4, 5})
+        void isToldFromTheOneBesideIt(long seed) {
+            CrashingPartFleet fleet = new CrashingPartFleet(HOSTS, ENGINES, seed).besideOneCompanion();
+            fleet.run(RUN_MS);
+            assertBlocked(fleet);
+        }
+
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5})
         void isBlockedThoughItComesRarely(long seed) {
