--- a/core/src/main/java/org/dragonflygw/core/crash/CrashingParts.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/CrashingParts.java
@@ -273,8 +273,10 @@
     }
 
     /** Returns the number of parts that are blocked, of those that cannot be told apart one. */
-    public int blockedCount() {
-        return blame.size();
+    public long blockedCount(long nowNanos) {
+        return blame.parts().stream()
+                .filter(p -> remainingBlockNanos(p, nowNanos) > 0)
+                .count();
     }
 
     /**
--- a/core/src/main/java/org/dragonflygw/core/crash/PartBlame.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/PartBlame.java
@@ -101,8 +101,8 @@
                 .toList();
     }
 
-    /** Returns the number of parts that are blamed, of those that cannot be told apart one. */
-    int size() {
-        return alike.size();
+    /** Returns the blamed parts, of those that cannot be told apart one. */
+    Set<Long> parts() {
+        return alike.keySet();
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/crash/StoredSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/StoredSuspects.java
@@ -88,25 +88,32 @@
         }
         boolean alone = !hearsAllPeers.getAsBoolean();
         StoredCrashes content = new StoredCrashes(crashes.toStore(alone, now), parts.toStore(alone, now));
-        if (content.endpoints().equals(written) || (!alone && !mustWrite(content, now))) {
+        boolean outdated = !content.endpoints().keySet().containsAll(written.keySet());
+        if (!outdated && !(alone ? hasNews(content) : lacksBlocked(content, now))) {
             return Optional.empty();
         }
         lastWriteNanos = now;
         return Optional.of(content);
     }
 
-    /** Whether the row names something that is no longer blocked, or lacks something that no other row names. */
-    private boolean mustWrite(StoredCrashes blocked, long now) {
-        if (!blocked.endpoints().keySet().containsAll(written.keySet())) {
-            return true;
-        }
+    /** Whether there is something that peers would be told and that no row names. */
+    private boolean hasNews(StoredCrashes content) {
+        return content.endpoints().entrySet().stream()
+                .anyMatch(e -> !e.getValue().equals(written.get(e.getKey())) && !isBlockedElsewhere(e.getKey()));
+    }
+
+    /** Whether something is blocked that no row names, though it should by now. */
+    private boolean lacksBlocked(StoredCrashes blocked, long now) {
         return blocked.requests().stream().anyMatch(r -> !isStored(r.fingerprint()) && isDue(r))
                 || blocked.parts().stream().anyMatch(p -> !isStored(p.part()) && isDue(p.part(), now));
     }
 
     private boolean isStored(long subject) {
-        return written.containsKey(subject)
-                || blockedByHost.values().stream().anyMatch(stored -> stored.contains(subject));
+        return written.containsKey(subject) || isBlockedElsewhere(subject);
+    }
+
+    private boolean isBlockedElsewhere(long subject) {
+        return blockedByHost.values().stream().anyMatch(stored -> stored.contains(subject));
     }
 
     private boolean isDue(CrashSuspect request) {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -133,7 +133,7 @@
         metrics.registerGauge("crash_suspects", crashes::count);
         metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
         metrics.registerGauge("crashing_parts", crashingParts::count);
-        metrics.registerGauge("crashing_parts_blocked", crashingParts::blockedCount);
+        metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/ConnectProbe.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/ConnectProbe.java
@@ -28,6 +28,12 @@
 public final class ConnectProbe implements EndpointProbe {
     private static final int CONNECT_TIMEOUT_MS = 450;
 
+    /**
+     * Time for which a connection must stay open to show that the endpoint is alive, in milliseconds. What forwards
+     * connections to an endpoint may accept them and close them at once.
+     */
+    private static final long OPEN_MS = 50;
+
     /** Least time between two probes of an endpoint, in milliseconds. An endpoint may break off many responses. */
     private static final long MIN_INTERVAL_MS = 250;
 
@@ -81,24 +87,27 @@
     private void connect(DiscoveredEndpoint endpoint, Consumer<Result> listener) {
         metrics.onEndpointConnectionOpened();
         bootstrap.connect(endpoint.host(), endpoint.port()).addListener((ChannelFuture f) -> {
-            f.channel().close();
-            Result result = result(f);
-            log.line(LogTopic.ENDPOINT)
-                    .with("endpoint", endpoint.id())
-                    .with("outcome", "probed after a lost connection")
-                    .with("result", result.name())
-                    .end();
-            listener.accept(result);
+            if (f.isSuccess()) {
+                loop.schedule(() -> onOpen(f.channel(), endpoint, listener), OPEN_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            boolean refused = f.cause() instanceof ConnectException && !(f.cause() instanceof ConnectTimeoutException);
+            end(endpoint, refused ? Result.ENDED : Result.UNKNOWN, listener);
         });
     }
 
-    private static Result result(ChannelFuture connected) {
-        if (connected.isSuccess()) {
-            return Result.ALIVE;
-        }
-        Throwable cause = connected.cause();
-        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
-                ? Result.ENDED
-                : Result.UNKNOWN;
+    private void onOpen(Channel channel, DiscoveredEndpoint endpoint, Consumer<Result> listener) {
+        boolean open = channel.isActive();
+        channel.close();
+        end(endpoint, open ? Result.ALIVE : Result.UNKNOWN, listener);
+    }
+
+    private void end(DiscoveredEndpoint endpoint, Result result, Consumer<Result> listener) {
+        log.line(LogTopic.ENDPOINT)
+                .with("endpoint", endpoint.id())
+                .with("outcome", "probed after a lost connection")
+                .with("result", result.name())
+                .end();
+        listener.accept(result);
     }
 }
