Probe: a connection that is closed at once does not show that the endpoint is alive; soak: a part that ends endpoints

The soak sends prompts with a part that ends endpoints beside the whole request that does, and kills all hosts again and again meanwhile.

--- a/edge/src/test/java/org/dragonflygw/edge/soak/RequestKind.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/RequestKind.java
@@ -21,8 +21,20 @@
         String body(String id) {
             return "body that ends endpoints";
         }
+    },
+    /** Ends each endpoint that begins to answer it, by one part of its prompt; no two are alike. */
+    CRASHING_PART("/stream/", LoopbackConfiguration.ENGINES) {
+        @Override
+        String promptParts(String id) {
+            return SYSTEM_PROMPT + "," + CRASHING_PROMPT_PART + "," + ownPart(id);
+        }
     };
 
+    /** The part of a prompt that ends endpoints. */
+    static final String CRASHING_PROMPT_PART = "dead:300";
+
+    private static final String SYSTEM_PROMPT = "5e5:800";
+
     private final String prefix;
     private final String service;
 
@@ -42,4 +54,18 @@
     String body(String id) {
         return "body of " + id;
     }
+
+    /** Parts of the prompt, as the header field has them. */
+    String promptParts(String id) {
+        return SYSTEM_PROMPT + "," + ownPart(id);
+    }
+
+    private static String ownPart(String id) {
+        return Integer.toHexString(id.hashCode()) + ":100";
+    }
+
+    /** Whether requests of this kind end the endpoints that execute them. */
+    boolean endsEndpoints() {
+        return this == CRASHING || this == CRASHING_PART;
+    }
 }
--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -38,6 +38,9 @@
     /** Time for which all endpoints fail, in milliseconds: a restart of all hosts fits into it. */
     private static final int ALL_FAIL_MS = 4_000;
 
+    /** One in so many faults beside crashing requests kills all hosts. */
+    private static final int KILL_ALL_ONE_IN = 3;
+
     private static final int CALLER_PAUSE_MS = 60;
     private static final int CRASHING_CALLER_PAUSE_MS = 600;
 
@@ -135,14 +138,21 @@
         });
     }
 
-    /** Runs while a request comes that ends each endpoint that executes it, and single hosts and links have faults. */
+    /**
+     * Runs while requests come that end each endpoint that executes them. Single hosts and links have faults, and all hosts
+     * are killed again and again.
+     */
     SoakRecord runWithCrashingRequest(long millis) throws InterruptedException {
         sendsCrashingRequests = true;
         return record(() -> {
             long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
             while (System.nanoTime() < end) {
                 Thread.sleep(BETWEEN_RESTARTS_MS);
-                injectHostFault(random.nextInt(hosts.size()), 200 + random.nextInt(MAX_FAULT_MS));
+                if (random.nextInt(KILL_ALL_ONE_IN) == 0) {
+                    killAll(0);
+                } else {
+                    injectHostFault(random.nextInt(hosts.size()), 200 + random.nextInt(MAX_FAULT_MS));
+                }
             }
         });
     }
@@ -159,6 +169,7 @@
         }
         if (sendsCrashingRequests) {
             callers.add(caller("crashing-", List.of(RequestKind.CRASHING), CRASHING_CALLER_PAUSE_MS, ports));
+            callers.add(caller("part-", List.of(RequestKind.CRASHING_PART), CRASHING_CALLER_PAUSE_MS, ports));
         }
         for (SoakCaller c : callers) {
             Thread thread = new Thread(c, "soak-caller");
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakCaller.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakCaller.java
@@ -82,7 +82,9 @@
             String body = kind.body(id);
             String request = "POST " + kind.target(id) + " HTTP/1.1\r\nHost: " + LoopbackPlatform.HOST
                     + "\r\nDragonflygw-Attempt-Id: " + id + "\r\nDragonflygw-Deadline-Ms: " + DEADLINE_MS
-                    + "\r\nAuthorization: Bearer " + key + "\r\nDragonflygw-Tenant: forged\r\nContent-Length: "
+                    + "\r\nAuthorization: Bearer " + key
+                    + "\r\nDragonflygw-Tenant: forged\r\nDragonflygw-Token-Usage: 1200,50\r\nDragonflygw-Prefix-Hash: "
+                    + kind.promptParts(id) + "\r\nContent-Length: "
                     + body.length() + "\r\n\r\n" + body;
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
             socket.getOutputStream().flush();
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakChecks.java
@@ -135,7 +135,7 @@
         List<Outcome> last = record.outcomes().stream()
                 .filter(o -> o.sentNanos() > record.faultFreeFromNanos())
                 .filter(o -> !record.revokedNanos().containsKey(o.key()))
-                .filter(o -> o.kind() != RequestKind.CRASHING)
+                .filter(o -> !o.kind().endsEndpoints())
                 .toList();
         long good = last.stream().filter(Outcome::success).count();
         if (last.isEmpty() || good < MIN_FINAL_SUCCESS_RATIO * last.size()) {
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
@@ -50,7 +50,7 @@
     /**
      * Creates an endpoint that accepts connections.
      *
-     * @param endListener called when a request of the kind {@link RequestKind#CRASHING} has ended the endpoint
+     * @param endListener called when a request has ended the endpoint, see {@link RequestKind#endsEndpoints}
      */
     SoakEndpoint(String id, Consumer<SoakEndpoint> endListener) {
         this.id = id;
@@ -176,6 +176,12 @@
             return false;
         }
         Thread.sleep(WORK_MS);
+        if (head.field("dragonflygw-prefix-hash").contains(RequestKind.CRASHING_PROMPT_PART)) {
+            write(out, streamHead(requestId));
+            Thread.sleep(WORK_MS);
+            end();
+            return false;
+        }
         if (mode == Mode.CRASHES) {
             return false;
         }
@@ -196,10 +202,7 @@
     }
 
     private void stream(String requestId, String after, OutputStream out) throws IOException, InterruptedException {
-        write(
-                out,
-                "HTTP/1.1 200 OK\r\n" + signature(requestId)
-                        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        write(out, streamHead(requestId));
         int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
         for (int i = first; i <= EVENTS; i++) {
             String event = event(requestId, i);
@@ -209,6 +212,11 @@
         write(out, "0\r\n\r\n");
     }
 
+    private String streamHead(String requestId) {
+        return "HTTP/1.1 200 OK\r\n" + signature(requestId)
+                + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
     private String signature(String requestId) {
         return "Dragonflygw-Attempt-Id: " + requestId + "\r\nDragonflygw-Response-Signature: by-endpoint\r\n"
                 + (leaving ? "Server-Leaving: 1\r\n" : "");
--- a/edge/src/test/java/org/dragonflygw/edge/upstream/ConnectProbeTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/upstream/ConnectProbeTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.BlockingQueue;
@@ -58,6 +59,25 @@
         open.close();
     }
 
+    /** Guards against a proxy before an ended endpoint that accepts connections and makes it look alive. */
+    @Test
+    void doesNotTakeAConnectionThatIsClosedAtOnceForAlive() throws IOException, InterruptedException {
+        try (ServerSocket open = listen()) {
+            Thread proxy = new Thread(() -> closeFirst(open), "proxy");
+            proxy.start();
+            assertThat(probe("behind-a-proxy", open.getLocalPort())).isEqualTo(Result.UNKNOWN);
+            proxy.join();
+        }
+    }
+
+    private static void closeFirst(ServerSocket server) {
+        try {
+            server.accept().close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Guards against an end that is missed because the endpoint was probed shortly before. */
     @Test
     void probesAgainAfterAShortTime() throws IOException, InterruptedException {
