Move what an exchange records about crashes into a class of its own

The parts of its prompt are listed once. A caller that leaves no longer causes a probe of the endpoint: many leave.

--- /dev/null
+++ b/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
@@ -0,0 +1,184 @@
+package org.dragonflygw.core.exchange;
+
+import java.util.List;
+import java.util.Optional;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+
+/**
+ * Records what the attempts of one request show about crashes of endpoints, of the request as a whole and of the parts of
+ * its prompt, and tells whether it is blocked. Not thread-safe.
+ */
+final class CrashObserver {
+    /** Time after the first part of a response from which its request is not the reason for an end of the endpoint. */
+    private static final long SETTLED_NANOS = 500_000_000L;
+
+    /** Time without a part of a response that has just begun after which its endpoint may have ended without a reset. */
+    private static final long STALL_NANOS = 1_500_000_000L;
+
+    private final ExchangeRequest request;
+    private final ExchangeContext context;
+    private final List<Long> parts;
+
+    private DiscoveredEndpoint endpoint;
+    private ResponseHead head;
+    private long sentNanos;
+
+    /** When the first part of the response was read; 0 if none was. */
+    private long begunNanos;
+
+    private boolean soundRecorded;
+    private boolean stallRecorded;
+
+    CrashObserver(ExchangeRequest request, ExchangeContext context) {
+        this.request = request;
+        this.context = context;
+        this.parts = request.prompt().sharedPartIds();
+    }
+
+    /** Remaining time for which the request is blocked, in nanoseconds; 0 if it may be sent. */
+    long blockNanos(long now) {
+        return Math.max(requestBlockNanos(now), context.crashingParts().remainingBlockNanos(parts, now));
+    }
+
+    private long requestBlockNanos(long now) {
+        return context.crashes().remainingBlockNanos(request.fingerprint(), now);
+    }
+
+    /** Returns why the request is blocked; empty if it may be sent. */
+    Optional<RejectReason> blockedReason(long now) {
+        if (blockNanos(now) == 0) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                requestBlockNanos(now) > 0 ? RejectReason.CRASHES_ENDPOINTS : RejectReason.CRASHING_PROMPT_PART);
+    }
+
+    /** Called when an attempt is sent. */
+    void onSent(DiscoveredEndpoint to, long now) {
+        endpoint = to;
+        head = null;
+        sentNanos = now;
+        begunNanos = 0;
+        soundRecorded = false;
+        stallRecorded = false;
+    }
+
+    /** Called when the head of the response was read. */
+    void onHead(ResponseHead newHead) {
+        head = newHead;
+    }
+
+    /** Called when a part of the body was read. */
+    void onPart(long now) {
+        if (begunNanos == 0) {
+            begunNanos = now;
+        }
+        if (progress(now) == ResponseProgress.SETTLED) {
+            recordSound(now);
+        }
+    }
+
+    /** Returns how far the response has come. */
+    ResponseProgress progress(long now) {
+        if (head == null) {
+            return ResponseProgress.NONE;
+        }
+        if (begunNanos == 0) {
+            return ResponseProgress.HEAD;
+        }
+        return now - begunNanos < SETTLED_NANOS ? ResponseProgress.BEGUN : ResponseProgress.SETTLED;
+    }
+
+    /**
+     * Called when a success was complete: the endpoint answered and lived on. Where the response ended with its connection,
+     * the endpoint may have ended in the same moment, which matters only to a request that is suspected already.
+     */
+    void onCompleted(long now) {
+        if (!head.endsWithConnection()) {
+            clear(now);
+            return;
+        }
+        boolean suspected = context.crashes().isSuspected(request.fingerprint())
+                || context.crashingParts().isSuspected(parts);
+        if (suspected) {
+            context.probe().probe(endpoint, result -> {
+                if (result == EndpointProbe.Result.ALIVE) {
+                    clear(now);
+                }
+            });
+        }
+    }
+
+    private void clear(long now) {
+        context.crashes().onCompleted(request.fingerprint(), now);
+        recordSound(now);
+    }
+
+    /** An endpoint wrote an answer to the prompt for a while, or completed it, so its parts do not crash endpoints. */
+    private void recordSound(long now) {
+        if (!soundRecorded && head.isSuccess()) {
+            soundRecorded = true;
+            context.crashingParts().onSound(parts, now);
+        }
+    }
+
+    /** Called when the connection to the endpoint was lost before the response was complete. */
+    void onConnectionLost(long now) {
+        context.crashes().onConnectionLost(request.fingerprint(), endpoint.instanceKey(), now);
+        recordLostAtBeginning(now);
+    }
+
+    /** Called when the attempt ended otherwise; the endpoint may be ending under the request, which shows only later. */
+    void onUnfinished(long now) {
+        recordLostAtBeginning(now);
+        onCallerLeft(now);
+    }
+
+    /** Called when the caller left before the response was complete. Many do, so the endpoint is not probed. */
+    void onCallerLeft(long now) {
+        context.crashes().onUnfinished(request.fingerprint(), endpoint.instanceKey(), now);
+    }
+
+    /** Records the parts of a prompt that the endpoint was beginning to answer, and looks whether the endpoint has ended. */
+    private void recordLostAtBeginning(long now) {
+        if (isBeginning(now)) {
+            DiscoveredEndpoint lost = endpoint;
+            context.crashingParts().onLostAtBeginning(parts, lost.instanceKey(), sentNanos, now);
+            context.probe().probe(lost, result -> onProbed(lost, result));
+        }
+    }
+
+    private void onProbed(DiscoveredEndpoint probed, EndpointProbe.Result result) {
+        long now = context.clock().nanos();
+        if (result == EndpointProbe.Result.ENDED) {
+            context.crashes().onConnectionRefused(probed.instanceKey(), now);
+            context.crashingParts().onEndpointEnded(probed.instanceKey(), now);
+        } else if (result == EndpointProbe.Result.ALIVE) {
+            context.crashingParts().onEndpointAlive(probed.instanceKey(), now);
+        }
+    }
+
+    private boolean isBeginning(long now) {
+        ResponseProgress progress = progress(now);
+        return (progress == ResponseProgress.HEAD || progress == ResponseProgress.BEGUN)
+                && head.isSuccess()
+                && !parts.isEmpty();
+    }
+
+    /**
+     * Returns when a response that has just begun counts as stalled, so that its endpoint may have ended without a reset.
+     *
+     * @param lastReadNanos when the last part of the response was read
+     */
+    long stallNanos(long lastReadNanos, long now) {
+        return !stallRecorded && isBeginning(now) ? lastReadNanos + STALL_NANOS : Long.MAX_VALUE;
+    }
+
+    /** Records a stall if it is due. */
+    void onTimer(long lastReadNanos, long now) {
+        if (now >= stallNanos(lastReadNanos, now)) {
+            stallRecorded = true;
+            recordLostAtBeginning(now);
+        }
+    }
+}
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -1,7 +1,6 @@
 package org.dragonflygw.core.exchange;
 
 import java.util.Optional;
-import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
@@ -27,12 +26,6 @@
      */
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
-    /** Time after the first part of a response from which its request is not the reason for an end of the endpoint. */
-    private static final long SETTLED_NANOS = 500_000_000L;
-
-    /** Time without a part of a response that has just begun after which its endpoint may have ended without a reset. */
-    private static final long STALL_NANOS = 1_500_000_000L;
-
     private enum Phase {
         CHOOSING,
         SENT,
@@ -46,6 +39,7 @@
     private final ResponseBuffer response;
     private final AttemptCounts attempts;
     private final SilenceTimeout silence;
+    private final CrashObserver crashes;
     private final ExchangeLog log;
 
     private Phase phase = Phase.CHOOSING;
@@ -53,15 +47,10 @@
     private int uncachedTokens;
     private boolean firstPartSeen;
     private boolean ignoreResponse;
-    private boolean soundRecorded;
-    private boolean stallRecorded;
     private boolean mayHaveRun;
     private long attemptStartNanos;
     private long firstPartAtNanos;
 
-    /** When the first part of the response to the current attempt was read; 0 if none was. */
-    private long begunNanos;
-
     private long longestGapNanos;
 
     /** Creates an exchange, which does nothing until {@link #start} is called. */
@@ -72,6 +61,7 @@
         this.response = new ResponseBuffer(request.route(), out);
         this.attempts = new AttemptCounts(request.route());
         this.silence = new SilenceTimeout(request.route());
+        this.crashes = new CrashObserver(request, context);
         this.log = new ExchangeLog(request, context.log());
     }
 
@@ -87,7 +77,7 @@
     }
 
     private void sendToEndpoint() {
-        Optional<RejectReason> blocked = blockedReason();
+        Optional<RejectReason> blocked = crashes.blockedReason(now());
         if (blocked.isPresent()) {
             refuseOrFail(blocked.get(), 0);
             return;
@@ -114,12 +104,10 @@
         endpoint = choice.endpoint().orElseThrow();
         uncachedTokens = choice.uncachedTokens();
         firstPartSeen = false;
-        begunNanos = 0;
         ignoreResponse = false;
-        soundRecorded = false;
-        stallRecorded = false;
         phase = Phase.SENT;
         attemptStartNanos = now;
+        crashes.onSent(endpoint.entry(), now);
         silence.restart(now);
         log.dispatched(choice, attempts.nextAttempt(), remainingMs(now), now);
         context.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
@@ -157,6 +145,7 @@
         }
         silence.restart(now);
         response.setHead(head);
+        crashes.onHead(head);
         if (!head.isSuccess()) {
             onFirstPart(now);
         }
@@ -196,9 +185,7 @@
         }
         silence.restart(now);
         onFirstPart(now);
-        if (progress(now) == ResponseProgress.SETTLED) {
-            recordSound(now);
-        }
+        crashes.onPart(now);
         if (!response.appendBody(body)) {
             onAttemptFailed(AttemptFailure.MALFORMED);
             return;
@@ -209,20 +196,11 @@
         scheduleTimer();
     }
 
-    /** An endpoint wrote an answer to the prompt for a while, or completed it, so its parts do not crash endpoints. */
-    private void recordSound(long now) {
-        if (!soundRecorded && response.head().isSuccess()) {
-            soundRecorded = true;
-            context.crashingParts().onSound(request.sharedPartIds(), now);
-        }
-    }
-
     private void onFirstPart(long now) {
         if (firstPartSeen) {
             return;
         }
         firstPartSeen = true;
-        begunNanos = now;
         if (firstPartAtNanos == 0) {
             firstPartAtNanos = now;
         }
@@ -246,7 +224,7 @@
         ResponseHead head = response.head();
         if (head.isSuccess()) {
             endpoint.onSuccess(now);
-            recordCompleted(now);
+            crashes.onCompleted(now);
             endAttempt();
             response.complete();
             end("ok", head.status());
@@ -255,31 +233,6 @@
         onErrorResponse(head, now);
     }
 
-    /**
-     * Records that the endpoint answered and lived on. Where the response ended with its connection, the endpoint may have
-     * ended in the same moment, which matters only to a request that is suspected already.
-     */
-    private void recordCompleted(long now) {
-        if (!response.head().endsWithConnection()) {
-            clearSuspicion(now);
-            return;
-        }
-        boolean suspected = context.crashes().isSuspected(request.fingerprint())
-                || context.crashingParts().isSuspected(request.sharedPartIds());
-        if (suspected) {
-            context.probe().probe(endpoint.entry(), result -> {
-                if (result == EndpointProbe.Result.ALIVE) {
-                    clearSuspicion(now);
-                }
-            });
-        }
-    }
-
-    private void clearSuspicion(long now) {
-        context.crashes().onCompleted(request.fingerprint(), now);
-        recordSound(now);
-    }
-
     private void onErrorResponse(ResponseHead head, long now) {
         endpoint.onFailure(head.status() >= 500 ? 1 : 0, now);
         logFailure("failure answer", head.status(), now);
@@ -322,9 +275,9 @@
             return;
         }
         if (cause == AttemptFailure.CONNECTION_LOST) {
-            recordLost(now);
+            crashes.onConnectionLost(now);
         } else {
-            recordUnfinished(now);
+            crashes.onUnfinished(now);
         }
         giveUpAttempt(cause, now);
         retryOrFail(RejectReason.ENDPOINT_FAILED, mayRetry(now));
@@ -334,62 +287,13 @@
     private void replaceSilentAttempt(long now) {
         logFailure(AttemptFailure.SILENT.name(), 0, now);
         endAttempt();
-        recordUnfinished(now);
+        crashes.onUnfinished(now);
         giveUpAttempt(AttemptFailure.SILENT, now);
         retryOrFail(RejectReason.ENDPOINT_FAILED, true);
     }
 
-    private void recordLost(long now) {
-        DiscoveredEndpoint lost = endpoint.entry();
-        context.crashes().onConnectionLost(request.fingerprint(), lost.instanceKey(), now);
-        recordLostAtBeginning(now);
-    }
-
-    /** Records the parts of a prompt that the endpoint was beginning to answer, and looks whether the endpoint has ended. */
-    private void recordLostAtBeginning(long now) {
-        if (!isBeginning(now)) {
-            return;
-        }
-        DiscoveredEndpoint lost = endpoint.entry();
-        context.crashingParts().onLostAtBeginning(request.sharedPartIds(), lost.instanceKey(), attemptStartNanos, now);
-        context.probe().probe(lost, result -> onProbed(lost, result));
-    }
-
-    private void onProbed(DiscoveredEndpoint probed, EndpointProbe.Result result) {
-        long now = now();
-        if (result == EndpointProbe.Result.ENDED) {
-            context.crashes().onConnectionRefused(probed.instanceKey(), now);
-            context.crashingParts().onEndpointEnded(probed.instanceKey(), now);
-        } else if (result == EndpointProbe.Result.ALIVE) {
-            context.crashingParts().onEndpointAlive(probed.instanceKey(), now);
-        }
-    }
-
-    private boolean isBeginning(long now) {
-        ResponseProgress progress = progress(now);
-        return (progress == ResponseProgress.HEAD || progress == ResponseProgress.BEGUN)
-                && response.head().isSuccess()
-                && !request.sharedPartIds().isEmpty();
-    }
-
-    /** The endpoint may be ending under the request, which shows only later. */
-    private void recordUnfinished(long now) {
-        recordLostAtBeginning(now);
-        context.crashes().onUnfinished(request.fingerprint(), endpoint.entry().instanceKey(), now);
-    }
-
     private void logFailure(String outcome, int status, long now) {
-        log.attemptFailed(endpoint, outcome, status, now - attemptStartNanos, progress(now));
-    }
-
-    private ResponseProgress progress(long now) {
-        if (!response.hasHead()) {
-            return ResponseProgress.NONE;
-        }
-        if (begunNanos == 0) {
-            return ResponseProgress.HEAD;
-        }
-        return now - begunNanos < SETTLED_NANOS ? ResponseProgress.BEGUN : ResponseProgress.SETTLED;
+        log.attemptFailed(endpoint, outcome, status, now - attemptStartNanos, crashes.progress(now));
     }
 
     private void giveUpAttempt(AttemptFailure cause, long now) {
@@ -408,22 +312,8 @@
         sendToEndpoint();
     }
 
-    private long crashBlockNanos() {
-        long now = now();
-        long requestBlockNanos = context.crashes().remainingBlockNanos(request.fingerprint(), now);
-        return Math.max(requestBlockNanos, context.crashingParts().remainingBlockNanos(request.sharedPartIds(), now));
-    }
-
     private boolean isBlocked() {
-        return crashBlockNanos() > 0;
-    }
-
-    private Optional<RejectReason> blockedReason() {
-        if (!isBlocked()) {
-            return Optional.empty();
-        }
-        boolean wholeRequest = context.crashes().remainingBlockNanos(request.fingerprint(), now()) > 0;
-        return Optional.of(wholeRequest ? RejectReason.CRASHES_ENDPOINTS : RejectReason.CRASHING_PROMPT_PART);
+        return crashes.blockNanos(now()) > 0;
     }
 
     private boolean mayRetry(long now) {
@@ -451,7 +341,7 @@
     }
 
     private long retryAfterMs(RejectReason reason, long expectedMs, long remainingMs) {
-        long blockMs = crashBlockNanos() / NANOS_PER_MS;
+        long blockMs = crashes.blockNanos(now()) / NANOS_PER_MS;
         if (blockMs > 0) {
             return blockMs;
         }
@@ -484,10 +374,7 @@
             onTimeout(now);
             return;
         }
-        if (mayBeStalled(now) && now >= stallNanos()) {
-            stallRecorded = true;
-            recordLostAtBeginning(now);
-        }
+        crashes.onTimer(silence.lastReadNanos(), now);
         if (mayReplaceIfSilent(now) && now >= silence.expiryNanos(firstPartSeen)) {
             if (takeRetry(now)) {
                 replaceSilentAttempt(now);
@@ -498,15 +385,6 @@
         scheduleTimer();
     }
 
-    /** Whether the endpoint may have ended without a reset, as it was beginning to answer a prompt. */
-    private boolean mayBeStalled(long now) {
-        return !stallRecorded && isBeginning(now);
-    }
-
-    private long stallNanos() {
-        return silence.lastReadNanos() + STALL_NANOS;
-    }
-
     private boolean mayReplaceIfSilent(long now) {
         return attempts.mayRunAgain(1)
                 && response.canResume()
@@ -517,7 +395,7 @@
     private void onTimeout(long now) {
         logFailure("timeout", 0, now);
         endpoint.onFailure(0.5, now);
-        recordUnfinished(now);
+        crashes.onUnfinished(now);
         endAttempt();
         out.cancelAttempt();
         failAfterRun(RejectReason.TIMED_OUT);
@@ -529,7 +407,7 @@
             return;
         }
         if (phase != Phase.CHOOSING) {
-            recordUnfinished(now());
+            crashes.onCallerLeft(now());
             endAttempt();
             out.cancelAttempt();
         }
@@ -541,9 +419,7 @@
         if (mayReplaceIfSilent(now())) {
             wakeNanos = Math.min(wakeNanos, silence.expiryNanos(firstPartSeen));
         }
-        if (mayBeStalled(now())) {
-            wakeNanos = Math.min(wakeNanos, stallNanos());
-        }
+        wakeNanos = Math.min(wakeNanos, crashes.stallNanos(silence.lastReadNanos(), now()));
         out.wakeAt(wakeNanos);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.core.exchange;
 
-import java.util.List;
 import org.dragonflygw.core.catalog.CatalogRoute;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.dispatch.Prompt;
@@ -31,11 +30,6 @@
         long fingerprint) {
     private static final long NANOS_PER_MS = 1_000_000;
 
-    /** Ids of the parts of the prompt that other prompts may share. */
-    public List<Long> sharedPartIds() {
-        return prompt.sharedPartIds();
-    }
-
     /** Time on the monotonic clock by which the response must be complete: caller's deadline or route's timeout. */
     public long expiryNanos() {
         return arrivedNanos + Math.min(deadlineMs, route.timeoutMs()) * NANOS_PER_MS;
