Count a host as cut off only when more than a third of its peers is silent

With one host lost, all others would have written each single loss to the store for a minute, and read the rows of all: with N hosts N rows for each of N readers while engines end. What peers hear needs no row.

--- a/core/src/main/java/org/dragonflygw/core/crash/StoredSuspects.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/StoredSuspects.java
@@ -11,7 +11,7 @@
 
 /**
  * Decides what this host keeps in the store about requests and parts of prompts that crash endpoints, in a row of its own.
- * What is blocked is stored, so that it stays blocked when all hosts have restarted. A host that does not hear from some of its peers also
+ * What is blocked is stored, so that it stays blocked when all hosts have restarted. A host that is cut off from many of its peers also
  * stores what it would report to them. Not thread-safe.
  */
 public final class StoredSuspects {
@@ -29,7 +29,7 @@
     private final String host;
     private final CrashSuspects crashes;
     private final CrashingParts parts;
-    private final BooleanSupplier hearsAllPeers;
+    private final BooleanSupplier hearsMostPeers;
     private final MonotonicClock clock;
     private final Map<String, Set<Long>> blockedByHost = new HashMap<>();
     private Map<Long, Set<String>> written = Map.of();
@@ -40,18 +40,18 @@
      * Creates the state of a host that has not read the rows yet.
      *
      * @param host name of this host, the key of its row
-     * @param hearsAllPeers whether reports arrive from all hosts that are listed in the store
+     * @param hearsMostPeers whether reports arrive from most hosts that are listed in the store
      */
     public StoredSuspects(
             String host,
             CrashSuspects crashes,
             CrashingParts parts,
-            BooleanSupplier hearsAllPeers,
+            BooleanSupplier hearsMostPeers,
             MonotonicClock clock) {
         this.host = host;
         this.crashes = crashes;
         this.parts = parts;
-        this.hearsAllPeers = hearsAllPeers;
+        this.hearsMostPeers = hearsMostPeers;
         this.clock = clock;
         this.lastWriteNanos = clock.nanos() - MIN_WRITE_INTERVAL_NANOS;
     }
@@ -86,7 +86,7 @@
         if (!read || now - lastWriteNanos < MIN_WRITE_INTERVAL_NANOS) {
             return Optional.empty();
         }
-        boolean alone = !hearsAllPeers.getAsBoolean();
+        boolean alone = !hearsMostPeers.getAsBoolean();
         StoredCrashes content = new StoredCrashes(crashes.toStore(alone, now), parts.toStore(alone, now));
         boolean outdated = !content.endpoints().keySet().containsAll(written.keySet());
         if (!outdated && !(alone ? hasNews(content) : lacksBlocked(content, now))) {
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -35,6 +35,9 @@
      */
     private static final long REMOVAL_SILENCE_NANOS = 60_000_000_000L;
 
+    /** Largest fraction of silent peers with which a host still hears most of them. */
+    private static final double MAX_SILENT_FRACTION = 0.34;
+
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final String self;
@@ -173,9 +176,13 @@
         return Set.copyOf(peers.keySet());
     }
 
-    /** Returns whether all known peers reported recently. */
-    public boolean hearsAll() {
-        return peers.values().stream().allMatch(p -> p.reporting);
+    /**
+     * Returns whether most known peers reported recently. A few that do not have failed; if many do not, this host is cut
+     * off from them.
+     */
+    public boolean hearsMost() {
+        long silent = peers.values().stream().filter(p -> !p.reporting).count();
+        return silent <= peers.size() * MAX_SILENT_FRACTION;
     }
 
     /** Returns whether a peer reported recently that it can reach the store. */
--- a/core/src/test/java/org/dragonflygw/core/crash/StoredSuspectsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/crash/StoredSuspectsTest.java
@@ -14,9 +14,9 @@
 
     private final ManualMonotonicClock clock = new ManualMonotonicClock();
     private final CrashSuspects crashes = new CrashSuspects(new NoOpEventLog());
-    private boolean hearsAllPeers = true;
+    private boolean hearsMostPeers = true;
     private final StoredSuspects stored =
-            new StoredSuspects("me", crashes, new CrashingParts(new NoOpEventLog()), () -> hearsAllPeers, clock);
+            new StoredSuspects("me", crashes, new CrashingParts(new NoOpEventLog()), () -> hearsMostPeers, clock);
 
     private void lose(String endpoint) {
         crashes.onConnectionLost(7, endpoint, clock.nanos());
@@ -48,14 +48,14 @@
         stored.onRowsRead();
         lose("a");
         assertThat(stored.toWrite()).isEmpty();
-        hearsAllPeers = false;
+        hearsMostPeers = false;
         assertThat(stored.toWrite()).isPresent();
     }
 
     /** Guards against new processes that all write what they have just read, since they have not heard their peers yet. */
     @Test
     void doesNotRepeatTheRowsOfOthersWhilePeersAreNotHeard() {
-        hearsAllPeers = false;
+        hearsMostPeers = false;
         stored.onRow("other", ROW, 0);
         stored.onRowsRead();
         assertThat(crashes.remainingBlockNanos(7, clock.nanos())).isGreaterThan(0L);
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -123,6 +123,23 @@
         assertThat(peers.addresses()).containsExactly(ADDRESS);
     }
 
+    /** Guards against a fleet in which one lost host makes all others write to the store what they tell each other anyway. */
+    @Test
+    void isNotCutOffWhileFewPeersAreSilent() {
+        for (int i = 0; i < 6; i++) {
+            peers.onHostListed("h" + i, ADDRESS);
+        }
+        assertThat(peers.hearsMost()).isFalse();
+        for (int i = 0; i < 4; i++) {
+            peers.onReport(report("h" + i, 1, 1, 0));
+        }
+        assertThat(peers.hearsMost()).isTrue();
+        clock.advanceMs(3_000);
+        peers.onReport(report("h0", 1, 2, 0));
+        peers.refreshPeerLoads();
+        assertThat(peers.hearsMost()).isFalse();
+    }
+
     @Test
     void fleetSizeIsUnknownUntilTheListOfHostsIsRead() {
         peers.onReport(report("h1", 1, 1, 3));
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -113,7 +113,7 @@
                 new SuspensionDetector(System::nanoTime, InstantSource.system()),
                 System.nanoTime());
         StoredSuspects storedSuspects =
-                new StoredSuspects(identity.hostName(), crashes, crashingParts, peers::hearsAll, System::nanoTime);
+                new StoredSuspects(identity.hostName(), crashes, crashingParts, peers::hearsMost, System::nanoTime);
         this.store = new StoreView(
                 group, settings, catalogs, registry, contact, peers, storedSuspects, metrics, log, this::reportToPeers);
     }
