Tests: one simulated host for the two fleets with crashing requests and parts

What a host knows, reports and stores stood twice, in CrashingRequestFleet and CrashingPartFleet; it is SimulatedCrashHost now.

--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
@@ -12,19 +12,9 @@
 import java.util.function.Consumer;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.catalog.CatalogService;
-import org.dragonflygw.core.crash.CrashSuspects;
-import org.dragonflygw.core.crash.CrashingParts;
-import org.dragonflygw.core.crash.StoredCrashes;
-import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
-import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.dispatch.PromptPart;
-import org.dragonflygw.core.log.NoOpEventLog;
-import org.dragonflygw.core.peers.HostReport;
-import org.dragonflygw.core.peers.HostReportFactory;
-import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.storenews.StoreNews;
 
 /**
  * Hosts on virtual time in front of simulated model engines. An engine ends when it begins to write an answer to a prompt
@@ -40,9 +30,7 @@
 
     private static final int STEP_MS = 5;
     private static final int ROUND_MS = 200;
-    private static final int FAN_OUT = 8;
     private static final int RESTART_MS = 3_000;
-    private static final int STORE_READ_MS = 1_000;
     private static final int ENTRY_EXPIRY_MS = 2_000;
     private static final int EVENTS = 15;
     private static final int EVENT_INTERVAL_MS = 100;
@@ -56,7 +44,7 @@
     private final List<Host> hosts = new ArrayList<>();
     private final List<Engine> engines = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atMs));
-    private final Map<String, StoredRow> store = new LinkedHashMap<>();
+    private final Map<String, SimulatedCrashHost.StoredRow> store = new LinkedHashMap<>();
     private final List<Long> endsMs = new ArrayList<>();
     private final List<Long> markedSendsMs = new ArrayList<>();
     private final List<Long> blockedSoundMs = new ArrayList<>();
@@ -76,8 +64,6 @@
 
     private record Event(long atMs, Runnable action) {}
 
-    private record StoredRow(StoredCrashes content, long writtenMs) {}
-
     CrashingPartFleet(int hostCount, int engineCount, long seed) {
         this.random = new SplittableRandom(seed);
         for (int i = 0; i < engineCount; i++) {
@@ -136,7 +122,7 @@
         List<String> names = hosts.stream().map(Host::toString).toList();
         hosts.clear();
         names.forEach(n -> hosts.add(new Host(n)));
-        hosts.forEach(Host::useStore); // New requests are held until the rows were read.
+        hosts.forEach(h -> h.useStore(store)); // New requests are held until the rows were read.
     }
 
     /** Runs traffic for some time. */
@@ -146,8 +132,8 @@
         }
         for (long until = nowMs + millis; nowMs < until; step()) {
             if (nowMs % ROUND_MS == 0) {
-                hosts.forEach(Host::reportRound);
-                hosts.forEach(Host::useStore);
+                hosts.forEach(h -> h.report(hosts, () -> reportsLost));
+                hosts.forEach(h -> h.useStore(store));
             }
         }
     }
@@ -361,26 +347,16 @@
         }
     }
 
-    private final class Host {
-        private final String name;
-        private final EndpointLoads loads = new EndpointLoads();
-        private final CrashSuspects crashes = new CrashSuspects(new NoOpEventLog());
-        private final CrashingParts crashingParts = new CrashingParts(new NoOpEventLog());
-        private final StoredSuspects stored;
-        private final HostReportFactory reports;
-        private final ExchangeContext context;
+    private final class Host extends SimulatedCrashHost {
         private final List<Call> calls = new ArrayList<>();
-        private int nextTarget;
-
-        private long storeReadMs = -1;
 
         Host(String name) {
-            this.name = name;
-            this.stored = new StoredSuspects(name, crashes, crashingParts, () -> !reportsLost, clock);
-            this.reports = new HostReportFactory(
-                    name, new HostAddress("10.0.0.2", 7_000), 1, loads, crashes, crashingParts, clock);
-            engines.forEach(e -> loads.onUpdated(e.entry));
-            this.context = ExchangeFixture.context(loads, crashes, crashingParts, CrashingPartFleet.this::probe, clock);
+            super(
+                    name,
+                    engines.stream().map(e -> e.entry).toList(),
+                    () -> !reportsLost,
+                    CrashingPartFleet.this::probe,
+                    clock);
         }
 
         void start(Prompt prompt, boolean marked) {
@@ -393,53 +369,6 @@
             calls.removeIf(c -> c.exchange.ended());
             List.copyOf(calls).forEach(Call::runTimer);
         }
-
-        void onRemoved(DiscoveredEndpoint endpoint) {
-            loads.onRemoved(endpoint);
-            crashes.onEndpointEnded(endpoint.instanceKey(), clock.nanos());
-            crashingParts.onEndpointEnded(endpoint.instanceKey(), clock.nanos());
-        }
-
-        void reportRound() {
-            int others = hosts.size() - 1;
-            HostReport report = reports.next((others + FAN_OUT - 1) / FAN_OUT, StoreNews.NONE);
-            for (int i = 0; i < Math.min(FAN_OUT, others); i++) {
-                Host target = hosts.get(nextTarget++ % hosts.size());
-                if (target == this) {
-                    target = hosts.get(nextTarget++ % hosts.size());
-                }
-                if (!reportsLost) {
-                    target.receive(report);
-                }
-            }
-        }
-
-        /** Reads the rows that changed, once a second, and writes this host's row where it has to. */
-        void useStore() {
-            if (nowMs - storeReadMs >= STORE_READ_MS || storeReadMs < 0) {
-                store.forEach((owner, row) -> {
-                    if (row.writtenMs >= storeReadMs) {
-                        stored.onRow(owner, row.content, nowMs - row.writtenMs);
-                    }
-                });
-                stored.onRowsRead();
-                storeReadMs = nowMs;
-            }
-            stored.toWrite().ifPresent(content -> {
-                store.put(name, new StoredRow(content, nowMs));
-                stored.onWritten(content);
-            });
-        }
-
-        private void receive(HostReport report) {
-            crashes.accept(report.crashes(), clock.nanos());
-            crashingParts.accept(report.parts(), clock.nanos());
-        }
-
-        @Override
-        public String toString() {
-            return name;
-        }
     }
 
     /** One prompt at a host. */
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
@@ -8,18 +8,8 @@
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.catalog.RouteKind;
-import org.dragonflygw.core.crash.CrashSuspects;
-import org.dragonflygw.core.crash.CrashingParts;
-import org.dragonflygw.core.crash.StoredCrashes;
-import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
-import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.Prompt;
-import org.dragonflygw.core.log.NoOpEventLog;
-import org.dragonflygw.core.peers.HostReport;
-import org.dragonflygw.core.peers.HostReportFactory;
-import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.storenews.StoreNews;
 
 /**
  * Hosts on virtual time in front of simulated engines that end when they begin to run one marked request. The request
@@ -42,11 +32,9 @@
     private static final long CRASHING = 0x5eed;
     private static final int STEP_MS = 5;
     private static final int ROUND_MS = 200;
-    private static final int FAN_OUT = 8;
     private static final int RUN_DELAY_MS = 5;
     private static final int CONNECT_TIMEOUT_MS = 450;
     private static final int RESTART_MS = 3_000;
-    private static final int STORE_READ_MS = 1_000;
 
     /** Time until the entry of an engine that ended is gone: three heartbeats and a read of the store. */
     private static final int ENTRY_EXPIRY_MS = 4_000;
@@ -57,7 +45,7 @@
     private final List<Host> hosts = new ArrayList<>();
     private final List<Engine> engines = new ArrayList<>();
     private final List<Event> events = new ArrayList<>();
-    private final Map<String, StoredRow> store = new LinkedHashMap<>();
+    private final Map<String, SimulatedCrashHost.StoredRow> store = new LinkedHashMap<>();
     private final List<Long> endsMs = new ArrayList<>();
     private final List<Long> sendsMs = new ArrayList<>();
     private int othersLostPerHost;
@@ -72,8 +60,6 @@
 
     private record Event(long atMs, Runnable action) {}
 
-    private record StoredRow(StoredCrashes content, long writtenMs) {}
-
     CrashingRequestFleet(int hostCount, int engineCount, End end, long seed) {
         this.end = end;
         this.random = new SplittableRandom(seed);
@@ -127,7 +113,7 @@
             }
             if (nowMs % ROUND_MS == 0) {
                 hosts.forEach(Host::reportRound);
-                hosts.forEach(Host::useStore);
+                hosts.forEach(h -> h.useStore(store));
             }
         }
     }
@@ -151,7 +137,7 @@
         List<String> names = hosts.stream().map(Host::toString).toList();
         hosts.clear();
         names.forEach(n -> hosts.add(new Host(n)));
-        hosts.forEach(Host::useStore); // New requests are held until the rows were read.
+        hosts.forEach(h -> h.useStore(store)); // New requests are held until the rows were read.
     }
 
     private void step() {
@@ -224,25 +210,11 @@
         }
     }
 
-    private final class Host {
-        private final String name;
-        private final EndpointLoads loads = new EndpointLoads();
-        private final CrashSuspects crashes = new CrashSuspects(new NoOpEventLog());
-        private final CrashingParts crashingParts = new CrashingParts(new NoOpEventLog());
-        private final StoredSuspects stored;
-        private final HostReportFactory reports;
-        private final ExchangeContext context;
+    private final class Host extends SimulatedCrashHost {
         private final List<Call> calls = new ArrayList<>();
-        private int nextTarget;
-        private long storeReadMs = -1;
 
         Host(String name) {
-            this.name = name;
-            this.stored = new StoredSuspects(name, crashes, crashingParts, () -> reportLoss < 1, clock);
-            this.reports = new HostReportFactory(
-                    name, new HostAddress("10.0.0.2", 7_000), 1, loads, crashes, crashingParts, clock);
-            engines.forEach(e -> loads.onUpdated(e.entry));
-            this.context = ExchangeFixture.context(loads, crashes, crashingParts, EndpointProbe.NONE, clock);
+            super(name, engines.stream().map(e -> e.entry).toList(), () -> reportLoss < 1, EndpointProbe.NONE, clock);
         }
 
         void start() {
@@ -265,50 +237,9 @@
             }
         }
 
-        void onRemoved(DiscoveredEndpoint endpoint) {
-            loads.onRemoved(endpoint);
-            crashes.onEndpointEnded(endpoint.instanceKey(), clock.nanos());
-        }
-
         void reportRound() {
             loseOthers(engines.get(random.nextInt(engines.size())).entry, unrelatedLossesPerRound);
-            int others = hosts.size() - 1;
-            HostReport report = reports.next((others + FAN_OUT - 1) / FAN_OUT, StoreNews.NONE);
-            for (int i = 0; i < Math.min(FAN_OUT, others); i++) {
-                Host target = hosts.get(nextTarget++ % hosts.size());
-                if (target == this) {
-                    target = hosts.get(nextTarget++ % hosts.size());
-                }
-                if (random.nextDouble() >= reportLoss) {
-                    target.receive(report);
-                }
-            }
-        }
-
-        /** Reads the rows that changed, once a second, and writes this host's row where it has to. */
-        void useStore() {
-            if (nowMs - storeReadMs >= STORE_READ_MS || storeReadMs < 0) {
-                store.forEach((owner, row) -> {
-                    if (row.writtenMs >= storeReadMs) {
-                        stored.onRow(owner, row.content, nowMs - row.writtenMs);
-                    }
-                });
-                stored.onRowsRead();
-                storeReadMs = nowMs;
-            }
-            stored.toWrite().ifPresent(content -> {
-                store.put(name, new StoredRow(content, nowMs));
-                stored.onWritten(content);
-            });
-        }
-
-        private void receive(HostReport report) {
-            crashes.accept(report.crashes(), clock.nanos());
-        }
-
-        @Override
-        public String toString() {
-            return name;
+            report(hosts, () -> random.nextDouble() < reportLoss);
         }
     }
 
