Read the limits that endpoints name, and log when a host hears one

A response names no limit, one, or an unreadable one (negative, not decimal, infinite); of several values the lowest counts. Responses overtake each other: of two statements whose times between sending and hearing overlap, the lower limit holds. Nothing in routing uses the limits yet.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -9,6 +9,7 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
 import org.dragonflygw.core.peers.PromptHolding;
+import org.dragonflygw.core.ratelimit.EndpointRates;
 
 /** The load states of all known endpoints, indexed by id and by service. Not thread-safe. */
 public final class EndpointLoads implements EndpointListener {
@@ -21,6 +22,7 @@
     private final List<PromptHolding> newHoldings = new ArrayList<>();
     private final LeavingEndpoints leaving = new LeavingEndpoints();
     private final QuietTimes quietTimes = new QuietTimes();
+    private final EndpointRates rates = new EndpointRates();
     private final Map<String, EndpointLoadState> byId = new HashMap<>();
     private final Map<String, List<EndpointLoadState>> byService = new HashMap<>();
 
@@ -70,6 +72,11 @@
         quietTimes.of(endpoint).extend(untilNanos);
     }
 
+    /** Returns the rates of requests that instances of endpoints take. */
+    public EndpointRates rates() {
+        return rates;
+    }
+
     /** Returns the recent leaves, for a report to peers. */
     public List<LeavingEndpoint> recentLeaves(long nowNanos) {
         return leaving.recent(nowNanos);
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
@@ -6,6 +6,9 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogLine;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.ratelimit.EndpointRate;
+import org.dragonflygw.core.ratelimit.RateNotice;
+import org.dragonflygw.core.ratelimit.RateStatement;
 
 /**
  * Applies what endpoints say of themselves in their responses, whether or not anyone still waits for the response. Not
@@ -14,6 +17,9 @@
 public final class EndpointNotices {
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** The log has integers: limits in hundredths of a request per second. */
+    private static final double HUNDREDTHS = 100;
+
     private final EndpointLoads loads;
     private final EventLog log;
     private final MonotonicClock clock;
@@ -29,8 +35,10 @@
      *
      * @param endpoint endpoint that the request was sent to
      * @param request id of the request that was sent last on the connection
+     * @param sentNanos when the request that is answered was sent, on the monotonic clock;
+     *     {@link RateStatement#UNKNOWN_SENT} if the response is to an unknown one
      */
-    public void accept(DiscoveredEndpoint endpoint, ResponseHead head, String request) {
+    public void accept(DiscoveredEndpoint endpoint, ResponseHead head, String request, long sentNanos) {
         if (head.isMisdirected()) {
             return;
         }
@@ -48,6 +56,29 @@
                     .with("quietMs", notice.quietMs())
                     .end();
         }
+        acceptRate(endpoint, new RateStatement(notice.rate(), sentNanos, now), request);
+    }
+
+    private void acceptRate(DiscoveredEndpoint endpoint, RateStatement statement, String request) {
+        EndpointRate rate = loads.rates().of(endpoint.id(), endpoint.startedMs());
+        double before = rate.requestsPerSecond();
+        if (statement.notice().kind() == RateNotice.Kind.UNREADABLE) {
+            line(endpoint, request).with("outcome", "unreadable limit").end();
+            return;
+        }
+        if (!rate.accept(statement, statement.heardNanos())) {
+            return;
+        }
+        LogLine line = line(endpoint, request)
+                .with("outcome", rate.isLimited() ? "limit by its own response" : "limit ended by its own response");
+        if (rate.isLimited()) {
+            line.with("limitHundredths", Math.round(rate.requestsPerSecond() * HUNDREDTHS));
+        }
+        if (Double.isFinite(before)) {
+            line.with("beforeHundredths", Math.round(before * HUNDREDTHS));
+        }
+        line.with("sentAgeMs", (statement.heardNanos() - statement.sentNanos()) / NANOS_PER_MS)
+                .end();
     }
 
     private LogLine line(DiscoveredEndpoint endpoint, String request) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -133,7 +133,7 @@
         if (!head.isMisdirected()) {
             head.load().ifPresent(load -> endpoint.onLoadReport(load, now));
         }
-        context.notices().accept(endpoint.entry(), head, request.id());
+        context.notices().accept(endpoint.entry(), head, request.id(), attemptStartNanos);
         if (head.notExecuted() || head.isMisdirected()) {
             onRejected(head, now);
             return;
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
@@ -12,12 +12,13 @@
 import java.util.stream.Collectors;
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.ratelimit.RateNotice;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** What endpoints say about themselves in their responses decides where the next requests go. */
 final class EndpointNoticesTest {
-    private static final EndpointNotice LEAVING = new EndpointNotice(true, 0);
+    private static final EndpointNotice LEAVING = new EndpointNotice(true, 0, RateNotice.UNLIMITED);
     private static final int MANY = 60;
 
     private final ExchangeFixture f = new ExchangeFixture();
@@ -27,7 +28,7 @@
     }
 
     private static EndpointNotice quiet(long ms) {
-        return new EndpointNotice(false, ms);
+        return new EndpointNotice(false, ms, RateNotice.UNLIMITED);
     }
 
     private String lastSentTo() {
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -25,6 +25,7 @@
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.exchange.HeaderField;
 import org.dragonflygw.core.exchange.ResponseHead;
+import org.dragonflygw.core.ratelimit.RateStatement;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
 /**
@@ -69,6 +70,7 @@
     private boolean responseComplete;
     private boolean abandoned;
     private long idleSinceNanos;
+    private long sentNanos;
 
     /** Idle time before the current request was sent, in nanoseconds; 0 for the first request of the connection. */
     private long idleBeforeSendNanos;
@@ -111,7 +113,8 @@
     void send(EndpointRequest r, PendingAttempt a) {
         request = r;
         attempt = a;
-        idleBeforeSendNanos = idleSinceNanos == 0 ? 0 : System.nanoTime() - idleSinceNanos;
+        sentNanos = System.nanoTime();
+        idleBeforeSendNanos = idleSinceNanos == 0 ? 0 : sentNanos - idleSinceNanos;
         headReceived = false;
         skippingResponse = false;
         skippedByteLimit.reset();
@@ -171,7 +174,7 @@
 
     private void onAbandonedResponse(HttpResponse response) {
         if (response.decoderResult().isSuccess() && !isInformational(response)) {
-            notices.accept(endpoint, decode(response), request.attemptId());
+            notices.accept(endpoint, decode(response), request.attemptId(), sentNanos);
         }
         context.close();
     }
@@ -209,7 +212,7 @@
         if (!headers.matchesAttempt(response.headers()::get, request.attemptId())) {
             skippingResponse = true;
             reusable = false;
-            notices.accept(endpoint, decode(response), request.attemptId());
+            notices.accept(endpoint, decode(response), request.attemptId(), RateStatement.UNKNOWN_SENT);
             return;
         }
         skippingResponse = false;
