Share the limits that endpoints name between hosts by permits of few owners

Retries as the cause are ruled out, and a share for each host would be under one request a second. Now three hosts, which all choose alike by rendezvous hashing over the list of hosts, give out the limit in equal shares, each from a token bucket that begins empty. A host asks one by a datagram right before it sends, and takes another endpoint without a permit. Limits spread by the reports; hosts that were told pass them on while they are news.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
@@ -7,8 +7,8 @@
  * The result of choosing an endpoint for a request.
  *
  * @param endpoint the chosen endpoint; empty if the request cannot be served now
- * @param expectedMs expected time until the response begins, in milliseconds; for {@link UnavailableReason#QUIET} the
- *     time until the first endpoint takes requests again
+ * @param expectedMs expected time until the response begins, in milliseconds; for {@link UnavailableReason#QUIET} and
+ *     {@link UnavailableReason#LIMITED} the time until the first endpoint takes requests again
  * @param uncachedTokens number of prompt tokens that the endpoint has to read (prefill)
  * @param cacheSource another engine from which the endpoint can fetch uncached parts of the prompt
  * @param reason why the request cannot be served; {@link UnavailableReason#NONE} if it can
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.ratelimit.EndpointRate;
 import org.dragonflygw.core.routing.RoutingHash;
 
 /**
@@ -27,6 +28,7 @@
 
     private final CachedParts cached;
     private final QuietTime quiet;
+    private final EndpointRate rate;
     private final long idHash;
     private DiscoveredEndpoint entry;
     private int inFlight;
@@ -40,9 +42,10 @@
     private long blockedUntilNanos = Long.MIN_VALUE;
     private boolean leaving;
 
-    EndpointLoadState(DiscoveredEndpoint entry, QuietTime quiet, long cacheTokens) {
+    EndpointLoadState(DiscoveredEndpoint entry, QuietTime quiet, EndpointRate rate, long cacheTokens) {
         this.entry = entry;
         this.quiet = quiet;
+        this.rate = rate;
         this.cached = new CachedParts(cacheTokens);
         this.idHash = RoutingHash.of(entry.id());
     }
@@ -181,6 +184,11 @@
         return quiet.remainingNanos(nowNanos);
     }
 
+    /** Returns what this host knows of the rate of requests that the endpoint takes from all hosts. */
+    public EndpointRate rate() {
+        return rate;
+    }
+
     /** Returns whether this host has as many requests in flight as the endpoint takes shortly after a quiet time. */
     boolean isRampFull(long nowNanos) {
         return inFlight >= quiet.maxInFlight(nowNanos);
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -33,7 +33,8 @@
             known.entry(endpoint);
             return;
         }
-        EndpointLoadState state = new EndpointLoadState(endpoint, quietTimes.of(endpoint), DEFAULT_CACHE_TOKENS);
+        EndpointLoadState state = new EndpointLoadState(
+                endpoint, quietTimes.of(endpoint), rates.of(endpoint.id(), endpoint.startedMs()), DEFAULT_CACHE_TOKENS);
         if (leaving.contains(endpoint)) {
             state.markLeaving();
         }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
@@ -109,10 +110,13 @@
     }
 
     private Choice noCandidate(ChoiceRequest request, long nowNanos) {
-        long quietMs = (long) Math.ceil(usable.shortestQuietNanos(request, nowNanos) / NANOS_PER_MS);
-        return quietMs > 0
-                ? Choice.none(UnavailableReason.QUIET, quietMs)
-                : Choice.none(UnavailableReason.NO_ENDPOINT, 0);
+        OptionalLong waitNanos = usable.shortestWaitNanos(request, nowNanos);
+        if (waitNanos.isEmpty()) {
+            return Choice.none(UnavailableReason.NO_ENDPOINT, 0);
+        }
+        long waitMs = (long) Math.ceil(waitNanos.getAsLong() / NANOS_PER_MS);
+        UnavailableReason reason = usable.anyLimited(request) ? UnavailableReason.LIMITED : UnavailableReason.QUIET;
+        return Choice.none(reason, waitMs);
     }
 
     private ScoredEndpoint best(
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UnavailableReason.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UnavailableReason.java
@@ -8,6 +8,8 @@
     NO_ENDPOINT,
     /** All endpoints of the service asked for a time without requests. */
     QUIET,
+    /** All endpoints of the service asked for a time without requests or name a limit of which nothing is left. */
+    LIMITED,
     /** All endpoints of the service are at capacity. */
     BUSY,
     /** The response would begin only after the request times out. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -3,10 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
- * Finds the endpoints that can serve a request: not leaving, not excluded, not asking for quiet and, where asked, not at
- * capacity.
+ * Finds the endpoints that can serve a request: not leaving, not excluded, not asking for quiet, not known to have used up a
+ * limit and, where asked, not at capacity.
  */
 final class UsableEndpoints {
     /** Number of requests that may queue at a plain endpoint, as a multiple of its slots. */
@@ -22,7 +23,7 @@
     List<EndpointLoadState> all(ChoiceRequest request, long nowNanos) {
         List<EndpointLoadState> usable = new ArrayList<>();
         for (EndpointLoadState e : loads.ofService(request.service().name())) {
-            if (acceptsRequests(request, e) && e.quietNanos(nowNanos) == 0) {
+            if (acceptsRequests(request, e) && e.quietNanos(nowNanos) == 0 && mayHavePermit(request, e, nowNanos)) {
                 usable.add(e);
             }
         }
@@ -35,14 +36,22 @@
                 && !request.excluded().contains(e.entry().id());
     }
 
-    /** Returns the shortest time until an endpoint that asked for quiet takes requests, in nanoseconds; 0 if none did. */
-    long shortestQuietNanos(ChoiceRequest request, long nowNanos) {
+    private static boolean mayHavePermit(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
+        return !e.rate().isLimited() || (request.limitedEndpoints() && e.rate().permitWaitNanos(nowNanos) == 0);
+    }
+
+    /** Returns the shortest time until an endpoint that is not usable now may take requests; nothing if there is none. */
+    OptionalLong shortestWaitNanos(ChoiceRequest request, long nowNanos) {
         return loads.ofService(request.service().name()).stream()
                 .filter(e -> acceptsRequests(request, e))
-                .mapToLong(e -> e.quietNanos(nowNanos))
-                .filter(nanos -> nanos > 0)
-                .min()
-                .orElse(0);
+                .mapToLong(e -> Math.max(e.quietNanos(nowNanos), e.rate().permitWaitNanos(nowNanos)))
+                .min();
+    }
+
+    /** Returns whether an endpoint that accepts new requests names a limit. */
+    boolean anyLimited(ChoiceRequest request) {
+        return loads.ofService(request.service().name()).stream()
+                .anyMatch(e -> acceptsRequests(request, e) && e.rate().isLimited());
     }
 
     /** Returns the endpoints that accept new requests and are not at capacity. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
@@ -6,8 +6,7 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogLine;
 import org.dragonflygw.core.log.LogTopic;
-import org.dragonflygw.core.ratelimit.EndpointRate;
-import org.dragonflygw.core.ratelimit.RateNotice;
+import org.dragonflygw.core.ratelimit.RateLog;
 import org.dragonflygw.core.ratelimit.RateStatement;
 
 /**
@@ -17,17 +16,16 @@
 public final class EndpointNotices {
     private static final long NANOS_PER_MS = 1_000_000;
 
-    /** The log has integers: limits in hundredths of a request per second. */
-    private static final double HUNDREDTHS = 100;
-
     private final EndpointLoads loads;
     private final EventLog log;
     private final MonotonicClock clock;
+    private final RateLog rateLog;
 
     public EndpointNotices(EndpointLoads loads, EventLog log, MonotonicClock clock) {
         this.loads = loads;
         this.log = log;
         this.clock = clock;
+        this.rateLog = new RateLog(loads.rates(), log);
     }
 
     /**
@@ -56,29 +54,10 @@
                     .with("quietMs", notice.quietMs())
                     .end();
         }
-        acceptRate(endpoint, new RateStatement(notice.rate(), sentNanos, now), request);
-    }
-
-    private void acceptRate(DiscoveredEndpoint endpoint, RateStatement statement, String request) {
-        EndpointRate rate = loads.rates().of(endpoint.id(), endpoint.startedMs());
-        double before = rate.requestsPerSecond();
-        if (statement.notice().kind() == RateNotice.Kind.UNREADABLE) {
-            line(endpoint, request).with("outcome", "unreadable limit").end();
-            return;
-        }
-        if (!rate.accept(statement, statement.heardNanos())) {
-            return;
-        }
-        LogLine line = line(endpoint, request)
-                .with("outcome", rate.isLimited() ? "limit by its own response" : "limit ended by its own response");
-        if (rate.isLimited()) {
-            line.with("limitHundredths", Math.round(rate.requestsPerSecond() * HUNDREDTHS));
-        }
-        if (Double.isFinite(before)) {
-            line.with("beforeHundredths", Math.round(before * HUNDREDTHS));
-        }
-        line.with("sentAgeMs", (statement.heardNanos() - statement.sentNanos()) / NANOS_PER_MS)
-                .end();
+        rateLog.accept(
+                loads.rates().of(endpoint.id(), endpoint.startedMs()),
+                new RateStatement(notice.rate(), sentNanos, now),
+                request);
     }
 
     private LogLine line(DiscoveredEndpoint endpoint, String request) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -4,6 +4,7 @@
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.ratelimit.PermitDecision;
 import org.dragonflygw.core.retry.RetryDecision;
 
 /**
@@ -26,6 +27,9 @@
      */
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
+    /** Endpoints with a limit that may deny a permit before only the others are considered. */
+    private static final int MAX_PERMIT_DENIALS = 3;
+
     private enum Phase {
         CHOOSING,
         SENT,
@@ -48,6 +52,11 @@
     private boolean firstPartSeen;
     private boolean ignoreResponse;
     private boolean mayHaveRun;
+
+    /** Whether the current attempt has a permit of an endpoint that names a limit. */
+    private boolean permitted;
+
+    private int permitDenials;
     private long attemptStartNanos;
     private long firstPartAtNanos;
 
@@ -88,16 +97,39 @@
             refuseOrFail(RejectReason.of(choice.reason()), choice.expectedMs());
             return;
         }
+        EndpointLoadState chosen = choice.endpoint().get();
+        if (chosen.rate().isLimited()) {
+            context.permits().acquire(chosen.entry(), decision -> onPermitDecided(choice, decision));
+            return;
+        }
+        permitted = false;
         send(choice, now);
     }
 
+    /** Sends the request with a permit, unless the endpoint may no longer be used; else makes another choice. */
+    private void onPermitDecided(Choice choice, PermitDecision decision) {
+        if (phase == Phase.ENDED) {
+            return; // The caller left meanwhile.
+        }
+        EndpointLoadState chosen = choice.endpoint().orElseThrow();
+        log.permitDecided(chosen, decision);
+        if (!decision.granted() || !acceptsRequests(chosen)) {
+            permitDenials++;
+            sendToEndpoint();
+            return;
+        }
+        permitted = true;
+        send(choice, now());
+    }
+
     private ChoiceRequest choiceRequest(long now) {
         return new ChoiceRequest(
                 request.service(),
                 request.prompt(),
                 request.route().objectiveMs(),
                 remainingMs(now),
-                attempts.failedEndpoints());
+                attempts.failedEndpoints(),
+                permitDenials < MAX_PERMIT_DENIALS);
     }
 
     private void send(Choice choice, long now) {
@@ -157,7 +189,11 @@
      * sent.
      */
     public boolean mayStillSend() {
-        return !isBlocked() && !endpoint.isLeaving() && endpoint.quietNanos(now()) == 0;
+        return acceptsRequests(endpoint) && (permitted || !endpoint.rate().isLimited());
+    }
+
+    private boolean acceptsRequests(EndpointLoadState e) {
+        return !isBlocked() && !e.isLeaving() && e.quietNanos(now()) == 0;
     }
 
     private void onRejected(ResponseHead head, long now) {
@@ -345,7 +381,7 @@
         if (blockMs > 0) {
             return blockMs;
         }
-        return reason == RejectReason.ENDPOINTS_QUIET
+        return reason == RejectReason.ENDPOINTS_QUIET || reason == RejectReason.ENDPOINTS_LIMITED
                 ? context.retryAfterDelays().afterMs(expectedMs)
                 : context.retryAfterDelays().nextMs(remainingMs);
     }
@@ -366,7 +402,7 @@
 
     /** Called at the time requested through {@link ExchangeOutput#wakeAt}; earlier calls are harmless. */
     public void onTimer() {
-        if (phase == Phase.ENDED) {
+        if (phase == Phase.ENDED || phase == Phase.CHOOSING) {
             return;
         }
         long now = now();
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
@@ -7,6 +7,7 @@
 import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.ratelimit.EndpointPermits;
 import org.dragonflygw.core.retry.FleetRetryShare;
 
 /**
@@ -14,6 +15,7 @@
  *
  * @param chooser chooses the endpoint of each attempt
  * @param loads load of each endpoint
+ * @param permits gives permits to send to endpoints that name a limit
  * @param notices applies what endpoints say of themselves
  * @param retries this host's share of the retry budget
  * @param crashes requests that are suspected of crashing endpoints
@@ -26,6 +28,7 @@
 public record ExchangeContext(
         EndpointChooser chooser,
         EndpointLoads loads,
+        EndpointPermits permits,
         EndpointNotices notices,
         FleetRetryShare retries,
         CrashSuspects crashes,
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -10,12 +10,16 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogLine;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.ratelimit.PermitDecision;
 import org.dragonflygw.core.retry.RetryDecision;
 
 /** Writes the log lines of one exchange: each dispatch, each failed attempt, a refusal, and the end. */
 final class ExchangeLog {
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** The log has integers: limits in hundredths of a request per second. */
+    private static final double HUNDREDTHS = 100;
+
     private final ExchangeRequest request;
     private final EventLog log;
 
@@ -24,6 +28,20 @@
         this.log = log;
     }
 
+    /** Logs whether a request may be sent to an endpoint that names a limit. */
+    void permitDecided(EndpointLoadState endpoint, PermitDecision decision) {
+        LogLine line = log.line(LogTopic.PERMIT)
+                .with("request", request.id())
+                .with("endpoint", endpoint.entry().id())
+                .with("granted", decision.granted())
+                .with("owner", decision.owner())
+                .with("waitMs", decision.waitMs());
+        if (Double.isFinite(decision.requestsPerSecond())) {
+            line.with("limitHundredths", Math.round(decision.requestsPerSecond() * HUNDREDTHS));
+        }
+        line.end();
+    }
+
     void dispatched(Choice choice, int attempt, long remainingMs, long nowNanos) {
         EndpointLoadState endpoint = choice.endpoint().orElseThrow();
         log.line(LogTopic.DISPATCH)
--- a/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
@@ -16,6 +16,8 @@
     NO_ENDPOINT(503),
     /** All endpoints asked for a time without requests. */
     ENDPOINTS_QUIET(503),
+    /** All endpoints name a limit, and nothing is left of it. */
+    ENDPOINTS_LIMITED(503),
     /** All endpoints are at their capacity. */
     BUSY(503),
     /** The response would come after the deadline. */
@@ -47,6 +49,7 @@
     static RejectReason of(UnavailableReason reason) {
         return switch (reason) {
             case QUIET -> ENDPOINTS_QUIET;
+            case LIMITED -> ENDPOINTS_LIMITED;
             case BUSY -> BUSY;
             case TOO_LATE -> TOO_LATE;
             default -> NO_ENDPOINT;
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -22,6 +22,8 @@
     READINESS,
     /** A request waits because the process has just started and knows no configuration or no endpoints yet. */
     HOLD,
+    /** An endpoint names a limit for all hosts together; the line says whether the request may be sent there. */
+    PERMIT,
     /** A request was sent to an endpoint; the line has the figures behind the choice. */
     DISPATCH,
     /** A request was refused before it was sent; the line has the reason. */
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -4,6 +4,7 @@
 import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
+import org.dragonflygw.core.ratelimit.RateReport;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 
@@ -19,6 +20,7 @@
  * @param crashes requests suspected of crashing endpoints
  * @param parts parts of prompts suspected of crashing endpoints
  * @param leaving endpoints that said in a response that they are leaving
+ * @param rates limits that endpoints name for all hosts together
  * @param news what the host has read from the store
  */
 public record HostReport(
@@ -31,22 +33,26 @@
         CrashReport crashes,
         PartReport parts,
         List<LeavingEndpoint> leaving,
+        List<RateReport> rates,
         StoreNews news) {
     public HostReport {
         uses = List.copyOf(uses);
         holdings = List.copyOf(holdings);
         leaving = List.copyOf(leaving);
+        rates = List.copyOf(rates);
     }
 
     /** Returns a copy without the prompt prefixes, for use when the message would be too large. */
     public HostReport withoutHoldings() {
-        return new HostReport(host, address, startedMs, sequence, uses, List.of(), crashes, parts, leaving, news);
+        return new HostReport(
+                host, address, startedMs, sequence, uses, List.of(), crashes, parts, leaving, rates, news);
     }
 
     /** Returns a copy without the prompt prefixes and the requests of single lost endpoints, if the message is still too large. */
     public HostReport withoutHoldingsAndLosses() {
         CrashReport suspects = new CrashReport(crashes.suspects(), List.of(), List.of());
-        return new HostReport(host, address, startedMs, sequence, uses, List.of(), suspects, parts, leaving, news);
+        return new HostReport(
+                host, address, startedMs, sequence, uses, List.of(), suspects, parts, leaving, rates, news);
     }
 
     /** Returns whether this report is newer than another report of the same host. */
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -11,6 +11,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.lease.MonotonicClock;
+import org.dragonflygw.core.ratelimit.RateReport;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 
@@ -80,7 +81,12 @@
         List<PromptHolding> holdings = new ArrayList<>();
         recentHoldings.forEach(t -> holdings.add(t.holding));
         long now = clock.nanos();
-        return report(holdings, crashes.nextReport(rounds, now), crashingParts.nextReport(rounds, now), news);
+        return report(
+                holdings,
+                crashes.nextReport(rounds, now),
+                crashingParts.nextReport(rounds, now),
+                loads.rates().nextReports(now),
+                news);
     }
 
     /**
@@ -88,11 +94,15 @@
      * has news. Short messages are not lost on a narrow link. What is left out stays in the next reports.
      */
     public HostReport nextWithoutHoldings(StoreNews news) {
-        return report(List.of(), CrashReport.NONE, PartReport.NONE, news);
+        return report(List.of(), CrashReport.NONE, PartReport.NONE, List.of(), news);
     }
 
     private HostReport report(
-            List<PromptHolding> holdings, CrashReport crashReport, PartReport partReport, StoreNews news) {
+            List<PromptHolding> holdings,
+            CrashReport crashReport,
+            PartReport partReport,
+            List<RateReport> rates,
+            StoreNews news) {
         return new HostReport(
                 host,
                 address,
@@ -103,6 +113,7 @@
                 crashReport,
                 partReport,
                 loads.recentLeaves(clock.nanos()),
+                rates,
                 news);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
@@ -14,6 +15,7 @@
 import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.ratelimit.RateLog;
 import org.dragonflygw.core.settings.HostAddress;
 
 /**
@@ -45,6 +47,7 @@
     private final EventLog log;
     private final MonotonicClock clock;
     private final Map<String, Peer> peers = new HashMap<>();
+    private final RateLog rateLog;
     private final FleetMembers members = new FleetMembers();
 
     /**
@@ -57,6 +60,7 @@
         this.loads = loads;
         this.log = log;
         this.clock = clock;
+        this.rateLog = new RateLog(loads.rates(), log);
     }
 
     /** Records a host that is listed in the store. */
@@ -96,6 +100,7 @@
         peer.lastReportNanos = clock.nanos();
         peer.reporting = true;
         report.leaving().forEach(l -> onLeaving(report.host(), l));
+        report.rates().forEach(r -> rateLog.accept(r, report.host(), clock.nanos()));
         for (PromptHolding h : report.holdings()) {
             loads.get(h.endpoint()).ifPresent(e -> e.onPromptSentByPeer(h.parts(), clock.nanos()));
         }
@@ -185,19 +190,32 @@
         return silent <= peers.size() * MAX_SILENT_FRACTION;
     }
 
+    /** Returns whether a peer was heard recently. */
+    public boolean isReporting(String host) {
+        Peer p = peers.get(host);
+        return p != null && p.report != null && clock.nanos() - p.lastReportNanos < reportExpiryNanos();
+    }
+
     /** Returns whether a peer reported recently that it can reach the store. */
     public boolean reachesStore(String host) {
         Peer p = peers.get(host);
-        return p != null
-                && p.report != null
-                && p.report.news().reachable()
-                && clock.nanos() - p.lastReportNanos < reportExpiryNanos();
+        return isReporting(host) && p.report.news().reachable();
     }
 
     private long reportExpiryNanos() {
         return Math.max(MIN_REPORT_EXPIRY_NANOS, peers.size() * REPORT_AGE_PER_PEER_NANOS);
     }
 
+    /** Returns the address of a peer. */
+    public Optional<HostAddress> addressOf(String host) {
+        return Optional.ofNullable(peers.get(host)).map(p -> p.address);
+    }
+
+    /** Returns whether the list of hosts was read. */
+    public boolean isListed() {
+        return fleetSize().isPresent();
+    }
+
     /** Returns the addresses of the peers. */
     public List<HostAddress> addresses() {
         return addressesOf(peers.keySet());
--- a/core/src/main/java/org/dragonflygw/core/ratelimit/EndpointRates.java
+++ b/core/src/main/java/org/dragonflygw/core/ratelimit/EndpointRates.java
@@ -1,6 +1,8 @@
 package org.dragonflygw.core.ratelimit;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -11,7 +13,16 @@
     /** Maximum number of remembered instances, several times those of a large fleet; the oldest is dropped first. */
     private static final int MAX_REMEMBERED = 2_048;
 
+    /** Time for which a changed limit is in each report, in nanoseconds; hosts that were told pass it on. */
+    private static final long REPORT_CHANGED_NANOS = 3_000_000_000L;
+
+    private static final int MAX_CHANGED_PER_REPORT = 64;
+
+    /** Number of other limits in a report, which are named in turn for hosts that started since they changed. */
+    private static final int MAX_OTHERS_PER_REPORT = 16;
+
     private final Map<String, EndpointRate> byInstance = new LinkedHashMap<>();
+    private int nextOther;
 
     /** Returns the rate of an instance, which all users of the instance share. */
     public EndpointRate of(String endpoint, long startedMs) {
@@ -23,6 +34,30 @@
         return rate;
     }
 
+    /** Applies what another host told of an instance; returns whether the limit changed. */
+    public boolean accept(RateReport report, long nowNanos) {
+        return of(report.endpoint(), report.startedMs()).accept(report.statement(nowNanos), nowNanos);
+    }
+
+    /** Returns what the next report to other hosts says about limits; most when they have just changed. */
+    public List<RateReport> nextReports(long nowNanos) {
+        List<RateReport> reports = new ArrayList<>();
+        List<EndpointRate> others = new ArrayList<>();
+        for (EndpointRate rate : byInstance.values()) {
+            boolean changed = rate.statement().isPresent() && nowNanos - rate.changedNanos() < REPORT_CHANGED_NANOS;
+            if (changed && reports.size() < MAX_CHANGED_PER_REPORT) {
+                reports.add(RateReport.of(rate, rate.statement().orElseThrow(), nowNanos));
+            } else if (rate.isLimited()) {
+                others.add(rate);
+            }
+        }
+        for (int i = 0; i < Math.min(MAX_OTHERS_PER_REPORT, others.size()); i++) {
+            EndpointRate rate = others.get(Math.floorMod(nextOther++, others.size()));
+            reports.add(RateReport.of(rate, rate.statement().orElseThrow(), nowNanos));
+        }
+        return reports;
+    }
+
     /** Returns the number of instances that name a limit. */
     public long limitedCount() {
         return byInstance.values().stream().filter(EndpointRate::isLimited).count();
--- a/core/src/test/java/org/dragonflygw/core/dispatch/RendezvousOrderTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/RendezvousOrderTest.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.List;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.ratelimit.EndpointRates;
 import org.junit.jupiter.api.Test;
 
 final class RendezvousOrderTest {
@@ -17,6 +18,7 @@
             engines.add(new EndpointLoadState(
                     new DiscoveredEndpoint("i-" + i, "s", "10.0.0.1", 80, "a", 8, false, 0, 1),
                     new QuietTime(),
+                    new EndpointRates().of("i-" + i, 1),
                     1_000));
         }
         return engines;
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -22,12 +22,18 @@
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.log.NoOpEventLog;
+import org.dragonflygw.core.ratelimit.EndpointPermits;
+import org.dragonflygw.core.ratelimit.PermitDecision;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.RetryBounds;
 
 /** Starts exchanges with three endpoints and a manual clock, and records all actions of the exchange. */
 final class ExchangeFixture implements ExchangeOutput {
     static final String SERVICE = "app";
+    /** Grants each permit at once. */
+    static final EndpointPermits PERMITS =
+            (endpoint, listener) -> listener.accept(new PermitDecision(true, "", 0, Double.POSITIVE_INFINITY));
+
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     final ManualMonotonicClock clock = new ManualMonotonicClock();
@@ -109,6 +115,7 @@
         ExchangeContext context = new ExchangeContext(
                 chooser,
                 loads,
+                PERMITS,
                 notices,
                 retries,
                 crashes,
@@ -147,6 +154,16 @@
             CrashingParts crashingParts,
             EndpointProbe probe,
             ManualMonotonicClock clock) {
+        return context(loads, PERMITS, crashes, crashingParts, probe, clock);
+    }
+
+    static ExchangeContext context(
+            EndpointLoads loads,
+            EndpointPermits permits,
+            CrashSuspects crashes,
+            CrashingParts crashingParts,
+            EndpointProbe probe,
+            ManualMonotonicClock clock) {
         FleetRetryShare retries = new FleetRetryShare(
                 () -> new RetryBounds(1, 1_000, WINDOW_NANOS),
                 () -> OptionalInt.of(1),
@@ -155,6 +172,7 @@
         return new ExchangeContext(
                 new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all),
                 loads,
+                permits,
                 new EndpointNotices(loads, new NoOpEventLog(), clock),
                 retries,
                 crashes,
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -44,6 +44,7 @@
                 CrashReport.NONE,
                 PartReport.NONE,
                 List.of(),
+                List.of(),
                 StoreNews.NONE);
     }
 
@@ -177,6 +178,7 @@
                 CrashReport.NONE,
                 PartReport.NONE,
                 List.of(leave),
+                List.of(),
                 StoreNews.NONE));
         assertThat(loads.get("e1").orElseThrow().isLeaving()).isTrue();
         assertThat(loads.recentLeaves(clock.nanos())).containsExactly(leave);
--- a/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -171,6 +171,7 @@
                     CrashReport.NONE,
                     PartReport.NONE,
                     List.of(),
+                    List.of(),
                     StoreNews.NONE);
             for (Host h : hosts) {
                 if (h != this && h.share != null && !reportsLost) {
--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -259,6 +259,7 @@
                     CrashReport.NONE,
                     PartReport.NONE,
                     List.of(),
+                    List.of(),
                     news));
         }
 
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -36,6 +36,9 @@
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.ratelimit.PermitIssuer;
+import org.dragonflygw.core.ratelimit.PermitOwners;
+import org.dragonflygw.core.ratelimit.SharedPermits;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostBounds;
@@ -46,7 +49,9 @@
 import org.dragonflygw.edge.front.FrontState;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.ops.OpsServer;
+import org.dragonflygw.edge.peers.PeerMessages;
 import org.dragonflygw.edge.peers.PeerReports;
+import org.dragonflygw.edge.peers.PeerSocket;
 import org.dragonflygw.edge.stop.GracefulStop;
 import org.dragonflygw.edge.store.StoreView;
 import org.dragonflygw.edge.upstream.ConnectProbe;
@@ -88,6 +93,10 @@
     private final CrashingParts crashingParts;
     private final PeerTable peers;
     private final StoreView store;
+    private final PeerSocket peerSocket;
+    private final PermitIssuer permitIssuer;
+    private final PeerMessages messages;
+    private final SharedPermits permits;
     private PeerReports reports;
     private Channel listener;
     private volatile boolean lastLoggedReady;
@@ -107,6 +116,19 @@
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
+        PermitOwners owners = new PermitOwners(
+                identity.hostName(), peers::hostNames, peers::isListed, peers::isReporting, System::nanoTime);
+        this.peerSocket = new PeerSocket(group, log);
+        this.permitIssuer = new PermitIssuer(identity.hostName(), loads.rates(), owners, System::nanoTime);
+        this.messages = new PeerMessages(peerSocket, peers, permitIssuer);
+        this.permits = new SharedPermits(
+                identity.hostName(),
+                loads.rates(),
+                owners,
+                permitIssuer,
+                messages,
+                new SplittableRandom(),
+                System::nanoTime);
         this.retries = new FleetRetryShare(
                 () -> settings.bounds().retries(),
                 peers::fleetSize,
@@ -134,6 +156,10 @@
         metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
         metrics.registerGauge("crashing_parts", crashingParts::count);
         metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
+        metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
+        metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
+        metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
+        metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
@@ -191,8 +217,9 @@
         long startedMs = InstantSource.system().instant().toEpochMilli();
         HostReportFactory reportFactory = new HostReportFactory(
                 identity.hostName(), identity.internal(), startedMs, loads, crashes, crashingParts, System::nanoTime);
-        reports = new PeerReports(group, peers, reportFactory, log, this::acceptCrashes, store::news, store::applyNews);
-        reports.listen(identity.internal());
+        reports = new PeerReports(
+                peerSocket, peers, reportFactory, log, this::acceptCrashes, store::news, store::applyNews);
+        reports.listen(identity.internal(), messages::onMessage);
         store.start();
     }
 
@@ -233,6 +260,7 @@
         ExchangeContext exchanges = new ExchangeContext(
                 endpointChoice(),
                 loads,
+                permits,
                 notices,
                 retries,
                 crashes,
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -40,6 +40,8 @@
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.NoOpEventLog;
+import org.dragonflygw.core.ratelimit.EndpointPermits;
+import org.dragonflygw.core.ratelimit.PermitDecision;
 import org.dragonflygw.core.retry.FleetRetryShare;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.RetryBounds;
@@ -59,6 +61,10 @@
     private static final int READ_TIMEOUT_MS = 5_000;
     private static final String SERVICE = "s";
 
+    /** Grants each permit at once. */
+    private static final EndpointPermits PERMITS =
+            (endpoint, listener) -> listener.accept(new PermitDecision(true, "", 0, Double.POSITIVE_INFINITY));
+
     final FrontState frontState = new FrontState();
     final EndpointLoads loads = new EndpointLoads();
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -83,6 +89,7 @@
         ExchangeContext exchanges = new ExchangeContext(
                 chooser,
                 loads,
+                PERMITS,
                 notices,
                 retries,
                 new CrashSuspects(new NoOpEventLog()),
--- a/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/HostReportCodec.java
@@ -61,6 +61,10 @@
             message.setLeaving(
                     report.leaving().stream().map(HostReportCodec::encode).toList());
         }
+        if (!report.rates().isEmpty()) {
+            message.setRates(
+                    report.rates().stream().map(RateReportCodec::encode).toList());
+        }
         try {
             return serializer.serialize(message);
         } catch (TException e) {
@@ -124,6 +128,9 @@
                 CrashReportCodec.decode(m),
                 PartReportCodec.decode(m),
                 decodeLeaving(m),
+                m.isSetRates()
+                        ? m.getRates().stream().map(RateReportCodec::decode).toList()
+                        : List.of(),
                 StoreNewsCodec.decode(m.getNews()));
     }
 }
--- /dev/null
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/PeerMessageCodec.java
@@ -0,0 +1,82 @@
+package org.dragonflygw.wire.codec;
+
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.dragonflygw.core.ratelimit.PermitReply;
+import org.dragonflygw.core.ratelimit.PermitRequest;
+import org.dragonflygw.wire.hosts.PeerMessage;
+import org.dragonflygw.wire.hosts.PermitReplyMessage;
+
+/**
+ * Encodes and decodes the messages between hosts beside the reports, in the compact Thrift protocol. The first byte is 0,
+ * with which no report begins. Not thread-safe: use one codec per thread.
+ */
+public final class PeerMessageCodec {
+    private static final byte MARK = 0;
+
+    private final TSerializer serializer;
+    private final TDeserializer deserializer;
+
+    public PeerMessageCodec() {
+        try {
+            serializer = new TSerializer(new TCompactProtocol.Factory());
+            deserializer = new TDeserializer(new TCompactProtocol.Factory());
+        } catch (TException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot create the codec of peer messages", e);
+        }
+    }
+
+    /** Returns whether a datagram holds a message and not a report. */
+    public static boolean isMessage(byte[] datagram) {
+        return datagram.length > 0 && datagram[0] == MARK;
+    }
+
+    /** Encodes a request for a permit. */
+    public byte[] encode(long id, PermitRequest request) {
+        return encode(new PeerMessage(id).setPermitRequest(RateReportCodec.encode(request.rate())));
+    }
+
+    /** Encodes the reply to a request for a permit. */
+    public byte[] encode(long id, PermitReply reply) {
+        return encode(new PeerMessage(id)
+                .setPermitReply(
+                        new PermitReplyMessage(reply.granted(), reply.waitMs(), RateReportCodec.encode(reply.rate()))));
+    }
+
+    private byte[] encode(PeerMessage message) {
+        try {
+            byte[] content = serializer.serialize(message);
+            byte[] datagram = new byte[content.length + 1];
+            datagram[0] = MARK;
+            System.arraycopy(content, 0, datagram, 1, content.length);
+            return datagram;
+        } catch (TException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot encode the peer message", e);
+        }
+    }
+
+    /** Decodes a message for a handler; throws {@link WireException} when the bytes are truncated or a field is invalid. */
+    public void decode(byte[] datagram, PeerMessageHandler handler) {
+        PeerMessage m = new PeerMessage();
+        try {
+            deserializer.deserialize(m, datagram, 1, datagram.length - 1);
+            m.validate();
+        } catch (TException | RuntimeException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "cannot decode the peer message", e);
+        }
+        if (m.isSetPermitRequest()) {
+            handler.onPermitRequest(m.getId(), new PermitRequest(RateReportCodec.decode(m.getPermitRequest())));
+        }
+        if (m.isSetPermitReply()) {
+            PermitReplyMessage reply = m.getPermitReply();
+            handler.onPermitReply(
+                    m.getId(),
+                    new PermitReply(
+                            reply.isGranted(),
+                            Math.max(0, reply.getWaitMillis()),
+                            RateReportCodec.decode(reply.getRate())));
+        }
+    }
+}
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -157,6 +157,26 @@
   3: required i64 ageMillis
 }
 
+/** What a host knows of the requests that an instance of an endpoint takes from all hosts together. */
+struct EndpointRateMessage {
+  1: required string id
+  2: required i64 startedMillis
+  /** Requests per second; not set if the endpoint names no limit. */
+  3: optional double limit
+  /** Time since the request was sent whose response says so. */
+  4: required i64 sentAgeMillis
+  /** Time since that response was heard. */
+  5: required i64 heardAgeMillis
+}
+
+/** Reply of a host that gives out the limit of an endpoint. */
+struct PermitReplyMessage {
+  1: required bool granted
+  /** Time until the next permit. */
+  2: required i64 waitMillis
+  3: required EndpointRateMessage rate
+}
+
 /** State that a host reports to the other hosts several times a second. */
 struct HostReportMessage {
   1: required string host
@@ -176,6 +196,7 @@
   12: optional list<EndpointLossesMessage> losses
   13: optional list<PartSuspectMessage> partSuspects
   14: optional list<SoundPartMessage> soundParts
+  15: optional list<EndpointRateMessage> rates
 }
 
 /** Row of the store in which a host keeps requests that may crash endpoints. */
@@ -185,3 +206,11 @@
   2: required list<CrashSuspectMessage> suspects
   3: optional list<PartSuspectMessage> partSuspects
 }
+
+/** A message from one host to another beside the reports; one of the optional fields is set. */
+struct PeerMessage {
+  /** Number that a reply repeats from its question. */
+  1: required i64 id
+  2: optional EndpointRateMessage permitRequest
+  3: optional PermitReplyMessage permitReply
+}
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -96,6 +96,7 @@
                         List.of(new PartSuspect(91, Map.of("i-4#1", new PartSuspect.Loss(900, 300)))),
                         List.of(new SoundPart(-92, 40))),
                 List.of(new LeavingEndpoint("i-3", 17, 250)),
+                List.of(),
                 news);
     }
 
@@ -133,6 +134,7 @@
                 suspects.nextReport(1, 0),
                 parts.nextReport(1, 0),
                 List.of(),
+                List.of(),
                 StoreNews.NONE);
         assertThat(full.crashes().suspects()).hasSize(16);
         assertThat(full.parts().suspects()).hasSize(24);
