--- a/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
@@ -48,9 +48,11 @@
     private static final int NETWORK_MS = 1;
     private static final int REPLY_TIMEOUT_MS = 50;
     private static final int HEAD_MS = 40;
+    private static final int BODY_PAUSE_MS = 50;
     private static final int WORK_MS = 1_200;
     private static final int DEADLINE_MS = 15_000;
     private static final int SUBJECTS = 40;
+    private static final double MEAN_WEIGHT = 0.8;
 
     private final ManualMonotonicClock clock = new ManualMonotonicClock();
     private final SplittableRandom random;
@@ -59,7 +61,7 @@
     private final List<Engine> engines = new ArrayList<>();
     private final List<Host> hosts = new ArrayList<>();
     private final List<Arrival> arrivals = new ArrayList<>();
-    private final double[] hostWeights;
+    private final List<Double> hostWeights = new ArrayList<>();
     private double messageLoss;
     private int messages;
     private long nextOrder;
@@ -81,10 +83,9 @@
         for (int i = 0; i < engineCount; i++) {
             engines.add(new Engine(i));
         }
-        hostWeights = new double[hostCount];
         for (int i = 0; i < hostCount; i++) {
             hosts.add(new Host("h" + i));
-            hostWeights[i] = 0.3 + random.nextDouble();
+            hostWeights.add(MEAN_WEIGHT - 0.5 + random.nextDouble());
         }
         hosts.forEach(Host::learnPeers);
         after(0, this::reportRound);
@@ -131,13 +132,10 @@
     }
 
     private int drawHost() {
-        double sum = 0;
-        for (double w : hostWeights) {
-            sum += w;
-        }
+        double sum = hostWeights.stream().mapToDouble(w -> w).sum();
         double draw = random.nextDouble() * sum;
-        for (int i = 0; i < hostWeights.length; i++) {
-            draw -= hostWeights[i];
+        for (int i = 0; i < hostWeights.size(); i++) {
+            draw -= hostWeights.get(i);
             if (draw <= 0) {
                 return i;
             }
@@ -195,6 +193,14 @@
         fresh.learnPeers();
     }
 
+    /** Starts a host that the others learn of by its reports. */
+    void add() {
+        Host host = new Host("h" + hosts.size());
+        hosts.add(host);
+        hostWeights.add(MEAN_WEIGHT);
+        host.learnPeers();
+    }
+
     /** Cuts a host off from all other hosts, or ends the cut. */
     void cutOff(int host, boolean cut) {
         hosts.get(host).cutOff = cut;
@@ -203,7 +209,7 @@
     /** Stops all messages of a host and to it, for good. */
     void lose(int host) {
         hosts.get(host).alive = false;
-        hostWeights[host] = 0;
+        hostWeights.set(host, 0.0);
     }
 
     /** Returns how many requests reached an engine in a period. */
@@ -244,6 +250,9 @@
             arrivals.add(new Arrival(number, call.host.name, nowMs));
             int attempt = call.attempt;
             after(HEAD_MS, () -> call.head(attempt, head()));
+            for (int ms = HEAD_MS; ms < WORK_MS; ms += BODY_PAUSE_MS) {
+                after(ms, () -> call.body(attempt));
+            }
             after(WORK_MS, () -> call.complete(attempt));
         }
 
@@ -373,9 +382,14 @@
             }
         }
 
-        void complete(int toAttempt) {
+        void body(int toAttempt) {
             if (host.alive && toAttempt == attempt) {
                 exchange.onBody(new byte[] {1});
+            }
+        }
+
+        void complete(int toAttempt) {
+            if (host.alive && toAttempt == attempt) {
                 exchange.onComplete();
             }
         }
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -33,6 +33,8 @@
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PromptHolding;
+import org.dragonflygw.core.ratelimit.RateNotice;
+import org.dragonflygw.core.ratelimit.RateReport;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.CatalogUpdate;
 import org.dragonflygw.core.storenews.ConfigurationNews;
@@ -96,7 +98,9 @@
                         List.of(new PartSuspect(91, Map.of("i-4#1", new PartSuspect.Loss(900, 300)))),
                         List.of(new SoundPart(-92, 40))),
                 List.of(new LeavingEndpoint("i-3", 17, 250)),
-                List.of(),
+                List.of(
+                        new RateReport("i-4", 18, RateNotice.limited(2.5), 400, 300),
+                        new RateReport("i-5", 19, RateNotice.UNLIMITED, 40, 30)),
                 news);
     }
 
