--- a/core/src/main/java/org/dragonflygw/core/discovery/DiscoveredEndpoint.java
+++ b/core/src/main/java/org/dragonflygw/core/discovery/DiscoveredEndpoint.java
@@ -12,6 +12,7 @@
  * @param draining whether the endpoint is draining and accepts no new requests
  * @param warmupLeftMs remaining warm-up time during which the endpoint is slow, in milliseconds
  * @param startedMs Unix time of the endpoint's start in milliseconds, or 0 if unknown
+ * @param version version of the endpoint's software; what two versions write does not fit into one stream
  */
 public record DiscoveredEndpoint(
         String id,
@@ -22,14 +23,22 @@
         int slots,
         boolean draining,
         long warmupLeftMs,
-        long startedMs) {
+        long startedMs,
+        String version) {
     /** Returns a key that differs between two starts of an endpoint under the same id, as far as the start is known. */
     public String instanceKey() {
         return id + '#' + startedMs;
     }
 
-    /** Returns whether both entries have the same id and describe the same process. */
+    /**
+     * Returns whether both entries have the same id and describe the same process, whose software and address do not
+     * change.
+     */
     public boolean sameIncarnation(DiscoveredEndpoint other) {
-        return id.equals(other.id) && startedMs == other.startedMs && host.equals(other.host) && port == other.port;
+        return id.equals(other.id)
+                && startedMs == other.startedMs
+                && host.equals(other.host)
+                && port == other.port
+                && version.equals(other.version);
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -49,6 +49,10 @@
                 .with("route", request.route().name())
                 .with("team", request.team())
                 .with("endpoint", endpoint.entry().id())
+                .with("version", endpoint.entry().version())
+                .with(
+                        "resumes",
+                        request.resumption().map(Resumption::originAttempt).orElse(null))
                 .with("loadTenths", (long) (endpoint.load(nowNanos) * 10))
                 .with("promptKey", Long.toHexString(request.prompt().sharedKey()))
                 .with("uncachedTokens", choice.uncachedTokens())
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeRequest.java
@@ -1,5 +1,6 @@
 package org.dragonflygw.core.exchange;
 
+import java.util.Optional;
 import org.dragonflygw.core.catalog.CatalogRoute;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.dispatch.Prompt;
@@ -12,6 +13,7 @@
  * @param route route that matches the request
  * @param service service that the request is sent to
  * @param priority priority; 0 is the most urgent
+ * @param resumption stream that the caller takes up, if any
  * @param prompt lengths and keys of the parts of the prompt
  * @param arrivedNanos when the head of the request was read, on the monotonic clock
  * @param deadlineMs how long the caller waits for the response, in milliseconds
@@ -24,6 +26,7 @@
         CatalogRoute route,
         CatalogService service,
         int priority,
+        Optional<Resumption> resumption,
         Prompt prompt,
         long arrivedNanos,
         long deadlineMs,
--- a/core/src/main/java/org/dragonflygw/core/exchange/RequestHead.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RequestHead.java
@@ -12,7 +12,14 @@
  * @param path path without the query string
  * @param key API key, if the caller sent one
  * @param deadlineMs how long the caller waits for the response, in milliseconds, if the caller stated a limit
+ * @param resumption stream that the caller takes up, if any
  * @param prompt lengths and keys of the parts of the prompt
  */
 public record RequestHead(
-        String attemptId, String host, String path, Optional<String> key, OptionalLong deadlineMs, Prompt prompt) {}
+        String attemptId,
+        String host,
+        String path,
+        Optional<String> key,
+        OptionalLong deadlineMs,
+        Optional<Resumption> resumption,
+        Prompt prompt) {}
--- a/core/src/main/java/org/dragonflygw/core/exchange/RequestResolver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RequestResolver.java
@@ -65,6 +65,7 @@
                 route,
                 service.get(),
                 priority,
+                head.resumption(),
                 head.prompt(),
                 arrivedNanos,
                 head.deadlineMs().orElse(route.timeoutMs()),
--- a/core/src/test/java/org/dragonflygw/core/discovery/EndpointRegistryTest.java
+++ b/core/src/test/java/org/dragonflygw/core/discovery/EndpointRegistryTest.java
@@ -28,7 +28,7 @@
             new NoOpEventLog());
 
     private static DiscoveredEndpoint endpoint(String id, long startedMs) {
-        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, startedMs);
+        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, startedMs, "v1");
     }
 
     @Test
@@ -107,7 +107,7 @@
 
         @Test
         void drainingEndpointsAreRemovedImmediately() {
-            registry.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.1", 80, "a", 4, true, 0, 1));
+            registry.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.1", 80, "a", 4, true, 0, 1, "v1"));
             remove("e1", 10.5);
             assertThat(removed).containsExactly("e1");
         }
@@ -166,7 +166,7 @@
     @Nested
     final class RestoredStore {
         private static DiscoveredEndpoint draining(String id) {
-            return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, true, 0, 1);
+            return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, true, 0, 1, "v1");
         }
 
         @Test
--- a/core/src/test/java/org/dragonflygw/core/dispatch/BaselineChoosersTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/BaselineChoosersTest.java
@@ -21,7 +21,7 @@
     @BeforeEach
     void addEndpoints() {
         for (int i = 0; i < ENDPOINTS; i++) {
-            loads.onUpdated(new DiscoveredEndpoint("i-" + i, "s", "10.0.0.1", 80, "a", 8, i == 4, 0, 1));
+            loads.onUpdated(new DiscoveredEndpoint("i-" + i, "s", "10.0.0.1", 80, "a", 8, i == 4, 0, 1, "v1"));
         }
     }
 
--- a/core/src/test/java/org/dragonflygw/core/dispatch/ExpectedTimeChooserTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/ExpectedTimeChooserTest.java
@@ -29,7 +29,7 @@
     }
 
     private static DiscoveredEndpoint endpoint(String id, String service, String zone, int slots, boolean draining) {
-        return new DiscoveredEndpoint(id, service, "10.0.0.1", 80, zone, slots, draining, 0, 1);
+        return new DiscoveredEndpoint(id, service, "10.0.0.1", 80, zone, slots, draining, 0, 1, "v1");
     }
 
     private static Prompt prompt(long sharedPartId, long ownPartId) {
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FewSoundEnginesTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FewSoundEnginesTest.java
@@ -61,7 +61,7 @@
 
         Host() {
             for (int i = 0; i < ENGINES; i++) {
-                loads.onUpdated(new DiscoveredEndpoint("e" + i, "llm", "10.0.0.1", 80, "a", 64, false, 0, 1));
+                loads.onUpdated(new DiscoveredEndpoint("e" + i, "llm", "10.0.0.1", 80, "a", 64, false, 0, 1, "v1"));
             }
         }
 
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizeSamplerTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizeSamplerTest.java
@@ -20,7 +20,7 @@
     private static EndpointLoads loads() {
         EndpointLoads loads = new EndpointLoads();
         for (int i = 0; i < ENDPOINTS; i++) {
-            loads.onUpdated(new DiscoveredEndpoint("p" + i, "app", "10.0.0.1", 80, "a", 6, false, 0, 1));
+            loads.onUpdated(new DiscoveredEndpoint("p" + i, "app", "10.0.0.1", 80, "a", 6, false, 0, 1, "v1"));
         }
         return loads;
     }
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LargeFleetPlainServiceTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LargeFleetPlainServiceTest.java
@@ -49,7 +49,7 @@
             reportedInFlight = new int[HOSTS][endpoints];
             nextTarget = number;
             for (int i = 0; i < endpoints; i++) {
-                loads.onUpdated(new DiscoveredEndpoint("p" + i, "app", "10.0.0.1", 80, "a", SLOTS, false, 0, 1));
+                loads.onUpdated(new DiscoveredEndpoint("p" + i, "app", "10.0.0.1", 80, "a", SLOTS, false, 0, 1, "v1"));
             }
             FleetSizeSampler sampler = new FleetSizeSampler(() -> OptionalInt.of(HOSTS), new SplittableRandom(number));
             chooser = new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), sampler);
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -267,7 +268,8 @@
         }
 
         private DiscoveredEndpoint newEntry() {
-            return new DiscoveredEndpoint("i-" + startedEngines++, "llm", "10.0.0.1", 80, "a", 64, false, 0, 1 + nowMs);
+            return new DiscoveredEndpoint(
+                    "i-" + startedEngines++, "llm", "10.0.0.1", 80, "a", 64, false, 0, 1 + nowMs, "v1");
         }
 
         boolean runs(DiscoveredEndpoint expected) {
@@ -389,6 +391,7 @@
                     ExchangeFixture.streamingRoute(),
                     service,
                     1,
+                    Optional.empty(),
                     prompt,
                     clock.nanos(),
                     TimeUnit.SECONDS.toMillis(10),
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.catalog.CatalogService;
@@ -160,7 +161,7 @@
     }
 
     private DiscoveredEndpoint entry(String id) {
-        return new DiscoveredEndpoint(id, "app", "10.0.0.1", 80, "a", 64, false, 0, 1 + nowMs);
+        return new DiscoveredEndpoint(id, "app", "10.0.0.1", 80, "a", 64, false, 0, 1 + nowMs, "v1");
     }
 
     private final class Engine {
@@ -257,6 +258,7 @@
                     ExchangeFixture.route(routeKind, false),
                     service,
                     1,
+                    Optional.empty(),
                     Prompt.NONE,
                     clock.nanos(),
                     1_500,
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
@@ -104,7 +104,7 @@
             DiscoveredEndpoint old = ExchangeFixture.endpoint(leavingEndpoint(200));
             f.loads.onRemoved(old);
             f.loads.onUpdated(new DiscoveredEndpoint(
-                    old.id(), old.service(), old.host(), old.port(), old.zone(), old.slots(), false, 0, 2));
+                    old.id(), old.service(), old.host(), old.port(), old.zone(), old.slots(), false, 0, 2, "v1"));
             f.clock.advanceMs(60_000);
             assertThat(endpointsOfManyRequests()).contains(old.id());
         }
@@ -165,7 +165,7 @@
             DiscoveredEndpoint old = ExchangeFixture.endpoint(quietEndpoint(4_000));
             f.loads.onRemoved(old);
             f.loads.onUpdated(new DiscoveredEndpoint(
-                    old.id(), old.service(), old.host(), old.port(), old.zone(), old.slots(), false, 0, 2));
+                    old.id(), old.service(), old.host(), old.port(), old.zone(), old.slots(), false, 0, 2, "v1"));
             f.clock.advanceMs(1_500);
             assertThat(endpointsOfManyRequests()).contains(old.id());
         }
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -73,7 +73,7 @@
     }
 
     static DiscoveredEndpoint endpoint(String id) {
-        return new DiscoveredEndpoint(id, SERVICE, "10.0.0.1", 80, "a", 4, false, 0, 1);
+        return new DiscoveredEndpoint(id, SERVICE, "10.0.0.1", 80, "a", 4, false, 0, 1, "v1");
     }
 
     static CatalogRoute route(RouteKind kind, boolean resumable) {
@@ -105,6 +105,7 @@
                 route,
                 service,
                 1,
+                Optional.empty(),
                 Prompt.NONE,
                 clock.nanos(),
                 deadlineMs,
--- a/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
@@ -243,7 +243,7 @@
 
         Engine(int number) {
             this.number = number;
-            this.entry = new DiscoveredEndpoint("i-" + number, "app", "10.0.0.1", 80, "a", 64, false, 0, 1);
+            this.entry = new DiscoveredEndpoint("i-" + number, "app", "10.0.0.1", 80, "a", 64, false, 0, 1, "v1");
         }
 
         void receive(Call call) {
@@ -369,6 +369,7 @@
                     ExchangeFixture.route(RouteKind.IDEMPOTENT, false),
                     SERVICE,
                     1,
+                    Optional.empty(),
                     prompt,
                     clock.nanos(),
                     DEADLINE_MS,
--- a/core/src/test/java/org/dragonflygw/core/peers/HostReportFactoryTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/HostReportFactoryTest.java
@@ -31,7 +31,7 @@
 
     @BeforeEach
     void sendPrompt() {
-        loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.2", 80, "a", 4, false, 0, 1));
+        loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.2", 80, "a", 4, false, 0, 1, "v1"));
         Prompt prompt = new Prompt(List.of(new PromptPart(1, 500), new PromptPart(2, 100)), 600, 100);
         loads.onSent(loads.get("e1").orElseThrow(), prompt, 600, 0);
     }
--- a/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
+++ b/core/src/test/java/org/dragonflygw/core/peers/PeerTableTest.java
@@ -26,7 +26,7 @@
 
     @BeforeEach
     void addEndpoint() {
-        loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.9", 80, "a", 4, false, 0, 1));
+        loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.9", 80, "a", 4, false, 0, 1, "v1"));
     }
 
     private static HostReport report(String host, long started, long sequence, int inFlight) {
@@ -182,7 +182,7 @@
                 StoreNews.NONE));
         assertThat(loads.get("e1").orElseThrow().isLeaving()).isTrue();
         assertThat(loads.recentLeaves(clock.nanos())).containsExactly(leave);
-        loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.9", 80, "a", 4, false, 0, 2));
+        loads.onUpdated(new DiscoveredEndpoint("e1", "s", "10.0.0.9", 80, "a", 4, false, 0, 2, "v1"));
         assertThat(loads.get("e1").orElseThrow().isLeaving()).isFalse();
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/ratelimit/SharedPermitsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/ratelimit/SharedPermitsTest.java
@@ -17,7 +17,7 @@
 /** Which hosts are asked for permits, and what their replies change. */
 final class SharedPermitsTest {
     private static final DiscoveredEndpoint ENDPOINT =
-            new DiscoveredEndpoint("e", "s", "10.0.0.1", 80, "a", 4, false, 0, 1);
+            new DiscoveredEndpoint("e", "s", "10.0.0.1", 80, "a", 4, false, 0, 1, "v1");
     private static final String SELF = "self";
 
     private final ManualMonotonicClock clock = new ManualMonotonicClock();
--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -102,7 +102,7 @@
     }
 
     private static DiscoveredEndpoint endpoint(String id) {
-        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, 1);
+        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, 1, "v1");
     }
 
     /** The store's list of endpoints, from which endpoints only leave. */
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
@@ -35,7 +35,7 @@
     private final FakeCatalog catalog = new FakeCatalog();
 
     private static DiscoveredEndpoint endpoint(String id, boolean draining) {
-        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, draining, 0, 1);
+        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, draining, 0, 1, "v1");
     }
 
     private void apply(StoreNews news) {
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
@@ -91,7 +91,7 @@
     }
 
     private static DiscoveredEndpoint endpoint(String id) {
-        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, 1);
+        return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, 1, "v1");
     }
 
     /** The store: every change, and the ids of the list at each version. */
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -116,7 +116,7 @@
     }
 
     void addEndpoint(String id, RawEndpoint endpoint) {
-        loads.onUpdated(new DiscoveredEndpoint(id, SERVICE, "127.0.0.1", endpoint.port(), "a", 8, false, 0, 1));
+        loads.onUpdated(new DiscoveredEndpoint(id, SERVICE, "127.0.0.1", endpoint.port(), "a", 8, false, 0, 1, "v1"));
     }
 
     void removeEndpoint(String id) {
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -55,7 +55,16 @@
 
     private static DiscoveredEndpoint endpoint(int number) {
         return new DiscoveredEndpoint(
-                "i-" + (1_000_000_000L + number), "service", "10.10.10.10", 8_309, "zone-a", 64, false, 0, number);
+                "i-" + (1_000_000_000L + number),
+                "service",
+                "10.10.10.10",
+                8_309,
+                "zone-a",
+                64,
+                false,
+                0,
+                number,
+                "v1");
     }
 
     private PeerReports host(
--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -398,7 +398,8 @@
     private void register(RunningEndpoint e, String state) {
         String entry = "{\"service\":\"" + e.service() + "\",\"address\":\"127.0.0.1:"
                 + e.link().port()
-                + "\",\"zone\":\"zone-a\",\"slots\":64,\"state\":\"" + state + "\",\"warmup_left_ms\":0,\"born\":1}";
+                + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,\"state\":\"" + state
+                + "\",\"warmup_left_ms\":0,\"born\":1}";
         entries.put(e.endpoint().id(), entry.getBytes(StandardCharsets.UTF_8));
         writeEntry(e.endpoint().id());
     }
--- a/edge/src/test/java/org/dragonflygw/edge/upstream/ConnectProbeTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/upstream/ConnectProbeTest.java
@@ -35,7 +35,7 @@
     }
 
     private Result probe(String id, int port) throws InterruptedException {
-        DiscoveredEndpoint endpoint = new DiscoveredEndpoint(id, "s", "127.0.0.1", port, "a", 8, false, 0, 1);
+        DiscoveredEndpoint endpoint = new DiscoveredEndpoint(id, "s", "127.0.0.1", port, "a", 8, false, 0, 1, "v1");
         group.next().execute(() -> probe.probe(endpoint, results::add));
         return results.poll(WAIT_S, TimeUnit.SECONDS);
     }
--- a/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
+++ b/standins/src/main/java/org/dragonflygw/standins/loopback/LoopbackPlatform.java
@@ -168,6 +168,7 @@
         entry.put("address", "127.0.0.1:" + port());
         entry.put("zone", "zone-a");
         entry.put("slots", 64);
+        entry.put("version", "v1");
         entry.put("state", "ready");
         entry.put("warmup_left_ms", 0);
         entry.put("born", 1);
--- a/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
@@ -42,7 +42,8 @@
                         .setZone(e.zone())
                         .setSlots(e.slots())
                         .setDraining(e.draining())
-                        .setStartedMillis(e.startedMs()));
+                        .setStartedMillis(e.startedMs())
+                        .setSoftwareVersion(e.version()));
         return m;
     }
 
@@ -77,7 +78,8 @@
                 m.getSlots(),
                 m.isDraining(),
                 0,
-                m.getStartedMillis());
+                m.getStartedMillis(),
+                m.isSetSoftwareVersion() ? m.getSoftwareVersion() : "");
         return new EndpointChange(m.getId(), Optional.of(e), m.getVersion());
     }
 }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -34,6 +34,7 @@
   7: optional i32 slots
   8: optional bool draining
   9: optional i64 startedMillis
+  10: optional string softwareVersion
 }
 
 /** A service that receives a weighted share of a route's requests. */
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -74,7 +74,7 @@
     }
 
     private static HostReport report() {
-        DiscoveredEndpoint e = new DiscoveredEndpoint("i-1", "s", "10.0.0.1", 80, "a", 8, true, 0, 4);
+        DiscoveredEndpoint e = new DiscoveredEndpoint("i-1", "s", "10.0.0.1", 80, "a", 8, true, 0, 4, "v1");
         StoreNews news = new StoreNews(
                 0,
                 true,
