--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/exchange/StreamVersionTest.java
@@ -0,0 +1,80 @@
+package org.dragonflygw.core.exchange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A stream goes on only at the software version that began it, and mostly does go on. */
+final class StreamVersionTest {
+    private static final int WARM_UP_MS = 3_000;
+    private static final int STEP_MS = 2_000;
+    private static final int ROUNDS = 5;
+    private static final double STREAMS_PER_SECOND = 60;
+
+    /** Streams that may join versions by the users' rule, over a whole day; here none may. */
+    private static final int JOINED = 0;
+
+    private static VersionedStreamFleet started(int hosts, long seed) {
+        VersionedStreamFleet fleet = new VersionedStreamFleet(hosts, 6, 7, seed);
+        fleet.run(WARM_UP_MS, STREAMS_PER_SECOND);
+        return fleet;
+    }
+
+    private static void assertOneVersionEach(VersionedStreamFleet fleet) {
+        assertThat(fleet.joined()).isEqualTo(JOINED);
+        assertThat(fleet.wrongEvents()).isEqualTo(0);
+    }
+
+    @Nested
+    final class AtOneHost {
+        /** Guards against a response that goes on at another version when its engine has ended. */
+        @Tag("known-red")
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3})
+        void aBrokenResponseGoesOnAtItsVersion(long seed) {
+            VersionedStreamFleet fleet = started(6, seed);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.crashEngines(i, i + 3);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertOneVersionEach(fleet);
+        }
+    }
+
+    @Nested
+    final class AtAnotherHost {
+        /** Guards against callers who come back at a host that does not know where their stream began. */
+        @Tag("known-red")
+        @ParameterizedTest
+        @CsvSource({"2, 4", "6, 5", "6, 6", "95, 7", "401, 8"})
+        void aStreamThatIsTakenUpGoesOnAtItsVersion(int hosts, long seed) {
+            VersionedStreamFleet fleet = started(hosts, seed);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.resetConnections(0, hosts / 2);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertOneVersionEach(fleet);
+            assertThat(fleet.resumes()).isAtLeast(100);
+            assertThat(fleet.shareThatWentOn()).isAtLeast(0.95);
+        }
+
+        /** Guards against knowledge that dies with the host that began the stream. */
+        @Tag("known-red")
+        @ParameterizedTest
+        @CsvSource({"6, 2, 9", "6, 3, 10", "95, 40, 11"})
+        void aStreamOfAKilledHostGoesOnAtItsVersion(int hosts, int killed, long seed) {
+            VersionedStreamFleet fleet = started(hosts, seed);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.restart(0, killed);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertOneVersionEach(fleet);
+            assertThat(fleet.resumes()).isAtLeast(100);
+            assertThat(fleet.shareThatWentOn()).isAtLeast(0.9);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/exchange/VersionedStreamFleet.java
@@ -0,0 +1,390 @@
+package org.dragonflygw.core.exchange;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.dragonflygw.core.catalog.CatalogRoute;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.Prompt;
+
+/**
+ * Hosts on virtual time in front of simulated engines of several software versions, which write a version's name into each
+ * event. Callers whose connection breaks come back at another host, up to a few times, and name the attempt that brought
+ * their first event.
+ */
+final class VersionedStreamFleet {
+    private static final CatalogService SERVICE = new CatalogService("app", "/", 100, 64, 300_000, 0);
+    private static final int EVENTS = 30;
+    private static final int FIRST_EVENT_MS = 60;
+    private static final int EVENT_MS = 50;
+    private static final int DEADLINE_MS = 15_000;
+    private static final int MAX_RETURNS = 3;
+    private static final int RETURN_MS = 30;
+    private static final int CRASH_RESTART_MS = 2_000;
+
+    private final SimulatedNetwork network;
+    private final List<Engine> engines = new ArrayList<>();
+    private final List<Caller> callers = new ArrayList<>();
+    private int resumes;
+    private int resumesThatWentOn;
+    private int refusedResumes;
+
+    VersionedStreamFleet(int hostCount, int firstVersionEngines, int secondVersionEngines, long seed) {
+        network = new SimulatedNetwork(seed);
+        for (int i = 0; i < firstVersionEngines + secondVersionEngines; i++) {
+            engines.add(new Engine("i-" + i, i < firstVersionEngines ? "v1" : "v2"));
+        }
+        for (int i = 0; i < hostCount; i++) {
+            network.hosts().add(new Host("h" + i));
+        }
+        network.hosts().forEach(SimulatedHost::learnPeers);
+    }
+
+    VersionedStreamFleet messageLoss(double ratio) {
+        network.messageLoss(ratio);
+        return this;
+    }
+
+    /** Runs with new streams at a mean rate. */
+    void run(long millis, double streamsPerSecond) {
+        long until = network.nowMs() + millis;
+        double at = network.nowMs();
+        while (true) {
+            at += -Math.log(1 - network.random.nextDouble()) * 1_000 / streamsPerSecond;
+            if (at >= until) {
+                break;
+            }
+            network.after((long) at - network.nowMs(), () -> {
+                Caller c = new Caller(callers.size());
+                callers.add(c);
+                c.send();
+            });
+        }
+        network.run(millis);
+    }
+
+    /** Resets the connections of callers at some hosts. */
+    void resetConnections(int firstHost, int endHost) {
+        for (int i = firstHost; i < endHost; i++) {
+            host(i).resetConnections();
+        }
+    }
+
+    /** Ends the processes of some hosts at once and starts new ones, which know only the list of hosts. */
+    void restart(int firstHost, int endHost) {
+        for (int i = firstHost; i < endHost; i++) {
+            Host old = host(i);
+            old.alive = false;
+            old.resetConnections();
+            network.hosts().set(i, new Host(old.name));
+        }
+        for (int i = firstHost; i < endHost; i++) {
+            host(i).learnPeers();
+        }
+    }
+
+    /** Cuts hosts off from all other hosts, or ends the cut; callers and engines reach them. */
+    void cutOff(int firstHost, int endHost, boolean cut) {
+        for (int i = firstHost; i < endHost; i++) {
+            host(i).cutOff = cut;
+        }
+    }
+
+    /** Ends engines, whose entries stay; they start again a while later. */
+    void crashEngines(int first, int end) {
+        engines.subList(first, end).forEach(Engine::crash);
+    }
+
+    /** Removes engines for good, with their entries. */
+    void removeEngines(int first, int end) {
+        for (Engine e : engines.subList(first, end)) {
+            e.alive = false;
+            e.open.forEach(Call::breakOff);
+            network.hosts().forEach(h -> ((Host) h).onRemoved(e.entry));
+        }
+    }
+
+    /** Returns the callers that got events of two versions. */
+    long joined() {
+        return callers.stream().filter(c -> c.versions.size() > 1).count();
+    }
+
+    /** Returns how many attempts took up a stream. */
+    int resumes() {
+        return resumes;
+    }
+
+    int refusedResumes() {
+        return refusedResumes;
+    }
+
+    /** Returns the share of the attempts that took up a stream and brought its next event. */
+    double shareThatWentOn() {
+        return resumes == 0 ? 1 : (double) resumesThatWentOn / resumes;
+    }
+
+    /** Returns how many streams have a repeated or a missing event. */
+    long wrongEvents() {
+        return callers.stream().filter(c -> c.wrong).count();
+    }
+
+    private Host host(int number) {
+        return (Host) network.hosts().get(number);
+    }
+
+    private static CatalogRoute route() {
+        return ExchangeFixture.route(RouteKind.STREAMING, true);
+    }
+
+    private final class Engine {
+        private final DiscoveredEndpoint entry;
+        private final List<Call> open = new ArrayList<>();
+        private boolean alive = true;
+
+        Engine(String id, String version) {
+            entry = new DiscoveredEndpoint(id, "app", "10.0.0.1", 80, "a", 64, false, 0, 1, version);
+        }
+
+        void receive(Call call, int attempt, int after) {
+            if (!alive) {
+                network.after(1, () -> call.fail(attempt, AttemptFailure.CONNECT_REFUSED));
+                return;
+            }
+            open.add(call);
+            network.after(FIRST_EVENT_MS / 2, () -> call.head(this, attempt));
+            for (int i = after + 1; i <= EVENTS; i++) {
+                int number = i;
+                network.after(
+                        FIRST_EVENT_MS + (long) (i - after - 1) * EVENT_MS, () -> call.event(this, attempt, number));
+            }
+            network.after(FIRST_EVENT_MS + (long) (EVENTS - after) * EVENT_MS, () -> call.complete(this, attempt));
+        }
+
+        void crash() {
+            alive = false;
+            List<Call> broken = List.copyOf(open);
+            open.clear();
+            broken.forEach(Call::breakOff);
+            network.after(CRASH_RESTART_MS, () -> alive = true);
+        }
+    }
+
+    private final class Host extends SimulatedHost {
+        private final ExchangeContext context;
+        private final List<Call> calls = new ArrayList<>();
+
+        Host(String name) {
+            super(name, network);
+            engines.stream().filter(e -> e.alive).forEach(e -> loads.onUpdated(e.entry));
+            this.context = ExchangeFixture.context(loads, crashes, parts, EndpointProbe.NONE, network.clock);
+        }
+
+        void onRemoved(DiscoveredEndpoint endpoint) {
+            loads.onRemoved(endpoint);
+        }
+
+        void resetConnections() {
+            List.copyOf(calls).forEach(Call::resetByNetwork);
+            calls.clear();
+        }
+    }
+
+    /** One caller, who wants one whole stream. */
+    private final class Caller {
+        private final int number;
+        private final TreeSet<String> versions = new TreeSet<>();
+        private String originAttempt = "";
+        private int lastEvent;
+        private int attempts;
+        private boolean wrong;
+        private boolean done;
+
+        Caller(int number) {
+            this.number = number;
+        }
+
+        void send() {
+            Host host = host(network.random.nextInt(network.hosts().size()));
+            attempts++;
+            if (lastEvent > 0) {
+                resumes++;
+            }
+            Call call = new Call(host, this, "a" + number + "-" + attempts);
+            host.calls.add(call);
+            call.exchange.start();
+        }
+
+        void onEvent(String attempt, int event, String version) {
+            if (originAttempt.isEmpty()) {
+                originAttempt = attempt;
+            }
+            wrong |= event != lastEvent + 1;
+            lastEvent = event;
+            versions.add(version);
+        }
+
+        void comeBack() {
+            if (!done && attempts <= MAX_RETURNS) {
+                network.after(RETURN_MS, this::send);
+            }
+        }
+    }
+
+    private final class Call implements ExchangeOutput {
+        private final Host host;
+        private final Caller caller;
+        private final String id;
+        private final Exchange exchange;
+        private final boolean takesUp;
+        private Engine engine;
+        private int attempt;
+        private boolean broughtEvent;
+        private boolean ended;
+        private long wakeNanos;
+
+        Call(Host host, Caller caller, String id) {
+            this.host = host;
+            this.caller = caller;
+            this.id = id;
+            this.takesUp = caller.lastEvent > 0;
+            Optional<Resumption> resumption = takesUp
+                    ? Optional.of(new Resumption(caller.originAttempt, Integer.toString(caller.lastEvent)))
+                    : Optional.empty();
+            ExchangeRequest request = new ExchangeRequest(
+                    id,
+                    "team",
+                    route(),
+                    SERVICE,
+                    1,
+                    resumption,
+                    new Prompt(List.of(), 900, 50),
+                    network.clock.nanos(),
+                    DEADLINE_MS,
+                    caller.number + 1);
+            exchange = new Exchange(request, host.context, this);
+        }
+
+        private boolean isOpen(int ofAttempt) {
+            return host.alive && !ended && ofAttempt == attempt;
+        }
+
+        private void head(Engine from, int ofAttempt) {
+            if (isOpen(ofAttempt) && from.open.contains(this)) {
+                exchange.onHead(ExchangeFixture.signedHead(200));
+            }
+        }
+
+        private void event(Engine from, int ofAttempt, int number) {
+            if (isOpen(ofAttempt) && from.open.contains(this)) {
+                String text = "id: " + number + "\ndata: " + from.entry.version() + "\n\n";
+                exchange.onBody(text.getBytes(StandardCharsets.UTF_8));
+            }
+        }
+
+        private void complete(Engine from, int ofAttempt) {
+            if (isOpen(ofAttempt) && from.open.remove(this)) {
+                exchange.onComplete();
+            }
+        }
+
+        void fail(int ofAttempt, AttemptFailure failure) {
+            if (isOpen(ofAttempt)) {
+                exchange.onAttemptFailed(failure);
+            }
+        }
+
+        /** The engine has ended. */
+        void breakOff() {
+            fail(attempt, AttemptFailure.CONNECTION_LOST);
+        }
+
+        /** The connection between caller and host has broken. */
+        void resetByNetwork() {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (host.alive) {
+                exchange.onCallerDisconnected();
+            }
+            caller.comeBack();
+        }
+
+        private void end() {
+            ended = true;
+            host.calls.remove(this);
+        }
+
+        @Override
+        public void send(Dispatch dispatch) {
+            attempt++;
+            engine = engines.stream()
+                    .filter(e -> e.entry.id().equals(dispatch.endpoint().id()))
+                    .findFirst()
+                    .orElseThrow();
+            int after = dispatch.resumeAfter().map(Integer::parseInt).orElse(takesUp ? caller.lastEvent : 0);
+            engine.receive(this, attempt, after);
+        }
+
+        @Override
+        public void cancelAttempt() {
+            attempt++;
+            engine.open.remove(this);
+        }
+
+        @Override
+        public void forwardHead(ResponseHead head) {}
+
+        @Override
+        public void forwardBody(byte[] body) {
+            for (String event : new String(body, StandardCharsets.UTF_8).split("\n\n", -1)) {
+                if (event.isEmpty()) {
+                    continue;
+                }
+                if (takesUp && !broughtEvent) {
+                    resumesThatWentOn++;
+                }
+                broughtEvent = true;
+                String[] lines = event.split("\n", -1);
+                caller.onEvent(id, Integer.parseInt(lines[0].substring(4)), lines[1].substring(6));
+            }
+        }
+
+        @Override
+        public void finish() {
+            caller.done = true;
+            end();
+        }
+
+        @Override
+        public void abort() {
+            end();
+            caller.comeBack();
+        }
+
+        @Override
+        public void reject(Rejection rejection) {
+            end();
+            if (takesUp) {
+                refusedResumes++;
+            }
+            if (rejection.retryAfterMs() > 0) {
+                network.after(rejection.retryAfterMs(), caller::comeBack);
+            }
+        }
+
+        @Override
+        public void wakeAt(long nanos) {
+            wakeNanos = nanos;
+            network.after(Math.max(0, (nanos - network.clock.nanos()) / 1_000_000 + 1), () -> {
+                if (host.alive && !ended && wakeNanos == nanos) {
+                    exchange.onTimer();
+                }
+            });
+        }
+    }
+}
