Tests of versions while hosts are cut off, lose messages or start together, and of where streams began

Simulations: cut off hosts refuse what they do not know, a fifth of all messages lost, all hosts that start again as the first version ends, a version that is gone for good, one version without any records.

--- a/core/src/test/java/org/dragonflygw/core/exchange/StreamVersionTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/StreamVersionTest.java
@@ -12,6 +12,10 @@
     private static final int WARM_UP_MS = 3_000;
     private static final int STEP_MS = 2_000;
     private static final int ROUNDS = 5;
+
+    /** Time after which a host knows all versions that a stream can have begun at, in milliseconds. */
+    private static final int MEMORY_MS = 61_000;
+
     private static final double STREAMS_PER_SECOND = 60;
 
     /** Streams that may join versions by the users' rule, over a whole day; here none may. */
@@ -73,4 +77,69 @@
             assertThat(fleet.shareThatWentOn()).isAtLeast(0.9);
         }
     }
+
+    @Nested
+    final class WhileHostsAndEnginesChange {
+        /** Guards against a host that hears no other and guesses. */
+        @ParameterizedTest
+        @CsvSource({"6, 1, 12", "6, 3, 13", "95, 40, 14"})
+        void hostsThatAreCutOffRefuseWhatTheyDoNotKnow(int hosts, int cutOff, long seed) {
+            VersionedStreamFleet fleet = started(hosts, seed);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.cutOff(0, cutOff, i % 2 == 0);
+                fleet.resetConnections(0, hosts / 2);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertOneVersionEach(fleet);
+            assertThat(fleet.refusedResumes()).isGreaterThan(0);
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {15, 16})
+        void lostMessagesJoinNoVersions(long seed) {
+            VersionedStreamFleet fleet = started(6, seed).messageLoss(0.2);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.resetConnections(0, 3);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertOneVersionEach(fleet);
+            assertThat(fleet.shareThatWentOn()).isAtLeast(0.9);
+        }
+
+        /** Guards against processes that know nothing of the past and take the versions of the present for all there were. */
+        @ParameterizedTest
+        @ValueSource(longs = {17, 18})
+        void allHostsThatStartAgainAtOnceAsTheFirstVersionEndsJoinNone(long seed) {
+            VersionedStreamFleet fleet = started(6, seed);
+            fleet.removeEngines(0, 6);
+            fleet.restart(0, 6);
+            fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            assertOneVersionEach(fleet);
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {19, 20})
+        void streamsOfAVersionThatIsGoneAreNotContinued(long seed) {
+            VersionedStreamFleet fleet = started(6, seed);
+            fleet.removeEngines(0, 6);
+            fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            fleet.resetConnections(0, 6);
+            fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            assertOneVersionEach(fleet);
+        }
+
+        /** Guards against a loss of streams where there is nothing to mix up, after all records were lost. */
+        @ParameterizedTest
+        @ValueSource(longs = {21, 22})
+        void streamsOfAServiceWithOneVersionGoOnWithoutRecords(long seed) {
+            VersionedStreamFleet fleet = new VersionedStreamFleet(6, 13, 0, seed);
+            fleet.run(MEMORY_MS, 1);
+            fleet.run(WARM_UP_MS, STREAMS_PER_SECOND);
+            fleet.cutOff(0, 6, true);
+            fleet.resetConnections(0, 6);
+            fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            assertThat(fleet.resumes()).isAtLeast(50);
+            assertThat(fleet.shareThatWentOn()).isAtLeast(0.95);
+        }
+    }
 }
