Keep the software versions of each service in the store, for processes that start

A process that has just started knew nothing of versions that had gone before it, and refused each stream that was taken up for its first minute if no record of the stream was left; after a restart of all hosts that would end all streams, also where there is one version only. Now the hosts that read the store for the others keep a row for each service: written when a version comes, and a minute after one has gone. A new process reads them once. One read a start and a few writes a release.

--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -24,6 +24,8 @@
     HOLD,
     /** An endpoint names a limit for all hosts together; the line says whether the request may be sent there. */
     PERMIT,
+    /** The software versions of a service in the store were read or written. */
+    VERSIONS,
     /** A caller takes a stream up; the line says at which software version it began and what told it. */
     RESUME,
     /** A request was sent to an endpoint; the line has the figures behind the choice. */
--- a/core/src/test/java/org/dragonflygw/core/resume/StreamOriginsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/resume/StreamOriginsTest.java
@@ -196,6 +196,44 @@
             assertThat(versions.only("s")).hasValue("v1");
         }
 
+        /** Guards against streams that are given up after all hosts have started again, though there is one version. */
+        @Test
+        void isCertainAtTheStartIfTheStoreSaysTheSame() {
+            versions.onUpdated(endpoint("e", "v1"));
+            versions.onStored("s", Set.of("v1"));
+            versions.onStoreRead();
+            assertThat(versions.only("s")).hasValue("v1");
+        }
+
+        @Test
+        void isNoneAtTheStartIfTheStoreNamesAnother() {
+            versions.onUpdated(endpoint("e", "v2"));
+            versions.onStored("s", Set.of("v1", "v2"));
+            versions.onStoreRead();
+            assertThat(versions.only("s")).isEmpty();
+            clock.advanceMs(MEMORY_MS + 1);
+            assertThat(versions.only("s")).hasValue("v2");
+        }
+
+        @Test
+        void isStoredWhenAVersionComesAndAMinuteAfterItHasGone() {
+            versions.onUpdated(endpoint("e", "v1"));
+            assertThat(versions.toStore()).isEmpty();
+            versions.onStoreRead();
+            assertThat(versions.toStore()).containsExactly("s", Set.of("v1"));
+            versions.onStored("s", Set.of("v1"));
+            versions.onUpdated(endpoint("f", "v2"));
+            assertThat(versions.toStore()).containsExactly("s", Set.of("v1", "v2"));
+            versions.onStored("s", Set.of("v1", "v2"));
+            versions.onRemoved(endpoint("e", "v1"));
+            assertThat(versions.toStore()).isEmpty();
+            clock.advanceMs(MEMORY_MS + 1);
+            assertThat(versions.toStore()).containsExactly("s", Set.of("v2"));
+            versions.onStored("s", Set.of("v2"));
+            versions.onStoreLost();
+            assertThat(versions.toStore()).containsExactly("s", Set.of("v2"));
+        }
+
         /** Guards against a list so old that it may lack a new version. */
         @Test
         void isNoneWithAnOldList() {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -145,7 +145,17 @@
         StoredSuspects storedSuspects =
                 new StoredSuspects(identity.hostName(), crashes, crashingParts, peers::hearsMost, System::nanoTime);
         this.store = new StoreView(
-                group, settings, catalogs, registry, contact, peers, storedSuspects, metrics, log, this::reportToPeers);
+                group,
+                settings,
+                catalogs,
+                registry,
+                contact,
+                peers,
+                storedSuspects,
+                versions,
+                metrics,
+                log,
+                this::reportToPeers);
     }
 
     /**
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -9,6 +9,7 @@
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.resume.SoftwareVersions;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostIdentity;
 import org.dragonflygw.core.settings.SettingsHolder;
@@ -37,6 +38,7 @@
     private final TableFollower endpoints;
     private final EventLoopGroup group;
     private final SuspectRows suspectRows;
+    private final VersionRows versionRows;
     private final TableFollower suspects;
     private final PeerDiscovery peerDiscovery;
     private final StoreNewsApplier newsApplier;
@@ -55,6 +57,7 @@
             StoreContact contact,
             PeerTable peers,
             StoredSuspects storedSuspects,
+            SoftwareVersions versions,
             EdgeMetrics metrics,
             EventLog log,
             Runnable afterRead) {
@@ -72,6 +75,7 @@
         endpoints = followers.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry, changes), afterRead);
         suspectRows = followers.suspectRows(storedSuspects);
         suspects = followers.suspects(suspectRows);
+        versionRows = followers.versionRows(versions);
         peerDiscovery = followers.peerDiscovery(peers);
         newsApplier = new StoreNewsApplier(era, registry, changes, contact, System::nanoTime);
     }
@@ -80,6 +84,7 @@
         configuration.onNewEra();
         endpoints.onNewEra();
         suspects.onNewEra();
+        versionRows.onNewEra();
         HostIdentity identity = settings.current().identity();
         peerDiscovery.register(identity.hostName(), identity.internal());
     }
@@ -91,6 +96,7 @@
         endpoints.start();
         suspects.start();
         suspectRows.start(group.next());
+        versionRows.start();
         peerDiscovery.register(identity.hostName(), identity.internal());
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableFollowerFactory.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableFollowerFactory.java
@@ -5,6 +5,7 @@
 import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.resume.SoftwareVersions;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.core.storenews.GroupReadSchedule;
 import org.dragonflygw.core.storenews.LongPollSchedule;
@@ -127,6 +128,12 @@
         return new SuspectRows(host, stored, client, codec, log, InstantSource.system());
     }
 
+    /** Creates the rows with the software versions of each service. */
+    VersionRows versionRows(SoftwareVersions versions) {
+        StoreClient client = new StoreClient(group, settings, metrics);
+        return new VersionRows(versions, readerSelection::isReader, client, codec, group.next(), log);
+    }
+
     /** Creates the discovery of the other hosts. */
     PeerDiscovery peerDiscovery(PeerTable peers) {
         return new PeerDiscovery(new StoreClient(group, settings, metrics), codec, group.next(), peers, log);
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -241,3 +241,8 @@
   5: optional OriginRequestMessage originRequest
   6: optional OriginReplyMessage originReply
 }
+
+/** Row of the store with the software versions that endpoints of a service have had for as long as streams last. */
+struct VersionRowMessage {
+  1: required list<string> versions
+}
