--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -123,14 +123,14 @@
     private ScoredEndpoint best(
             ChoiceRequest request, List<EndpointLoadState> candidates, double bound, long nowNanos) {
         RendezvousOrder order = new RendezvousOrder(candidates, request.prompt().sharedKey());
-        PromptHolders holders = holders(request, nowNanos);
+        PromptSources sources = sources(request, nowNanos);
         ScoredEndpoint best = null;
         for (int i = 0; i < candidates.size(); i++) {
             EndpointLoadState e = candidates.get(i);
             if (UsableEndpoints.isFull(request, e, nowNanos)) {
                 continue;
             }
-            ScoredEndpoint s = score(request, e, order.rank(i), holders, bound, nowNanos);
+            ScoredEndpoint s = score(request, e, order.rank(i), sources, bound, nowNanos);
             if (best == null || s.cost < best.cost) {
                 best = s;
             }
@@ -138,11 +138,11 @@
         return best;
     }
 
-    private PromptHolders holders(ChoiceRequest request, long nowNanos) {
+    private PromptSources sources(ChoiceRequest request, long nowNanos) {
         CatalogService service = request.service();
         boolean mayFetch = service.hasModelEngines() && service.bytesPerToken() > 0;
         List<EndpointLoadState> engines = mayFetch ? loads.ofService(service.name()) : List.of();
-        return new PromptHolders(engines, request.prompt(), nowNanos);
+        return new PromptSources(engines, request.prompt(), nowNanos);
     }
 
     private double loadBound(List<EndpointLoadState> candidates, long nowNanos) {
@@ -151,10 +151,10 @@
     }
 
     private ScoredEndpoint score(
-            ChoiceRequest request, EndpointLoadState e, int rank, PromptHolders holders, double bound, long nowNanos) {
+            ChoiceRequest request, EndpointLoadState e, int rank, PromptSources sources, double bound, long nowNanos) {
         double load = e.load(nowNanos);
         PromptReading reading = request.service().hasModelEngines()
-                ? reading(request.prompt(), e, rank, holders, nowNanos)
+                ? reading(request.prompt(), e, rank, sources, nowNanos)
                 : PromptReading.NONE;
         double expected = request.service().hasModelEngines()
                 ? (e.estimatedUnreadTokens(nowNanos) + reading.tokens) / EndpointLoadState.READ_TOKENS_PER_MS
@@ -184,7 +184,7 @@
 
     /** Estimates the tokens that an engine has to read for a prompt, and the engine it can fetch cached tokens from. */
     private static PromptReading reading(
-            Prompt prompt, EndpointLoadState e, int rank, PromptHolders holders, long nowNanos) {
+            Prompt prompt, EndpointLoadState e, int rank, PromptSources sources, long nowNanos) {
         int shared = prompt.sharedTokens();
         int cachedTokens = e.cached().cachedTokens(prompt);
         int uncachedShared = Math.max(0, shared - cachedTokens);
@@ -192,6 +192,7 @@
         if (uncachedShared == 0) {
             return new PromptReading(ownTokens, 0, Optional.empty());
         }
+        PromptHolders holders = sources.forTarget(e);
         Optional<EndpointLoadState> holder = holders.bestHolder(e, cachedTokens);
         int fetchableTokens =
                 holder.map(h -> h.cached().cachedTokens(prompt, nowNanos)).orElse(cachedTokens);
--- a/core/src/test/java/org/dragonflygw/core/dispatch/ExpectedTimeChooserTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/ExpectedTimeChooserTest.java
@@ -52,6 +52,21 @@
 
     @Nested
     final class SharedPromptPrefix {
+        /** Guards against memory that an engine of another software version wrote. */
+        @Test
+        void isFetchedOnlyFromAnEngineOfTheSameVersion() {
+            DiscoveredEndpoint old = endpoint("old", ENGINES, "a", 64, false);
+            DiscoveredEndpoint fresh =
+                    new DiscoveredEndpoint("fresh", ENGINES, "10.0.0.1", 80, "a", 64, false, 0, 1, "v2");
+            loads.onUpdated(old);
+            String holder = send(prompt(77, 1));
+            loads.onUpdated(fresh);
+            ChoiceRequest request = new ChoiceRequest(SERVICE, prompt(77, 2), 800, 15_000, Set.of(holder));
+            Choice c = chooser.choose(request, NOW + 1_000_000_000L);
+            assertThat(c.endpoint().orElseThrow().entry().id()).isEqualTo("fresh");
+            assertThat(c.cacheSource()).isEmpty();
+        }
+
         @Test
         void staysOnOneEngineWithFreeCapacity() {
             engines(6);
