Hold the bound of a report's size for its shortest form too

The last shortened form was sent without a look at its length; it now leaves out more, down to loads, leaving endpoints and news of the store, and a report that is still too large is not sent but logged. The test holds the bound for a report of 300 endpoints, 80 limits, 32 leaves and 32 changes beside the largest losses.

--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -42,17 +42,25 @@
         rates = List.copyOf(rates);
     }
 
-    /** Returns a copy without the prompt prefixes, for use when the message would be too large. */
-    public HostReport withoutHoldings() {
-        return new HostReport(
-                host, address, startedMs, sequence, uses, List.of(), crashes, parts, leaving, rates, news);
+    /**
+     * Returns this report and shorter forms of it, for use when a message would be too large. Each leaves out something more
+     * that later reports bring: prompt prefixes, requests of single lost endpoints, limits and parts of prompts, requests
+     * under suspicion. The last has the loads, the leaving endpoints and the news of the store.
+     */
+    public List<HostReport> forms() {
+        CrashReport suspects = new CrashReport(crashes.suspects(), List.of(), List.of());
+        return List.of(
+                this,
+                with(List.of(), crashes, parts, rates),
+                with(List.of(), suspects, parts, rates),
+                with(List.of(), suspects, PartReport.NONE, List.of()),
+                with(List.of(), CrashReport.NONE, PartReport.NONE, List.of()));
     }
 
-    /** Returns a copy without the prompt prefixes and the requests of single lost endpoints, if the message is still too large. */
-    public HostReport withoutHoldingsAndLosses() {
-        CrashReport suspects = new CrashReport(crashes.suspects(), List.of(), List.of());
+    private HostReport with(
+            List<PromptHolding> h, CrashReport crashReport, PartReport partReport, List<RateReport> rateReports) {
         return new HostReport(
-                host, address, startedMs, sequence, uses, List.of(), suspects, parts, leaving, rates, news);
+                host, address, startedMs, sequence, uses, h, crashReport, partReport, leaving, rateReports, news);
     }
 
     /** Returns whether this report is newer than another report of the same host. */
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -95,22 +95,18 @@
     }
 
     private void send(HostReport report, List<HostAddress> targets) {
-        socket.send(encode(report), targets);
-    }
-
-    private byte[] encode(HostReport report) {
-        byte[] bytes = codec.encode(report);
-        if (bytes.length <= PeerSocket.MAX_DATAGRAM_BYTES) {
-            return bytes;
+        for (HostReport form : report.forms()) {
+            byte[] bytes = codec.encode(form);
+            if (bytes.length <= PeerSocket.MAX_DATAGRAM_BYTES) {
+                socket.send(bytes, targets);
+                return;
+            }
+            log.line(LogTopic.PEER)
+                    .with("outcome", "report cut")
+                    .with("bytes", bytes.length)
+                    .end();
         }
-        log.line(LogTopic.PEER)
-                .with("outcome", "report cut")
-                .with("bytes", bytes.length)
-                .end();
-        byte[] shorter = codec.encode(report.withoutHoldings());
-        return shorter.length <= PeerSocket.MAX_DATAGRAM_BYTES
-                ? shorter
-                : codec.encode(report.withoutHoldingsAndLosses());
+        log.line(LogTopic.PEER).with("outcome", "report too large to send").end();
     }
 
     private void onReport(byte[] content, InetSocketAddress sender) {
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +44,12 @@
 import org.junit.jupiter.api.Test;
 
 final class HostReportCodecTest {
+    /** Size of the buffer in which hosts receive a report, in bytes. */
+    private static final int MAX_DATAGRAM_BYTES = 16_384;
+
+    /** Endpoints of the largest fleets. */
+    private static final int ENDPOINTS = 300;
+
     private final HostReportCodec codec = new HostReportCodec();
 
     private static CatalogUpdate update() {
@@ -142,7 +149,50 @@
                 StoreNews.NONE);
         assertThat(full.crashes().suspects()).hasSize(16);
         assertThat(full.parts().suspects()).hasSize(24);
-        assertThat(codec.encode(full).length).isLessThan(16_384);
+        assertThat(codec.encode(full).length).isLessThan(MAX_DATAGRAM_BYTES);
+
+        List<EndpointUse> uses = new ArrayList<>();
+        List<RateReport> rates = new ArrayList<>();
+        List<LeavingEndpoint> leaving = new ArrayList<>();
+        List<EndpointChange> changes = new ArrayList<>();
+        for (int i = 0; i < ENDPOINTS; i++) {
+            uses.add(new EndpointUse("i-d170b19" + (100 + i), 60, 100_000, 1.5));
+        }
+        for (int i = 0; i < 80; i++) {
+            rates.add(new RateReport("i-d170b19" + (100 + i), 1_788_016_621_234L, RateNotice.limited(3.25), 900, 400));
+        }
+        for (int i = 0; i < 32; i++) {
+            leaving.add(new LeavingEndpoint("i-d170b19" + (100 + i), 1_788_016_621_234L, 20_000));
+            DiscoveredEndpoint e = new DiscoveredEndpoint(
+                    "i-d170b19" + (100 + i),
+                    "service",
+                    "10.10.10.10",
+                    8_309,
+                    "zone-a",
+                    64,
+                    false,
+                    0,
+                    1_788_016_621_234L,
+                    "v1.1");
+            changes.add(new EndpointChange(e.id(), Optional.of(e), 100_000 + i));
+        }
+        StoreNews news =
+                new StoreNews(3, true, 100_100, 500, 100_000, changes, new ConfigurationNews(9, 9, 300, List.of()));
+        HostReport largest = new HostReport(
+                empty.host(),
+                empty.address(),
+                1,
+                2,
+                uses,
+                empty.holdings(),
+                full.crashes(),
+                full.parts(),
+                leaving,
+                rates,
+                news);
+        List<HostReport> forms = largest.forms();
+        assertThat(codec.encode(forms.get(forms.size() - 1)).length).isLessThan(MAX_DATAGRAM_BYTES);
+        assertThat(forms.get(forms.size() - 1).uses()).hasSize(ENDPOINTS);
     }
 
     @Test
