--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointLimitTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointLimitTest.java
@@ -58,21 +58,16 @@
 
     @Nested
     final class InCalm {
-        /** Guards against hosts that keep to a limit each for itself, or not at all. */
+        /**
+         * Guards against hosts that keep to a limit each for itself, or not at all, and against shares that are unused where
+         * callers are unevenly spread over hosts.
+         */
         @ParameterizedTest
         @CsvSource({"1, 1", "2, 2", "6, 3", "6, 4", "6, 5", "95, 6", "401, 7"})
-        void allHostsTogetherKeepToTheLimit(int hosts, long seed) {
+        void allHostsTogetherKeepToTheLimitAndUseNearlyAllOfIt(int hosts, long seed) {
             LimitedEndpointFleet fleet = fleet(hosts, seed);
             fleet.run(WARM_UP_MS + RUN_MS, REQUESTS_PER_SECOND);
             assertKept(fleet, LIMIT, FROM_MS);
-        }
-
-        /** Guards against shares that are unused where callers are unevenly spread over hosts. */
-        @ParameterizedTest
-        @CsvSource({"1, 1", "2, 2", "6, 3", "6, 4", "95, 6", "401, 7"})
-        void nearlyAllOfTheLimitIsUsed(int hosts, long seed) {
-            LimitedEndpointFleet fleet = fleet(hosts, seed);
-            fleet.run(WARM_UP_MS + RUN_MS, REQUESTS_PER_SECOND);
             assertThat(usedShare(fleet)).isAtLeast(0.9);
         }
 
