Move the search for an attempt's endpoint out of Exchange

EndpointSearch holds the steps from the origin of a stream over the choice to the permit, and the check before the send.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -2,10 +2,7 @@
 
 import java.util.Optional;
 import org.dragonflygw.core.dispatch.Choice;
-import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
-import org.dragonflygw.core.ratelimit.PermitDecision;
-import org.dragonflygw.core.resume.OriginDecision;
 import org.dragonflygw.core.resume.StreamOrigin;
 import org.dragonflygw.core.retry.RetryDecision;
 
@@ -29,9 +26,6 @@
      */
     private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
 
-    /** Endpoints with a limit that may deny a permit before only the others are considered. */
-    private static final int MAX_PERMIT_DENIALS = 3;
-
     private enum Phase {
         CHOOSING,
         SENT,
@@ -47,6 +41,7 @@
     private final SilenceTimeout silence;
     private final CrashObserver crashes;
     private final ExchangeLog log;
+    private final EndpointSearch search;
 
     private Phase phase = Phase.CHOOSING;
     private EndpointLoadState endpoint;
@@ -55,14 +50,6 @@
     private boolean ignoreResponse;
     private boolean mayHaveRun;
 
-    /** Whether the current attempt has a permit of an endpoint that names a limit. */
-    private boolean permitted;
-
-    private int permitDenials;
-
-    /** Where the stream began that the response is part of, once it is known. */
-    private Optional<StreamOrigin> origin = Optional.empty();
-
     private long attemptStartNanos;
     private long firstPartAtNanos;
 
@@ -78,31 +65,13 @@
         this.silence = new SilenceTimeout(request.route());
         this.crashes = new CrashObserver(request, context);
         this.log = new ExchangeLog(request, context.log());
+        this.search = new EndpointSearch(request, context, crashes, attempts, log, new Found());
     }
 
     /** Sends the request to an endpoint, or rejects it if no endpoint can serve it. */
     public void start() {
         context.retries().onRequest(request.service().name(), now());
-        if (request.resumption().isPresent()) {
-            String attempt = request.resumption().get().originAttempt();
-            context.origins().find(attempt, request.service().name(), this::onOriginDecided);
-            return;
-        }
-        sendToEndpoint();
-    }
-
-    /** Goes on with a stream that the caller takes up, only where it began. */
-    private void onOriginDecided(OriginDecision decision) {
-        if (phase == Phase.ENDED) {
-            return; // The caller left meanwhile.
-        }
-        log.originDecided(decision);
-        if (decision.origin().isEmpty()) {
-            refuseOrFail(RejectReason.STREAM_ORIGIN_UNKNOWN, 0);
-            return;
-        }
-        origin = decision.origin();
-        sendToEndpoint();
+        search.first();
     }
 
     /** Called right before the first part of the response goes to the caller. */
@@ -114,7 +83,7 @@
         }
         StreamOrigin begun =
                 new StreamOrigin(request.service().name(), endpoint.entry().version());
-        origin = Optional.of(begun);
+        search.goOnAt(begun);
         context.origins().onBegun(request.id(), begun);
     }
 
@@ -123,54 +92,6 @@
         return phase == Phase.ENDED;
     }
 
-    private void sendToEndpoint() {
-        Optional<RejectReason> blocked = crashes.blockedReason(now());
-        if (blocked.isPresent()) {
-            refuseOrFail(blocked.get(), 0);
-            return;
-        }
-        long now = now();
-        Choice choice = context.chooser().choose(choiceRequest(now), now);
-        if (choice.endpoint().isEmpty()) {
-            refuseOrFail(RejectReason.of(choice.reason()), choice.expectedMs());
-            return;
-        }
-        EndpointLoadState chosen = choice.endpoint().get();
-        if (chosen.rate().isLimited()) {
-            context.permits().acquire(chosen.entry(), decision -> onPermitDecided(choice, decision));
-            return;
-        }
-        permitted = false;
-        send(choice, now);
-    }
-
-    /** Sends the request with a permit, unless the endpoint may no longer be used; else makes another choice. */
-    private void onPermitDecided(Choice choice, PermitDecision decision) {
-        if (phase == Phase.ENDED) {
-            return; // The caller left meanwhile.
-        }
-        EndpointLoadState chosen = choice.endpoint().orElseThrow();
-        log.permitDecided(chosen, decision);
-        if (!decision.granted() || !acceptsRequests(chosen)) {
-            permitDenials++;
-            sendToEndpoint();
-            return;
-        }
-        permitted = true;
-        send(choice, now());
-    }
-
-    private ChoiceRequest choiceRequest(long now) {
-        return new ChoiceRequest(
-                request.service(),
-                request.prompt(),
-                request.route().objectiveMs(),
-                remainingMs(now),
-                attempts.failedEndpoints(),
-                permitDenials < MAX_PERMIT_DENIALS,
-                origin);
-    }
-
     private void send(Choice choice, long now) {
         endpoint = choice.endpoint().orElseThrow();
         uncachedTokens = choice.uncachedTokens();
@@ -228,18 +149,7 @@
      * sent.
      */
     public boolean mayStillSend() {
-        return acceptsRequests(endpoint)
-                && (permitted || !endpoint.rate().isLimited())
-                && (origin.isEmpty() || isCurrent(endpoint));
-    }
-
-    /** Whether the list still has the instance, so that its software version is the one in its entry. */
-    private boolean isCurrent(EndpointLoadState e) {
-        return context.loads().get(e.entry().id()).filter(known -> known == e).isPresent();
-    }
-
-    private boolean acceptsRequests(EndpointLoadState e) {
-        return !isBlocked() && !e.isLeaving() && e.quietNanos(now()) == 0;
+        return search.mayStillSend(endpoint);
     }
 
     private void onRejected(ResponseHead head, long now) {
@@ -391,7 +301,7 @@
             return;
         }
         response.discardUnsent();
-        sendToEndpoint();
+        search.next();
     }
 
     private boolean isBlocked() {
@@ -519,6 +429,7 @@
 
     private void end(String outcome, int status) {
         phase = Phase.ENDED;
+        search.cancel();
         log.ended(outcome, status, Optional.ofNullable(endpoint), firstPartAtNanos, longestGapNanos, now());
     }
 
@@ -529,4 +440,16 @@
     private long now() {
         return context.clock().nanos();
     }
+
+    private final class Found implements EndpointSearch.Listener {
+        @Override
+        public void onFound(Choice choice) {
+            send(choice, now());
+        }
+
+        @Override
+        public void onNotFound(RejectReason reason, long expectedMs) {
+            refuseOrFail(reason, expectedMs);
+        }
+    }
 }
