Tests of the search for an endpoint: permits and origins that are decided while other things change

Permits that are denied, that come after the caller left or the endpoint said it leaves, a limit named while a connection is opened; streams of unknown origin, of a version that is gone, of another service, named by the attempt that took them up, and an instance that is replaced before the send. All pass on the current code.

--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
@@ -0,0 +1,199 @@
+package org.dragonflygw.core.exchange;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.dragonflygw.core.exchange.ExchangeFixture.route;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.dragonflygw.core.catalog.CatalogRoute;
+import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.ratelimit.PermitDecision;
+import org.dragonflygw.core.ratelimit.RateNotice;
+import org.dragonflygw.core.ratelimit.RateStatement;
+import org.dragonflygw.core.resume.StreamOrigin;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** How the endpoint of an attempt is found while other hosts are asked. */
+final class EndpointSearchTest {
+    private static final CatalogRoute PLAIN = route(RouteKind.IDEMPOTENT, false);
+    private static final CatalogRoute STREAM = route(RouteKind.STREAMING, true);
+
+    private final ExchangeFixture f = new ExchangeFixture();
+
+    private String sentTo() {
+        return f.sent.get(f.sent.size() - 1).endpoint().id();
+    }
+
+    private static DiscoveredEndpoint endpoint(String id, String version) {
+        return new DiscoveredEndpoint(id, ExchangeFixture.SERVICE, "10.0.0.1", 80, "a", 4, false, 0, 1, version);
+    }
+
+    @Nested
+    final class WithLimits {
+        private final List<Consumer<PermitDecision>> waiting = new ArrayList<>();
+        private final List<String> asked = new ArrayList<>();
+
+        private void limitAll() {
+            for (EndpointLoadState e : f.loads.all()) {
+                limit(e);
+            }
+            f.permits = (endpoint, listener) -> {
+                asked.add(endpoint.id());
+                waiting.add(listener);
+            };
+        }
+
+        private void limit(EndpointLoadState e) {
+            long now = f.clock.nanos();
+            e.rate().accept(new RateStatement(RateNotice.limited(3), now, now), now);
+        }
+
+        private void decide(boolean granted) {
+            waiting.remove(0).accept(new PermitDecision(granted, "h", granted ? 0 : 300, 3));
+        }
+
+        @Test
+        void nothingIsSentBeforeThePermit() {
+            limitAll();
+            f.start(PLAIN);
+            assertThat(f.sent).isEmpty();
+            decide(true);
+            assertThat(sentTo()).isEqualTo(asked.get(0));
+        }
+
+        /** Guards against a request that asks one endpoint after the other until its deadline. */
+        @Test
+        void aRequestIsRefusedAfterThreeDenials() {
+            limitAll();
+            f.start(PLAIN);
+            decide(false);
+            decide(false);
+            decide(false);
+            assertThat(waiting).isEmpty();
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.ENDPOINTS_LIMITED);
+            assertThat(f.rejections.get(0).retryAfterMs()).isAtLeast(100);
+        }
+
+        /** Guards against a permit that is used after the endpoint said that it leaves. */
+        @Test
+        void aPermitOfAnEndpointThatHasSaidSinceThatItLeavesIsNotUsed() {
+            limitAll();
+            f.start(PLAIN);
+            f.loads.onLeaving(asked.get(0), 1, f.clock.nanos());
+            decide(true);
+            decide(true);
+            assertThat(sentTo()).isNotEqualTo(asked.get(0));
+        }
+
+        @Test
+        void aPermitForACallerWhoLeftIsNotUsed() {
+            limitAll();
+            Exchange x = f.start(PLAIN);
+            x.onCallerDisconnected();
+            decide(true);
+            assertThat(f.sent).isEmpty();
+            assertThat(f.totalInFlight()).isEqualTo(0);
+        }
+
+        /** Guards against a request on a connection that was being opened when the endpoint named its limit. */
+        @Test
+        void aRequestWithoutAPermitIsNotSentToAnEndpointThatHasNamedALimitSince() {
+            Exchange x = f.start(PLAIN);
+            assertThat(x.mayStillSend()).isTrue();
+            limit(f.loads.get(sentTo()).orElseThrow());
+            assertThat(x.mayStillSend()).isFalse();
+        }
+
+        @Test
+        void aTimerThatFiresWhileAHostIsAskedChangesNothing() {
+            limitAll();
+            Exchange x = f.start(PLAIN);
+            f.clock.advanceMs(200);
+            x.onTimer();
+            decide(true);
+            assertThat(f.sent).hasSize(1);
+            assertThat(f.totalInFlight()).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    final class WithVersions {
+        private void takeUp(String origin) {
+            f.resumption = Optional.of(new Resumption(origin, "7"));
+        }
+
+        @Test
+        void aStreamIsTakenUpOnlyAtItsVersion() {
+            f.loads.onUpdated(endpoint("other", "v2"));
+            f.origins.onTold("first", new StreamOrigin(ExchangeFixture.SERVICE, "v2"));
+            takeUp("first");
+            f.start(STREAM);
+            assertThat(sentTo()).isEqualTo("other");
+        }
+
+        @Test
+        void aStreamOfUnknownOriginIsRefusedForGood() {
+            takeUp("first");
+            f.start(STREAM);
+            assertThat(f.sent).isEmpty();
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.STREAM_ORIGIN_UNKNOWN);
+            assertThat(f.rejections.get(0).retryAfterMs()).isEqualTo(0);
+        }
+
+        @Test
+        void aStreamOfAVersionThatServesNoMoreIsRefusedForNow() {
+            f.origins.onTold("first", new StreamOrigin(ExchangeFixture.SERVICE, "v0"));
+            takeUp("first");
+            f.start(STREAM);
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.NO_ENDPOINT_OF_VERSION);
+            assertThat(f.rejections.get(0).retryAfterMs()).isGreaterThan(0);
+        }
+
+        @Test
+        void aStreamOfAnotherServiceIsNotTakenUp() {
+            f.origins.onTold("first", new StreamOrigin("other-service", "v1"));
+            takeUp("first");
+            f.start(STREAM);
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.NO_ENDPOINT_OF_VERSION);
+        }
+
+        /** Guards against callers who name the attempt that took the stream up, not the one that began it. */
+        @Test
+        void anAttemptThatTookAStreamUpIsAnOriginToo() {
+            f.origins.onTold("first", new StreamOrigin(ExchangeFixture.SERVICE, "v1"));
+            takeUp("first");
+            Exchange x = f.start(STREAM);
+            x.onHead(ExchangeFixture.signedHead(200));
+            x.onBody("id: 8\ndata: x\n\n".getBytes(StandardCharsets.UTF_8));
+            assertThat(f.origins.reply("id", ExchangeFixture.SERVICE).origin())
+                    .hasValue(new StreamOrigin(ExchangeFixture.SERVICE, "v1"));
+        }
+
+        /** Guards against an address that another version takes over while a connection to it is opened. */
+        @Test
+        void aStreamIsNotSentToAnInstanceThatHasBeenReplaced() {
+            f.origins.onTold("first", new StreamOrigin(ExchangeFixture.SERVICE, "v1"));
+            takeUp("first");
+            Exchange x = f.start(STREAM);
+            assertThat(x.mayStillSend()).isTrue();
+            f.loads.onRemoved(endpoint(sentTo(), "v1"));
+            f.loads.onUpdated(endpoint(sentTo(), "v2"));
+            assertThat(x.mayStillSend()).isFalse();
+        }
+
+        @Test
+        void anErrorIsNoBeginningOfAStream() {
+            Exchange x = f.start(STREAM);
+            x.onHead(ExchangeFixture.signedHead(400));
+            x.onBody(new byte[] {1});
+            x.onComplete();
+            assertThat(f.origins.size()).isEqualTo(0);
+        }
+    }
+}
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -69,6 +69,12 @@
     /** Fingerprint of the requests that are started; 0 for one of its own for each. */
     long fingerprint;
 
+    EndpointPermits permits = PERMITS;
+    final StreamOrigins origins = lonelyOrigins(clock);
+
+    /** Stream that the requests take up which are started. */
+    Optional<Resumption> resumption = Optional.empty();
+
     private long startedRequests;
     private final RetryAfterDelays retryAfterDelays = new RetryAfterDelays(new SplittableRandom(1));
     private final FleetRetryShare retries;
@@ -121,7 +127,7 @@
                 route,
                 service,
                 1,
-                Optional.empty(),
+                resumption,
                 Prompt.NONE,
                 clock.nanos(),
                 deadlineMs,
@@ -132,8 +138,8 @@
         ExchangeContext context = new ExchangeContext(
                 chooser,
                 loads,
-                PERMITS,
-                lonelyOrigins(clock),
+                permits,
+                origins,
                 notices,
                 retries,
                 crashes,
