--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointLimitTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointLimitTest.java
@@ -6,6 +6,7 @@
 import java.util.function.LongFunction;
 import org.dragonflygw.core.ratelimit.RateNotice;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -83,6 +84,7 @@
     final class WhileHostsChange {
         private static final int HOSTS = 9;
         private static final int STEP_MS = 1_500;
+        private static final int REPLACED_AGO_MS = 90_000;
 
         private LimitedEndpointFleet started(long seed) {
             LimitedEndpointFleet fleet = fleet(HOSTS, seed);
@@ -144,6 +146,28 @@
             assertThat(usedShare(fleet)).isAtLeast(0.75);
         }
 
+        /** Guards against owners that are gone for good, whose names the store still lists. */
+        @Tag("known-red")
+        @ParameterizedTest
+        @ValueSource(longs = {41, 42, 43})
+        void hostsThatWereReplacedLongAgoLeaveNearlyAllOfTheLimitUsable(long seed) {
+            LimitedEndpointFleet fleet = new LimitedEndpointFleet(HOSTS, ENGINES, seed);
+            for (int i = 0; i < HOSTS; i++) {
+                fleet.add();
+                fleet.lose(i);
+            }
+            fleet.run(REPLACED_AGO_MS, 1);
+            for (int i = HOSTS; i < 2 * HOSTS; i++) {
+                fleet.restart(i);
+            }
+            fleet.limit(0, LIMITED, t -> RateNotice.limited(LIMIT));
+            fleet.run(LimitedEndpointFleet.CONTACT_MS, REQUESTS_PER_SECOND);
+            long from = fleet.nowMs();
+            fleet.run(RUN_MS, REQUESTS_PER_SECOND);
+            assertKept(fleet, LIMIT, from);
+            assertThat(usedShare(fleet)).isAtLeast(0.9);
+        }
+
         /** Guards against lists of hosts that differ while hosts join, so that more hosts take themselves for owners. */
         @ParameterizedTest
         @ValueSource(longs = {24, 25, 26})
