Decide in core what is read from and written to the version rows

The protocol of the rows with the software versions of each service was part of the edge's calls to the store, where it could be tested with sockets only. VersionKeeper in core decides, VersionRows makes the calls. No change of behaviour, but for the interval at which the edge asks (200 ms instead of 1 s; the keeper still acts once a second).

--- a/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
@@ -1,32 +1,35 @@
 package org.dragonflygw.edge.store;
 
 import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.dragonflygw.core.error.CodedException;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.resume.SoftwareVersions;
+import org.dragonflygw.core.resume.StoredVersions;
+import org.dragonflygw.core.resume.VersionKeeper;
+import org.dragonflygw.core.resume.VersionStore;
 import org.dragonflygw.core.storage.RowPage;
 import org.dragonflygw.core.storage.VersionedRow;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 import org.dragonflygw.wire.codec.VersionRowCodec;
 
-/**
- * The rows of the store that hold the software versions of each service, for processes that start. They are read once; the
- * hosts that read the store for the others write them when versions come or have gone. Used by the event loop only.
- */
+/** Reads and writes the rows of a {@link VersionKeeper} with calls to the store. Used by the event loop only. */
 @SuppressWarnings("FutureReturnValueIgnored") // A task of the event loop is lost only when the loop shuts down.
-final class VersionRows {
+final class VersionRows implements VersionStore {
     private static final long CALL_TIMEOUT_MS = 1_000;
 
-    /** Interval at which this host checks whether a row has to be written, and delay after a failed call. */
-    private static final long CHECK_INTERVAL_MS = 1_000;
+    /** Interval at which the keeper checks what is due, in milliseconds. */
+    private static final long CHECK_INTERVAL_MS = 200;
 
-    private final SoftwareVersions versions;
-    private final BooleanSupplier writer;
+    private final VersionKeeper keeper;
     private final StoreClient client;
     private final StoreApiCodec storeCodec;
     private final EventLoop loop;
@@ -45,8 +48,7 @@
             StoreApiCodec storeCodec,
             EventLoop loop,
             EventLog log) {
-        this.versions = versions;
-        this.writer = writer;
+        this.keeper = new VersionKeeper(versions, writer, this, System::nanoTime);
         this.client = client;
         this.storeCodec = storeCodec;
         this.loop = loop;
@@ -55,69 +57,76 @@
 
     /** Reads the rows, and writes them from then on whenever they differ from what this host knows. */
     void start() {
-        loop.execute(() -> read(""));
+        loop.execute(this::check);
+    }
+
+    private void check() {
+        keeper.check();
+        loop.schedule(this::check, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     /** The store came back from a copy, which may lack what was written. */
     void onNewEra() {
-        versions.onStoreLost();
+        keeper.onNewEra();
+    }
+
+    @Override
+    public void read(Consumer<Optional<StoredVersions>> listener) {
+        readPage("", new HashMap<>(), listener);
     }
 
-    private void read(String fromKey) {
-        client.get(storeCodec.listPath(StoreApiCodec.VERSION_TABLE, fromKey), CALL_TIMEOUT_MS, this::onRead);
+    private void readPage(String fromKey, Map<String, Set<String>> rows, Consumer<Optional<StoredVersions>> listener) {
+        String path = storeCodec.listPath(StoreApiCodec.VERSION_TABLE, fromKey);
+        client.get(path, CALL_TIMEOUT_MS, response -> onPage(response, rows, listener));
     }
 
-    private void onRead(StoreResponse response) {
+    private void onPage(
+            StoreResponse response, Map<String, Set<String>> rows, Consumer<Optional<StoredVersions>> listener) {
         if (!response.isOk()) {
             log("read failed", null, response.problem());
-            loop.schedule(() -> read(""), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            listener.accept(Optional.empty());
             return;
         }
+        RowPage page;
         try {
-            RowPage page = storeCodec.decodePage(response.body());
-            page.rows().forEach(this::apply);
-            if (page.more() && !page.rows().isEmpty()) {
-                read(page.rows().get(page.rows().size() - 1).key() + "\u0000");
-                return;
-            }
+            page = storeCodec.decodePage(response.body());
         } catch (CodedException e) {
             log("unreadable page", null, e.getMessage());
-            loop.schedule(() -> read(""), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            listener.accept(Optional.empty());
+            return;
+        }
+        page.rows().forEach(r -> add(r, rows));
+        if (page.more() && !page.rows().isEmpty()) {
+            readPage(page.rows().get(page.rows().size() - 1).key() + "\u0000", rows, listener);
             return;
         }
-        versions.onStoreRead();
-        writeChanges();
+        listener.accept(Optional.of(new StoredVersions(response.era(), rows)));
     }
 
-    private void apply(VersionedRow row) {
+    private void add(VersionedRow row, Map<String, Set<String>> rows) {
+        if (row.deleted()) {
+            return;
+        }
         try {
-            versions.onStored(row.key(), new TreeSet<>(rowCodec.decode(row.data())));
+            rows.put(row.key(), new TreeSet<>(rowCodec.decode(row.data())));
         } catch (CodedException e) {
             log("unreadable row", row.key(), e.getMessage());
         }
     }
 
-    private void writeChanges() {
-        loop.schedule(this::writeChanges, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        if (writer.getAsBoolean()) {
-            versions.toStore().forEach(this::write);
-        }
-    }
-
-    private void write(String service, Set<String> current) {
-        byte[] body = storeCodec.writeBody(StoreApiCodec.VERSION_TABLE, service, rowCodec.encode(current));
+    @Override
+    public void write(String key, Set<String> versions, Consumer<Boolean> listener) {
+        byte[] body = storeCodec.writeBody(StoreApiCodec.VERSION_TABLE, key, rowCodec.encode(versions));
         client.post(StoreApiCodec.TRANSACTION_PATH, body, CALL_TIMEOUT_MS, response -> {
-            if (response.isOk()) {
-                versions.onStored(service, current);
-            }
-            log(response.isOk() ? "row written" : "row not written", service, response.problem());
+            log(response.isOk() ? "row written" : "row not written", key, response.problem());
+            listener.accept(response.isOk());
         });
     }
 
-    private void log(String outcome, String service, String reason) {
+    private void log(String outcome, String row, String reason) {
         log.line(LogTopic.VERSIONS)
                 .with("outcome", outcome)
-                .with("service", service)
+                .with("service", row)
                 .with("reason", reason)
                 .end();
     }
