Name a version in the store before streams begin there, in rows that no late write undoes

Cause: the row of a service was checked once a second and replaced as a whole. Streams began at versions that it did not name yet, a late or lost write removed a name, nobody took over for a writer whose writes were lost, and a process that started took a missing row, a row of a copy, or a peer that had missed a version for certainty. Two rows due at once were sent over one connection, which lost the first answer. Change: rows are added under keys of their own and only shrink; a version without a row is avoided for 5 s at most; other hosts look and take over; rows prove the past only in the present era of the store and after a first read that did not fail; a list older than 5 s ends certainty; hosts tell each other that there were several versions (new optional field of the reply). The test of toStore() is replaced by tests of the rows in the store, which check the same moments.

--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -1,6 +1,8 @@
 package org.dragonflygw.core.exchange;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
@@ -94,7 +96,7 @@
             listener.onNotFound(blocked.get(), 0);
             return;
         }
-        Choice choice = context.chooser().choose(choiceRequest(now), now);
+        Choice choice = choose(now);
         if (choice.endpoint().isEmpty()) {
             listener.onNotFound(RejectReason.of(choice.reason()), choice.expectedMs());
             return;
@@ -108,13 +110,30 @@
         listener.onFound(choice);
     }
 
-    private ChoiceRequest choiceRequest(long now) {
+    /** Chooses an endpoint; a stream that may be taken up begins at a version that the store names, if it can. */
+    private Choice choose(long now) {
+        Set<String> failed = attempts.failedEndpoints();
+        boolean begins = request.route().streaming() && request.route().resumable() && origin.isEmpty();
+        Set<String> unnamed =
+                begins ? context.origins().unnamedEndpoints(request.service().name()) : Set.of();
+        if (!unnamed.isEmpty()) {
+            Set<String> excluded = new HashSet<>(failed);
+            excluded.addAll(unnamed);
+            Choice named = context.chooser().choose(choiceRequest(excluded, now), now);
+            if (named.endpoint().isPresent()) {
+                return named;
+            }
+        }
+        return context.chooser().choose(choiceRequest(failed, now), now);
+    }
+
+    private ChoiceRequest choiceRequest(Set<String> excluded, long now) {
         return new ChoiceRequest(
                 request.service(),
                 request.prompt(),
                 request.route().objectiveMs(),
                 Math.max(0, (request.expiryNanos() - now) / NANOS_PER_MS),
-                attempts.failedEndpoints(),
+                excluded,
                 permitDenials < MAX_PERMIT_DENIALS,
                 origin);
     }
--- a/core/src/main/java/org/dragonflygw/core/resume/SoftwareVersions.java
+++ b/core/src/main/java/org/dragonflygw/core/resume/SoftwareVersions.java
@@ -11,8 +11,8 @@
 import org.dragonflygw.core.lease.MonotonicClock;
 
 /**
- * The software versions that endpoints of each service have had for as long as streams last. A process that has just
- * started learns the past from the store, where hosts keep these versions. Not thread-safe.
+ * The software versions that endpoints of each service have had for as long as streams last, and which of them the store
+ * names. A process that has just started learns the past from the store, see {@link VersionKeeper}. Not thread-safe.
  */
 public final class SoftwareVersions {
     /** Time after which no stream goes on that an endpoint began, in nanoseconds; several times a caller's deadline. */
@@ -21,12 +21,29 @@
     /** Age of the list of endpoints, in milliseconds, from which it may lack a new version. */
     private static final long MAX_LIST_AGE_MS = 5_000;
 
+    /** Time without endpoints, in nanoseconds, after which the row of a version that returns is confirmed again. */
+    private static final long MAX_ABSENCE_NANOS = 10_000_000_000L;
+
+    /**
+     * Time in nanoseconds for which other versions are preferred to one that the store does not name. A write takes a few
+     * milliseconds; if the store cannot be written, a release must go on.
+     */
+    private static final long MAX_WAIT_NANOS = 5_000_000_000L;
+
     private final LongSupplier listAgeMs;
     private final MonotonicClock clock;
-    private final long startedNanos;
     private final Map<String, Map<String, Seen>> byService = new HashMap<>();
-    private final Map<String, Set<String>> stored = new HashMap<>();
+
+    /** Services whose versions of the time before this process the store named. */
+    private final Set<String> knownPast = new HashSet<>();
+
+    /** Time since which the list of endpoints was never old. */
+    private long listSinceNanos;
+
+    private boolean listKnown;
+    private boolean listFresh;
     private boolean storeRead;
+    private long storeReadNanos;
 
     /**
      * Creates an empty record.
@@ -36,12 +53,21 @@
     public SoftwareVersions(LongSupplier listAgeMs, MonotonicClock clock) {
         this.listAgeMs = listAgeMs;
         this.clock = clock;
-        this.startedNanos = clock.nanos();
     }
 
     /** Records an endpoint of the list, ready or draining. */
     public void onUpdated(DiscoveredEndpoint endpoint) {
-        seen(endpoint.service(), endpoint.version()).endpoints.add(endpoint.id());
+        Seen seen = seen(endpoint.service(), endpoint.version());
+        long now = clock.nanos();
+        if (!listKnown) {
+            listKnown = true;
+            listFresh = true;
+            listSinceNanos = now;
+        }
+        if (seen.endpoints.isEmpty() && now - seen.lastNanos > MAX_ABSENCE_NANOS) {
+            seen.forgetRow(now);
+        }
+        seen.endpoints.add(endpoint.id());
     }
 
     /** Records that an endpoint left the list. */
@@ -57,42 +83,98 @@
                 .computeIfAbsent(version, v -> new Seen(clock.nanos()));
     }
 
-    /** Records the versions of a service that the store has; streams may have begun at them until just now. */
-    public void onStored(String service, Set<String> versions) {
+    /** Records versions at which streams may have begun until just now, though the store may name others, too. */
+    void onPossible(String service, Set<String> versions) {
         versions.forEach(v -> seen(service, v));
-        stored.put(service, Set.copyOf(versions));
+    }
+
+    /** Records all versions of a service that the store names at the start; streams may have begun at them until just now. */
+    public void onStored(String service, Set<String> versions) {
+        onPossible(service, versions);
+        knownPast.add(service);
     }
 
     /** Records that all rows of the store were passed to {@link #onStored}. */
     public void onStoreRead() {
         storeRead = true;
+        storeReadNanos = clock.nanos();
+    }
+
+    /** Records that the store names versions of a service now; those that have gone are ignored. */
+    void onNamed(String service, Set<String> versions) {
+        Map<String, Seen> seen = recent(service);
+        versions.stream().filter(seen::containsKey).forEach(v -> seen.get(v).named = true);
     }
 
     /** Records that the store no longer has what this process wrote or read. */
-    public void onStoreLost() {
-        stored.clear();
+    void onStoreLost() {
+        long now = clock.nanos();
+        byService.values().forEach(versions -> versions.values().forEach(s -> s.forgetRow(now)));
     }
 
-    /** Returns the services whose versions differ from those in the store, with the versions; none before it was read. */
-    public Map<String, Set<String>> toStore() {
-        Map<String, Set<String>> changed = new HashMap<>();
-        if (!storeRead) {
-            return changed;
-        }
+    /** Returns the versions of each service that the store is not known to name; services without such are left out. */
+    Map<String, Set<String>> unnamed() {
+        Map<String, Set<String>> unnamed = new HashMap<>();
         for (String service : byService.keySet()) {
-            Set<String> versions = recent(service).keySet();
-            if (!versions.equals(stored.getOrDefault(service, Set.of()))) {
-                changed.put(service, new TreeSet<>(versions));
+            recent(service).forEach((version, seen) -> {
+                if (!seen.named) {
+                    unnamed.computeIfAbsent(service, s -> new TreeSet<>()).add(version);
+                }
+            });
+        }
+        return unnamed;
+    }
+
+    /** Returns whether no stream can go on any more that began at a version. */
+    boolean isGone(String service, String version) {
+        return !recent(service).containsKey(version);
+    }
+
+    /** Returns whether a service has or had more than one version. */
+    public boolean several(String service) {
+        return recent(service).size() > 1;
+    }
+
+    /**
+     * Returns the endpoints at which no stream should begin if another endpoint can take it, because the store does not name
+     * their version yet: after the loss of all hosts nobody would know of it.
+     */
+    public Set<String> unnamedEndpoints(String service) {
+        Map<String, Seen> versions = byService.get(service);
+        if (versions == null || versions.size() < 2) {
+            return Set.of();
+        }
+        long now = clock.nanos();
+        Set<String> ids = new HashSet<>();
+        for (Seen seen : versions.values()) {
+            if (!seen.named && now - seen.unnamedSinceNanos < MAX_WAIT_NANOS) {
+                ids.addAll(seen.endpoints);
             }
         }
-        return changed;
+        return ids;
+    }
+
+    /** Notices whether the list of endpoints is old. Must be called several times in the time in which it becomes old. */
+    void observe() {
+        long ageMs = listAgeMs.getAsLong();
+        boolean fresh = ageMs >= 0 && ageMs <= MAX_LIST_AGE_MS;
+        long now = clock.nanos();
+        if (fresh && !listFresh) {
+            listSinceNanos = now;
+        }
+        boolean missing = storeRead && now - storeReadNanos > MAX_LIST_AGE_MS * 1_000_000;
+        if (!fresh && (listFresh || missing)) {
+            knownPast.clear(); // A version may have come and gone since the rows were read.
+        }
+        listFresh = fresh;
     }
 
     /** Returns the only version that can have begun a stream; nothing if there were several or it is not certain. */
     public Optional<String> only(String service) {
-        long ageMs = listAgeMs.getAsLong();
-        boolean knowsThePast = storeRead || clock.nanos() - startedNanos >= MEMORY_NANOS;
-        if (!knowsThePast || ageMs < 0 || ageMs > MAX_LIST_AGE_MS) {
+        observe();
+        boolean knowsThePast =
+                (storeRead && knownPast.contains(service)) || clock.nanos() - listSinceNanos >= MEMORY_NANOS;
+        if (!listFresh || !knowsThePast) {
             return Optional.empty();
         }
         Map<String, Seen> versions = recent(service);
@@ -112,8 +194,19 @@
         private final Set<String> endpoints = new HashSet<>();
         private long lastNanos;
 
+        /** Whether the store names the version. */
+        private boolean named;
+
+        private long unnamedSinceNanos;
+
         Seen(long nowNanos) {
             this.lastNanos = nowNanos;
+            this.unnamedSinceNanos = nowNanos;
+        }
+
+        void forgetRow(long nowNanos) {
+            named = false;
+            unnamedSinceNanos = nowNanos;
         }
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/resume/StreamOrigins.java
+++ b/core/src/main/java/org/dragonflygw/core/resume/StreamOrigins.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.dragonflygw.core.lease.MonotonicClock;
@@ -71,7 +73,7 @@
 
     /** Replies to the question of another host. */
     public OriginReply reply(String attempt, String service) {
-        return new OriginReply(records.get(attempt), versions.only(service));
+        return new OriginReply(records.get(attempt), versions.only(service), versions.several(service));
     }
 
     /**
@@ -96,6 +98,11 @@
         new Search(attempt, service, holders.size(), listener).ask(holders);
     }
 
+    /** Returns the endpoints of a service at which no stream should begin if another endpoint can take it. */
+    public Set<String> unnamedEndpoints(String service) {
+        return versions.unnamedEndpoints(service);
+    }
+
     /** Returns the number of records. */
     public long size() {
         return records.size();
@@ -113,8 +120,9 @@
         private final Consumer<OriginDecision> listener;
         private final int asked;
         private int waiting;
-        private Optional<String> onlyVersion = Optional.empty();
+        private final Set<String> onlyVersions = new TreeSet<>();
         private String onlyVersionPeer = "";
+        private boolean severalVersions;
         private boolean ended;
 
         Search(String attempt, String service, int asked, Consumer<OriginDecision> listener) {
@@ -143,20 +151,25 @@
             }
             Optional<String> only = reply.flatMap(OriginReply::onlyVersion);
             if (only.isPresent()) {
-                onlyVersion = only;
+                onlyVersions.add(only.get());
                 onlyVersionPeer = host;
             }
+            severalVersions |= reply.map(OriginReply::severalVersions).orElse(false);
             if (waiting == 0) {
                 endWithoutRecord();
             }
         }
 
+        /** A version is the only one if no host knows of another: one host may have missed what another has seen. */
         private void endWithoutRecord() {
-            Optional<String> only = versions.only(service);
-            String peer = only.isPresent() ? "" : onlyVersionPeer;
-            Optional<StreamOrigin> origin = only.or(() -> onlyVersion).map(v -> new StreamOrigin(service, v));
+            Optional<String> own = versions.only(service);
+            own.ifPresent(onlyVersions::add);
+            severalVersions |= onlyVersions.size() > 1 || versions.several(service);
+            Optional<StreamOrigin> origin = severalVersions
+                    ? Optional.empty()
+                    : onlyVersions.stream().findFirst().map(v -> new StreamOrigin(service, v));
             Source source = origin.isPresent() ? Source.ONLY_VERSION : Source.NONE;
-            end(new OriginDecision(origin, source, peer, asked));
+            end(new OriginDecision(origin, source, own.isPresent() ? "" : onlyVersionPeer, asked));
         }
 
         private void end(OriginDecision decision) {
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
@@ -163,6 +163,34 @@
             assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.NO_ENDPOINT_OF_VERSION);
         }
 
+        private void addUnnamedVersion() {
+            f.loads.all().forEach(e -> f.versions.onUpdated(e.entry()));
+            f.clock.advanceMs(10_000);
+            f.loads.onUpdated(endpoint("new", "v2"));
+            f.versions.onUpdated(endpoint("new", "v2"));
+        }
+
+        /** Guards against streams of a version of which nobody knows once all hosts are lost. */
+        @Test
+        void aStreamBeginsAtAVersionThatTheStoreNames() {
+            addUnnamedVersion();
+            for (int i = 0; i < 12; i++) {
+                f.start(STREAM);
+                assertThat(sentTo()).isNotEqualTo("new");
+            }
+        }
+
+        /** Guards against requests that are refused while a release goes on. */
+        @Test
+        void aStreamBeginsAtAnotherVersionIfNothingElseCanServe() {
+            addUnnamedVersion();
+            for (int i = 1; i <= 3; i++) {
+                f.loads.onRemoved(ExchangeFixture.endpoint("e" + i));
+            }
+            f.start(STREAM);
+            assertThat(sentTo()).isEqualTo("new");
+        }
+
         /** Guards against callers who name the attempt that took the stream up, not the one that began it. */
         @Test
         void anAttemptThatTookAStreamUpIsAnOriginToo() {
--- a/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
+++ b/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -108,6 +109,55 @@
             assertThat(fleet.store.writes).isAtLeast(3);
         }
 
+        private Set<String> namedByStore() {
+            Set<String> named = new TreeSet<>();
+            fleet.store.rows.values().forEach(named::addAll);
+            return named;
+        }
+
+        @Test
+        void namesAVersionWhenItComesUntilAMinuteAfterItHasGone() {
+            calm();
+            assertThat(namedByStore()).containsExactly("v1");
+            fleet.enter("f", "v2").run(400);
+            assertThat(namedByStore()).containsExactly("v1", "v2");
+            fleet.leave("e").run(59_000);
+            assertThat(namedByStore()).containsExactly("v1", "v2");
+            fleet.run(3_000);
+            assertThat(namedByStore()).containsExactly("v2");
+        }
+
+        @Test
+        void namesTheVersionsAgainAfterTheStoreCameBackFromACopy() {
+            calm().enter("f", "v2").run(5_000);
+            fleet.store.restore(Map.of());
+            fleet.hosts.forEach(h -> h.keeper.onNewEra());
+            fleet.run(3_000);
+            assertThat(namedByStore()).containsExactly("v1", "v2");
+        }
+
+        @Test
+        void aVersionThatReturnsIsNamedAgain() {
+            calm().enter("f", "v2").run(5_000).leave("f").run(70_000);
+            fleet.enter("f", "v2").run(100);
+            assertThat(fleet.host(1).begins("v2")).isFalse();
+            fleet.run(2_500);
+            assertThat(fleet.host(1).begins("v2")).isTrue();
+            loseAllHostsAndSecondVersion();
+            assertNotJoined(true);
+        }
+
+        /** Guards against hosts that all write or read when one version comes. */
+        @Test
+        void aNewVersionCostsOneWriteAndAReadOfEachOtherHost() {
+            calm();
+            int reads = fleet.store.reads;
+            int writes = fleet.store.writes;
+            fleet.enter("f", "v2").run(10_000);
+            assertThat(fleet.store.writes - writes).isEqualTo(1);
+            assertThat(fleet.store.reads - reads).isAtMost(2);
+        }
+
         @Test
         void nothingIsCalledInTheCalmState() {
             calm();
@@ -166,6 +216,20 @@
             assertNotJoined(true);
         }
 
+        /** While the store is away, the second version serves though no row names it, as nothing else does. */
+        @Test
+        void whileTheStoreIsAway() {
+            calm().enter("f", "v2").run(50);
+            fleet.store.silent = true;
+            fleet.run(8_000);
+            boolean begun = fleet.host(0).begins("v2");
+            assertThat(begun).isTrue();
+            fleet.leave("f").restartAll().run(500);
+            fleet.store.silent = false;
+            fleet.run(START_MS);
+            assertNotJoined(begun);
+        }
+
         /** Nobody can know the past of a service of which the store has no row. */
         @Test
         void withoutARowOfTheService() {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -234,7 +234,7 @@
     }
 
     private long endpointListAgeMs() {
-        return store.news().endpointsAgeMs();
+        return store.endpointsAgeMs();
     }
 
     private void startStoreAndPeers() {
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -118,6 +118,11 @@
                 configurationFeed.news());
     }
 
+    /** Returns the age of the list of endpoints in milliseconds, or -1 if it has not been read yet. */
+    public long endpointsAgeMs() {
+        return endpoints.ageMs();
+    }
+
     /** Returns whether this host knows which requests the store names as crashing endpoints. */
     public boolean suspectsRead() {
         return suspectRows.isRead();
--- a/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -48,7 +49,7 @@
             StoreApiCodec storeCodec,
             EventLoop loop,
             EventLog log) {
-        this.keeper = new VersionKeeper(versions, writer, this, System::nanoTime);
+        this.keeper = new VersionKeeper(versions, writer, this, System::nanoTime, new SplittableRandom());
         this.client = client;
         this.storeCodec = storeCodec;
         this.loop = loop;
--- a/wire/src/main/java/org/dragonflygw/wire/codec/PeerMessageCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/PeerMessageCodec.java
@@ -67,6 +67,9 @@
         OriginReplyMessage m = new OriginReplyMessage();
         reply.origin().ifPresent(o -> m.setServiceName(o.service()).setSoftwareVersion(o.version()));
         reply.onlyVersion().ifPresent(m::setOnlyVersion);
+        if (reply.severalVersions()) {
+            m.setSeveralVersions(true);
+        }
         return encode(new PeerMessage(id).setOriginReply(m));
     }
 
@@ -125,6 +128,6 @@
         Optional<StreamOrigin> origin = m.isSetServiceName() && m.isSetSoftwareVersion()
                 ? Optional.of(new StreamOrigin(m.getServiceName(), m.getSoftwareVersion()))
                 : Optional.empty();
-        return new OriginReply(origin, Optional.ofNullable(m.getOnlyVersion()));
+        return new OriginReply(origin, Optional.ofNullable(m.getOnlyVersion()), m.isSeveralVersions());
     }
 }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -229,6 +229,8 @@
   2: optional string softwareVersion
   /** The only version that the service has had for as long as streams last, if the host is sure. */
   3: optional string onlyVersion
+  /** Whether the service has had several versions in that time. */
+  4: optional bool severalVersions
 }
 
 /** A message from one host to another beside the reports; one of the optional fields is set. */
--- a/wire/src/test/java/org/dragonflygw/wire/codec/PeerMessageCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/PeerMessageCodecTest.java
@@ -80,6 +80,7 @@
         for (OriginReply r : List.of(
                 new OriginReply(Optional.of(origin), Optional.empty()),
                 new OriginReply(Optional.empty(), Optional.of("v2")),
+                new OriginReply(Optional.empty(), Optional.empty(), true),
                 new OriginReply(Optional.empty(), Optional.empty()))) {
             assertThat(decode(codec.encode(10, r))).containsExactly(10L, r).inOrder();
         }
