--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -396,6 +396,12 @@
         failAfterRun(RejectReason.TIMED_OUT);
     }
 
+    /** Called when the caller reads so slowly that nothing more is read from the endpoint for now. */
+    public void onOutputPaused() {}
+
+    /** Called when the endpoint's response is read again. */
+    public void onOutputResumed() {}
+
     /** Called when the caller has closed its connection. */
     public void onCallerDisconnected() {
         if (phase == Phase.ENDED) {
