Count an endpoint's silence only while its response is read

Cause: the connection of a slow caller takes no more bytes, so this host stops reading the endpoint and then took the endpoint for silent: it sent the stream once more elsewhere, spent a retry and recorded a possible crash. Change: the exchange learns when its output pauses and resumes; silence and stalls are counted from the resumption; the deadline still ends the request.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -50,6 +50,9 @@
     private boolean ignoreResponse;
     private boolean mayHaveRun;
 
+    /** Whether this host does not read the response; what the endpoint does meanwhile is not known. */
+    private boolean outputPaused;
+
     private long attemptStartNanos;
     private long firstPartAtNanos;
 
@@ -369,7 +372,9 @@
             onTimeout(now);
             return;
         }
-        crashes.onTimer(silence.lastReadNanos(), now);
+        if (!outputPaused) {
+            crashes.onTimer(silence.lastReadNanos(), now);
+        }
         if (mayReplaceIfSilent(now) && now >= silence.expiryNanos(firstPartSeen)) {
             if (takeRetry(now)) {
                 replaceSilentAttempt(now);
@@ -381,7 +386,8 @@
     }
 
     private boolean mayReplaceIfSilent(long now) {
-        return attempts.mayRunAgain(1)
+        return !outputPaused
+                && attempts.mayRunAgain(1)
                 && response.canResume()
                 && !isBlocked()
                 && remainingMs(now) > request.route().objectiveMs();
@@ -397,10 +403,18 @@
     }
 
     /** Called when the caller reads so slowly that nothing more is read from the endpoint for now. */
-    public void onOutputPaused() {}
+    public void onOutputPaused() {
+        outputPaused = true;
+    }
 
     /** Called when the endpoint's response is read again. */
-    public void onOutputResumed() {}
+    public void onOutputResumed() {
+        outputPaused = false;
+        if (phase == Phase.SENT || phase == Phase.FORWARDING) {
+            silence.restart(now());
+            scheduleTimer();
+        }
+    }
 
     /** Called when the caller has closed its connection. */
     public void onCallerDisconnected() {
@@ -420,7 +434,9 @@
         if (mayReplaceIfSilent(now())) {
             wakeNanos = Math.min(wakeNanos, silence.expiryNanos(firstPartSeen));
         }
-        wakeNanos = Math.min(wakeNanos, crashes.stallNanos(silence.lastReadNanos(), now()));
+        if (!outputPaused) {
+            wakeNanos = Math.min(wakeNanos, crashes.stallNanos(silence.lastReadNanos(), now()));
+        }
         out.wakeAt(wakeNanos);
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -167,6 +167,14 @@
         if (attempt != null) {
             attempt.setAutoRead(writable);
         }
+        if (exchange == null) {
+            return;
+        }
+        if (writable) {
+            exchange.onOutputResumed();
+        } else {
+            exchange.onOutputPaused();
+        }
     }
 
     @Override
