Read the operator's table often enough for the deployment's evacuation time

A deployment may name bounds.evacuation_ms. The read intervals of the operator's table follow 0.6 of it if that is shorter than the time for configurations; with 5,000 ms and 3,000 ms nothing changes.

--- a/core/src/main/java/org/dragonflygw/core/settings/HostBounds.java
+++ b/core/src/main/java/org/dragonflygw/core/settings/HostBounds.java
@@ -10,6 +10,8 @@
  * @param retries retry budget
  * @param capFactor maximum load of an endpoint, as a multiple of the mean load of its service
  * @param heartbeatMs interval at which endpoints renew their entries in the store, in milliseconds
+ * @param evacuationMs time after which endpoints of an evacuated zone get no more requests, in milliseconds; 0 if the
+ *     deployment names none
  */
 public record HostBounds(
         long drainMs,
@@ -18,4 +20,5 @@
         long revokeMs,
         RetryBounds retries,
         double capFactor,
-        long heartbeatMs) {}
+        long heartbeatMs,
+        long evacuationMs) {}
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableFollowerFactory.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableFollowerFactory.java
@@ -6,6 +6,7 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.resume.SoftwareVersions;
+import org.dragonflygw.core.settings.HostBounds;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.core.storenews.GroupReadSchedule;
 import org.dragonflygw.core.storenews.LongPollSchedule;
@@ -27,6 +28,9 @@
     /** Age at which a host without news reads by itself, as a fraction of the same time. */
     private static final double CONFIG_FOLLOWER_MAX_AGE_FRACTION = 0.72;
 
+    /** Share of the time in which an evacuation must apply that takes the place of a longer time for configurations. */
+    private static final double EVACUATION_FRACTION = 0.6;
+
     /** Age at which the reader reads the endpoints again, as a fraction of the time to drain an endpoint. */
     private static final double ENDPOINT_READER_MAX_AGE_FRACTION = 0.3;
 
@@ -86,7 +90,7 @@
     }
 
     private ReadIntervals configurationIntervals() {
-        double boundMs = settings.bounds().configApplyMs();
+        double boundMs = operatorTableBoundMs();
         return new ReadIntervals(
                 0,
                 (long) (boundMs * CONFIG_LONG_POLL_FRACTION),
@@ -94,6 +98,15 @@
                 (long) (boundMs * STAGGER_FRACTION));
     }
 
+    /** Returns the time within which changes of the operator's table must reach all hosts, in milliseconds. */
+    private double operatorTableBoundMs() {
+        HostBounds bounds = settings.bounds();
+        double configApplyMs = bounds.configApplyMs();
+        return bounds.evacuationMs() == 0
+                ? configApplyMs
+                : Math.min(configApplyMs, bounds.evacuationMs() * EVACUATION_FRACTION);
+    }
+
     /** Creates the follower of the endpoint table. */
     TableFollower endpoints(TableListener listener, Runnable afterRead) {
         ReadSchedule schedule = new GroupReadSchedule(readerSelection, this::endpointIntervals);
