Send no requests to endpoints of an evacuated availability zone

The operator's row evacuate/ZONE takes a zone out of use while it exists. Each host keeps the set of evacuated zones with the store version up to which it is complete, from its own reads of the operator's table and from the news of other hosts; a later version replaces the set as a whole. Endpoints of these zones are not chosen, not sent to after a permit or a connection arrived late, and not named as sources of prompts. When only they could serve, the request is refused with ZONE_EVACUATED and a Retry-After of 1 to 2 s. News that do not name the zones (hosts of an earlier program) no longer replace a read of the table.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
+import org.dragonflygw.core.evacuation.EvacuatedZones;
 import org.dragonflygw.core.peers.PromptHolding;
 import org.dragonflygw.core.ratelimit.EndpointRates;
 
@@ -23,6 +24,7 @@
     private final LeavingEndpoints leaving = new LeavingEndpoints();
     private final QuietTimes quietTimes = new QuietTimes();
     private final EndpointRates rates = new EndpointRates();
+    private final EvacuatedZones evacuated = new EvacuatedZones();
     private final Map<String, EndpointLoadState> byId = new HashMap<>();
     private final Map<String, List<EndpointLoadState>> byService = new HashMap<>();
 
@@ -78,6 +80,31 @@
         return rates;
     }
 
+    /** Returns the availability zones whose endpoints get no new requests. */
+    public EvacuatedZones evacuated() {
+        return evacuated;
+    }
+
+    /** Returns whether an endpoint gets no new requests because its availability zone is evacuated. */
+    public boolean isEvacuated(EndpointLoadState endpoint) {
+        return evacuated.contains(endpoint.entry().zone());
+    }
+
+    /** Returns the number of requests of this host that run in evacuated availability zones. */
+    public long requestsInEvacuatedZones() {
+        return byId.values().stream()
+                .filter(this::isEvacuated)
+                .mapToLong(EndpointLoadState::inFlight)
+                .sum();
+    }
+
+    /** Returns the number of known endpoints in an availability zone. */
+    public int countIn(String zone) {
+        return (int) byId.values().stream()
+                .filter(e -> e.entry().zone().equals(zone))
+                .count();
+    }
+
     /** Returns the recent leaves, for a report to peers. */
     public List<LeavingEndpoint> recentLeaves(long nowNanos) {
         return leaving.recent(nowNanos);
@@ -110,6 +137,14 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /** Returns the endpoints of a service in availability zones that are not evacuated, including draining ones. */
+    public List<EndpointLoadState> outsideEvacuatedZones(String service) {
+        List<EndpointLoadState> all = ofService(service);
+        return evacuated.count() == 0
+                ? all
+                : all.stream().filter(e -> !isEvacuated(e)).toList();
+    }
+
     /** Returns the state of the endpoint with an id. */
     public Optional<EndpointLoadState> get(String id) {
         return Optional.ofNullable(byId.get(id));
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -63,6 +63,9 @@
     /** Cost of an endpoint to which connections failed recently, in milliseconds. */
     private static final double BLOCKED_PENALTY_MS = 20_000;
 
+    /** Time after which a request that only an evacuated zone could serve may be repeated, in milliseconds. */
+    private static final long EVACUATED_RETRY_MS = 1_000;
+
     private static final double NANOS_PER_MS = 1e6;
 
     private final EndpointLoads loads;
@@ -111,6 +114,9 @@
 
     private Choice noCandidate(ChoiceRequest request, long nowNanos) {
         OptionalLong waitNanos = usable.shortestWaitNanos(request, nowNanos);
+        if (waitNanos.isEmpty() && usable.anyEvacuated(request)) {
+            return Choice.none(UnavailableReason.EVACUATED, EVACUATED_RETRY_MS);
+        }
         if (waitNanos.isEmpty()) {
             return Choice.none(
                     request.origin().isPresent() ? UnavailableReason.NO_VERSION : UnavailableReason.NO_ENDPOINT, 0);
@@ -141,7 +147,7 @@
     private PromptSources sources(ChoiceRequest request, long nowNanos) {
         CatalogService service = request.service();
         boolean mayFetch = service.hasModelEngines() && service.bytesPerToken() > 0;
-        List<EndpointLoadState> engines = mayFetch ? loads.ofService(service.name()) : List.of();
+        List<EndpointLoadState> engines = mayFetch ? loads.outsideEvacuatedZones(service.name()) : List.of();
         return new PromptSources(engines, request.prompt(), nowNanos);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UnavailableReason.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UnavailableReason.java
@@ -8,6 +8,8 @@
     NO_ENDPOINT,
     /** No endpoint of the software version that began the stream accepts new requests. */
     NO_VERSION,
+    /** All endpoints that accept new requests are in availability zones that are evacuated. */
+    EVACUATED,
     /** All endpoints of the service asked for a time without requests. */
     QUIET,
     /** All endpoints of the service asked for a time without requests or name a limit of which nothing is left. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -7,7 +7,8 @@
 import org.dragonflygw.core.resume.StreamOrigin;
 
 /**
- * Finds the endpoints that can serve a request: not leaving, not excluded, not asking for quiet, not known to have used up a
+ * Finds the endpoints that can serve a request: not leaving, not in an evacuated
+ * availability zone, not excluded, not asking for quiet, not known to have used up a
  * limit and, where asked, not at capacity.
  */
 final class UsableEndpoints {
@@ -31,7 +32,12 @@
         return usable;
     }
 
-    private static boolean acceptsRequests(ChoiceRequest request, EndpointLoadState e) {
+    private boolean acceptsRequests(ChoiceRequest request, EndpointLoadState e) {
+        return !loads.isEvacuated(e) && wouldAccept(request, e);
+    }
+
+    /** Returns whether an endpoint accepts new requests unless its availability zone is evacuated. */
+    private static boolean wouldAccept(ChoiceRequest request, EndpointLoadState e) {
         return !e.entry().draining()
                 && !e.isLeaving()
                 && !request.excluded().contains(e.entry().id())
@@ -57,6 +63,12 @@
                 .min();
     }
 
+    /** Returns whether an endpoint would accept new requests if its availability zone were not evacuated. */
+    boolean anyEvacuated(ChoiceRequest request) {
+        return loads.ofService(request.service().name()).stream()
+                .anyMatch(e -> loads.isEvacuated(e) && wouldAccept(request, e));
+    }
+
     /** Returns whether an endpoint that accepts new requests names a limit. */
     boolean anyLimited(ChoiceRequest request) {
         return loads.ofService(request.service().name()).stream()
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -153,7 +153,10 @@
 
     private boolean acceptsRequests(EndpointLoadState endpoint) {
         long now = context.clock().nanos();
-        return crashes.blockNanos(now) == 0 && !endpoint.isLeaving() && endpoint.quietNanos(now) == 0;
+        return crashes.blockNanos(now) == 0
+                && !context.loads().isEvacuated(endpoint)
+                && !endpoint.isLeaving()
+                && endpoint.quietNanos(now) == 0;
     }
 
     /** Whether the list still has the instance, so that its software version is the one in its entry. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -340,9 +340,11 @@
         if (reason == RejectReason.STREAM_ORIGIN_UNKNOWN) {
             return 0; // It will not be known later either.
         }
-        return reason == RejectReason.ENDPOINTS_QUIET || reason == RejectReason.ENDPOINTS_LIMITED
-                ? context.retryAfterDelays().afterMs(expectedMs)
-                : context.retryAfterDelays().nextMs(remainingMs);
+        return switch (reason) {
+            case ENDPOINTS_QUIET, ENDPOINTS_LIMITED, ZONE_EVACUATED ->
+                context.retryAfterDelays().afterMs(expectedMs);
+            default -> context.retryAfterDelays().nextMs(remainingMs);
+        };
     }
 
     private void failAfterRun(RejectReason reason) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
@@ -14,6 +14,8 @@
     KEYS_UNCONFIRMED(503),
     /** The service has no endpoint. */
     NO_ENDPOINT(503),
+    /** All endpoints are in availability zones that are evacuated. */
+    ZONE_EVACUATED(503),
     /** All endpoints asked for a time without requests. */
     ENDPOINTS_QUIET(503),
     /** All endpoints name a limit, and nothing is left of it. */
@@ -52,6 +54,7 @@
     /** Returns the reason to give to a caller when no endpoint can be chosen. */
     static RejectReason of(UnavailableReason reason) {
         return switch (reason) {
+            case EVACUATED -> ZONE_EVACUATED;
             case QUIET -> ENDPOINTS_QUIET;
             case NO_VERSION -> NO_ENDPOINT_OF_VERSION;
             case LIMITED -> ENDPOINTS_LIMITED;
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -16,6 +16,8 @@
     STORE_ERA,
     /** A configuration was activated or rejected. */
     CONFIGURATION,
+    /** The evacuation of an availability zone was seen, applied or ended. */
+    EVACUATION,
     /** The state of an endpoint, as this host sees it, changed. */
     ENDPOINT,
     /** The readiness that is reported to the load balancer changed. */
--- a/core/src/main/java/org/dragonflygw/core/storenews/StoreNews.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/StoreNews.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.storenews;
 
 import java.util.List;
+import org.dragonflygw.core.evacuation.EvacuationNews;
 
 /**
  * State of one host's copy of the store, sent to the other hosts so that they need not read the store too.
@@ -12,6 +13,7 @@
  * @param completeFrom version after which {@code changes} contains every change
  * @param changes latest changes of the list of endpoints, oldest first
  * @param configuration state of the configuration
+ * @param evacuations the evacuated availability zones, as recent as the configuration
  */
 public record StoreNews(
         long era,
@@ -20,10 +22,11 @@
         long endpointsAgeMs,
         long completeFrom,
         List<EndpointChange> changes,
-        ConfigurationNews configuration) {
+        ConfigurationNews configuration,
+        EvacuationNews evacuations) {
     /** News of a host that has read nothing. */
     public static final StoreNews NONE =
-            new StoreNews(StoreEra.UNKNOWN, false, 0, -1, 0, List.of(), ConfigurationNews.NONE);
+            new StoreNews(StoreEra.UNKNOWN, false, 0, -1, 0, List.of(), ConfigurationNews.NONE, EvacuationNews.UNKNOWN);
 
     public StoreNews {
         changes = List.copyOf(changes);
--- a/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
@@ -2,6 +2,7 @@
 
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.discovery.EndpointRegistry;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.lease.MonotonicClock;
 
 /**
@@ -18,6 +19,7 @@
     private final StoreEra era;
     private final EndpointRegistry registry;
     private final EndpointChangeLog changes;
+    private final Evacuations evacuations;
     private final StoreContact contact;
     private final MonotonicClock clock;
 
@@ -25,11 +27,13 @@
             StoreEra era,
             EndpointRegistry registry,
             EndpointChangeLog changes,
+            Evacuations evacuations,
             StoreContact contact,
             MonotonicClock clock) {
         this.era = era;
         this.registry = registry;
         this.changes = changes;
+        this.evacuations = evacuations;
         this.contact = contact;
         this.clock = clock;
     }
@@ -48,7 +52,8 @@
             return;
         }
         applyEndpoints(news, endpoints);
-        applyConfiguration(news.configuration(), configuration, catalog);
+        evacuations.onNews(news.evacuations());
+        applyConfiguration(news, configuration, catalog);
     }
 
     private void applyEndpoints(StoreNews news, FollowedTable endpoints) {
@@ -80,7 +85,8 @@
         }
     }
 
-    private void applyConfiguration(ConfigurationNews news, FollowedTable table, CatalogUpdateTarget catalog) {
+    private void applyConfiguration(StoreNews storeNews, FollowedTable table, CatalogUpdateTarget catalog) {
+        ConfigurationNews news = storeNews.configuration();
         if (!table.listed() || news.rowVersion() == 0) {
             return;
         }
@@ -96,10 +102,12 @@
         if (news.rowVersion() == catalog.rowVersion()) {
             catalog.onVersionInForce(news.configVersion());
         }
-        if (news.rowVersion() == catalog.rowVersion() && news.ageMs() >= 0) {
+        // Hosts of an earlier program do not say which zones are evacuated, so their news do not replace a read.
+        boolean complete = news.ageMs() >= 0 && storeNews.evacuations().isKnown();
+        if (news.rowVersion() == catalog.rowVersion() && complete) {
             long asOf = asOfNanos(news.ageMs(), clock.nanos());
             contact.onRead(asOf);
-            table.markFresh(catalog.rowVersion(), asOf);
+            table.markFresh(Math.min(catalog.rowVersion(), evacuations.version()), asOf);
         }
     }
 
--- a/core/src/test/java/org/dragonflygw/core/dispatch/ExpectedTimeChooserTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/ExpectedTimeChooserTest.java
@@ -7,8 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
+import org.dragonflygw.core.ManualMonotonicClock;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.evacuation.Evacuations;
+import org.dragonflygw.core.log.NoOpEventLog;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -179,6 +183,73 @@
         }
     }
 
+    @Nested
+    final class EvacuatedZone {
+        private final Evacuations evacuations =
+                new Evacuations(loads.evacuated(), zone -> 0, new NoOpEventLog(), new ManualMonotonicClock());
+
+        @Test
+        void itsEndpointsReceiveNoRequestsUntilTheEnd() {
+            engines(2);
+            evacuations.onListing(List.of("a"), 1);
+            assertThat(send(prompt(1, 2))).isEqualTo("e1");
+            assertThat(send(prompt(3, 4))).isEqualTo("e1");
+            evacuations.onListing(List.of(), 2);
+            assertThat(send(prompt(5, 6))).isEqualTo("e0");
+        }
+
+        @Test
+        void requestsThatOnlyItCouldServeAreRefused() {
+            loads.onUpdated(endpoint("e0", ENGINES, "a", 64, false));
+            evacuations.onListing(List.of("a"), 1);
+            Choice c = choose(prompt(1, 2));
+            assertThat(c.reason()).isEqualTo(UnavailableReason.EVACUATED);
+            assertThat(c.expectedMs()).isAtLeast(1_000L);
+        }
+
+        /** The zone is not the reason where its endpoints would not serve anyway. */
+        @Test
+        void drainingEndpointsAreNoReason() {
+            loads.onUpdated(endpoint("e0", ENGINES, "a", 64, true));
+            evacuations.onListing(List.of("a"), 1);
+            assertThat(choose(prompt(1, 2)).reason()).isEqualTo(UnavailableReason.NO_ENDPOINT);
+        }
+
+        @Test
+        void itsEnginesAreNoSourcesOfPrompts() {
+            loads.onUpdated(endpoint("e0", ENGINES, "a", 64, false));
+            Prompt prompt = prompt(1, 2);
+            send(prompt);
+            loads.onUpdated(endpoint("e1", ENGINES, "b", 64, false));
+            evacuations.onListing(List.of("a"), 1);
+            Choice c = choose(prompt(1, 3));
+            assertThat(c.endpoint().orElseThrow().entry().id()).isEqualTo("e1");
+            assertThat(c.cacheSource()).isEmpty();
+        }
+
+        @Test
+        void otherDecisionsLeaveItOutToo() {
+            for (String id : List.of("p1", "p2", "p3")) {
+                loads.onUpdated(endpoint(id, "app", id.equals("p2") ? "b" : "a", 6, false));
+            }
+            evacuations.onListing(List.of("a"), 1);
+            ChoiceRequest request = new ChoiceRequest(PLAIN, Prompt.NONE, 150, 600, Set.of());
+            List<EndpointChooser> choosers = List.of(
+                    chooser,
+                    new RoundRobinChooser(loads),
+                    new TwoChoicesChooser(loads, new SplittableRandom(1)),
+                    new BoundedHashChooser(loads));
+            for (EndpointChooser c : choosers) {
+                assertThat(c.choose(request, NOW)
+                                .endpoint()
+                                .orElseThrow()
+                                .entry()
+                                .id())
+                        .isEqualTo("p2");
+            }
+        }
+    }
+
     @Nested
     final class PlainServices {
         @Test
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
@@ -12,6 +12,8 @@
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.evacuation.Evacuations;
+import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.ratelimit.PermitDecision;
 import org.dragonflygw.core.ratelimit.RateNotice;
 import org.dragonflygw.core.ratelimit.RateStatement;
@@ -34,6 +36,53 @@
         return new DiscoveredEndpoint(id, ExchangeFixture.SERVICE, "10.0.0.1", 80, "a", 4, false, 0, 1, version);
     }
 
+    @Nested
+    final class InAnEvacuatedZone {
+        private final Evacuations evacuations =
+                new Evacuations(f.loads.evacuated(), zone -> 0, new NoOpEventLog(), f.clock);
+
+        private void evacuate() {
+            evacuations.onListing(List.of("a"), 1);
+        }
+
+        /** Guards against a request that waits for its connection while the evacuation begins. */
+        @Test
+        void aRequestIsNotSentOnAConnectionThatOpensLater() {
+            Exchange x = f.start(PLAIN);
+            assertThat(x.mayStillSend()).isTrue();
+            evacuate();
+            assertThat(x.mayStillSend()).isFalse();
+            x.onAttemptFailed(AttemptFailure.WITHDRAWN);
+            assertThat(f.sent).hasSize(1);
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.ZONE_EVACUATED);
+        }
+
+        @Test
+        void aPermitThatArrivesLaterIsNotUsed() {
+            List<Consumer<PermitDecision>> waiting = new ArrayList<>();
+            f.permits = (endpoint, listener) -> waiting.add(listener);
+            long now = f.clock.nanos();
+            for (EndpointLoadState e : f.loads.all()) {
+                e.rate().accept(new RateStatement(RateNotice.limited(3), now, now), now);
+            }
+            f.start(PLAIN);
+            evacuate();
+            waiting.get(0).accept(new PermitDecision(true, "h", 0, 3));
+            assertThat(f.sent).isEmpty();
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.ZONE_EVACUATED);
+        }
+
+        @Test
+        void aRequestThatNobodyElseCanServeIsRefusedAtOnceWithATimeToReturn() {
+            evacuate();
+            f.start(PLAIN);
+            assertThat(f.sent).isEmpty();
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.ZONE_EVACUATED);
+            assertThat(f.rejections.get(0).retryAfterMs()).isAtLeast(1_000);
+            assertThat(f.rejections.get(0).retryAfterMs()).isAtMost(2_000);
+        }
+    }
+
     @Nested
     final class WithLimits {
         private final List<Consumer<PermitDecision>> waiting = new ArrayList<>();
--- a/core/src/test/java/org/dragonflygw/core/storenews/EraAgreementTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/EraAgreementTest.java
@@ -14,6 +14,9 @@
 import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.evacuation.EvacuatedZones;
+import org.dragonflygw.core.evacuation.EvacuationNews;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PeerTable;
@@ -130,6 +133,7 @@
                         era,
                         new EndpointRegistry(loads, () -> 1_200_000_000L, new NoOpEventLog()),
                         new EndpointChangeLog(),
+                        new Evacuations(new EvacuatedZones(), zone -> 0, new NoOpEventLog(), clock),
                         new StoreContact(() -> 1, clock, MutableClock.of(Instant.EPOCH, ZoneOffset.UTC)),
                         clock);
                 for (int i = 0; i < count; i++) {
@@ -190,7 +194,8 @@
                         listed() ? ageMs() : -1,
                         version(),
                         List.of(),
-                        ConfigurationNews.NONE);
+                        ConfigurationNews.NONE,
+                        EvacuationNews.UNKNOWN);
                 HostReport report = new HostReport(
                         name,
                         new HostAddress(name, 1),
--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -19,6 +19,9 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.evacuation.EvacuatedZones;
+import org.dragonflygw.core.evacuation.EvacuationNews;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PeerTable;
@@ -170,6 +173,7 @@
                     new StoreEra(new NoOpEventLog(), () -> {}),
                     registry,
                     changes,
+                    new Evacuations(new EvacuatedZones(), zone -> 0, new NoOpEventLog(), clock),
                     new StoreContact(() -> 1, clock, wall),
                     clock);
             for (int i = 0; i < HOSTS; i++) {
@@ -247,7 +251,8 @@
                     ageMs(),
                     changes.completeFrom(),
                     changes.changes(),
-                    ConfigurationNews.NONE);
+                    ConfigurationNews.NONE,
+                    EvacuationNews.UNKNOWN);
             HostAddress address = new HostAddress(name, 1);
             to.receive(new HostReport(
                     name,
--- a/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/ReaderSelectionTest.java
@@ -8,6 +8,7 @@
 import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.evacuation.EvacuationNews;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.PeerTable;
@@ -24,7 +25,14 @@
         for (int i = 0; i < hosts; i++) {
             String host = "h" + i;
             StoreNews news = new StoreNews(
-                    0, !host.equals(unreachable), 1, 1, 0, List.of(), new ConfigurationNews(1, 0, 1, List.of()));
+                    0,
+                    !host.equals(unreachable),
+                    1,
+                    1,
+                    0,
+                    List.of(),
+                    new ConfigurationNews(1, 0, 1, List.of()),
+                    EvacuationNews.UNKNOWN);
             peers.onReport(new HostReport(
                     host,
                     ADDRESS,
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
@@ -14,6 +14,9 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.evacuation.EvacuatedZones;
+import org.dragonflygw.core.evacuation.EvacuationNews;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -27,9 +30,11 @@
             new EndpointRegistry(new EndpointLoads(), () -> 1_200_000_000L, new NoOpEventLog());
     private final StoreContact contact = new StoreContact(
             () -> 4_000_000_000L, clock, MutableClock.of(Instant.ofEpochSecond(1_000), ZoneOffset.UTC));
+    private final EvacuatedZones zones = new EvacuatedZones();
+    private final Evacuations evacuations = new Evacuations(zones, zone -> 0, new NoOpEventLog(), clock);
     private final EndpointChangeLog changeLog = new EndpointChangeLog();
-    private final StoreNewsApplier applier =
-            new StoreNewsApplier(new StoreEra(new NoOpEventLog(), () -> {}), registry, changeLog, contact, clock);
+    private final StoreNewsApplier applier = new StoreNewsApplier(
+            new StoreEra(new NoOpEventLog(), () -> {}), registry, changeLog, evacuations, contact, clock);
     private final FakeTable endpoints = new FakeTable(10);
     private final FakeTable configuration = new FakeTable(10);
     private final FakeCatalog catalog = new FakeCatalog();
@@ -43,7 +48,16 @@
     }
 
     private static StoreNews endpointNews(long completeFrom, long version, EndpointChange... changes) {
-        return new StoreNews(0, true, version, 20, completeFrom, List.of(changes), ConfigurationNews.NONE);
+        return new StoreNews(
+                0, true, version, 20, completeFrom, List.of(changes), ConfigurationNews.NONE, EvacuationNews.UNKNOWN);
+    }
+
+    private static StoreNews configurationNews(ConfigurationNews news) {
+        return configurationNews(news, new EvacuationNews(news.rowVersion(), List.of()));
+    }
+
+    private static StoreNews configurationNews(ConfigurationNews news, EvacuationNews evacuationNews) {
+        return new StoreNews(0, true, 0, -1, 0, List.of(), news, evacuationNews);
     }
 
     @Nested
@@ -118,14 +132,14 @@
     final class ConfigurationVersions {
         @Test
         void newerVersionTriggersRead() {
-            apply(new StoreNews(0, true, 0, -1, 0, List.of(), new ConfigurationNews(6, 0, 10, List.of())));
+            apply(configurationNews(new ConfigurationNews(6, 0, 10, List.of())));
             assertThat(configuration.reads).isEqualTo(1);
             assertThat(contact.keysConfirmed()).isFalse();
         }
 
         @Test
         void sameVersionConfirmsKeysUntilSendersReadExpires() {
-            apply(new StoreNews(0, true, 0, -1, 0, List.of(), new ConfigurationNews(5, 0, 3_000, List.of())));
+            apply(configurationNews(new ConfigurationNews(5, 0, 3_000, List.of())));
             assertThat(contact.keysConfirmed()).isTrue();
             clock.advanceMs(901);
             assertThat(contact.keysConfirmed()).isFalse();
@@ -133,15 +147,53 @@
 
         @Test
         void olderVersionDoesNotConfirmKeys() {
-            apply(new StoreNews(0, true, 0, -1, 0, List.of(), new ConfigurationNews(4, 0, 10, List.of())));
+            apply(configurationNews(new ConfigurationNews(4, 0, 10, List.of())));
             assertThat(contact.keysConfirmed()).isFalse();
         }
 
         @Test
         void versionOfUnknownAgeDoesNotConfirmKeys() {
-            apply(new StoreNews(0, true, 0, -1, 0, List.of(), new ConfigurationNews(5, 0, -1, List.of())));
+            apply(configurationNews(new ConfigurationNews(5, 0, -1, List.of())));
+            assertThat(contact.keysConfirmed()).isFalse();
+        }
+    }
+
+    @Nested
+    final class EvacuatedZoneNews {
+        private final ConfigurationNews fresh = new ConfigurationNews(5, 0, 10, List.of());
+
+        @Test
+        void areAppliedAndReplaceARead() {
+            apply(configurationNews(fresh, new EvacuationNews(12, List.of("a"))));
+            assertThat(zones.contains("a")).isTrue();
+            assertThat(configuration.freshNanos).isNotEqualTo(0);
+        }
+
+        /** Guards against hosts of an earlier program, which say that nothing has changed and know no evacuations. */
+        @Test
+        void doNotReplaceAReadIfTheyDoNotNameTheZones() {
+            apply(configurationNews(fresh, EvacuationNews.UNKNOWN));
+            assertThat(configuration.freshNanos).isEqualTo(0);
             assertThat(contact.keysConfirmed()).isFalse();
         }
+
+        /** Guards against a row that is skipped by a later read because the copy counts as complete beyond it. */
+        @Test
+        void neverAdvanceTheTableBeyondTheKnownEvacuations() {
+            catalog.rowVersion = 20;
+            apply(configurationNews(new ConfigurationNews(20, 0, 10, List.of()), new EvacuationNews(12, List.of("a"))));
+            assertThat(configuration.version).isEqualTo(12);
+        }
+
+        @Test
+        void ofAnEarlierEraAreIgnored() {
+            StoreEra era = new StoreEra(new NoOpEventLog(), evacuations::onNewEra);
+            StoreNewsApplier later = new StoreNewsApplier(era, registry, changeLog, evacuations, contact, clock);
+            era.onSeen(3, "read");
+            StoreNews news = configurationNews(fresh, new EvacuationNews(12, List.of("a")));
+            later.apply(news, endpoints, configuration, catalog);
+            assertThat(zones.contains("a")).isFalse();
+        }
     }
 
     @Nested
@@ -152,8 +204,7 @@
         }
 
         private void receive(long rowVersion, CatalogUpdate... updates) {
-            apply(new StoreNews(
-                    0, true, 0, -1, 0, List.of(), new ConfigurationNews(rowVersion, 0, 10, List.of(updates))));
+            apply(configurationNews(new ConfigurationNews(rowVersion, 0, 10, List.of(updates))));
         }
 
         @Test
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
@@ -19,6 +19,9 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.evacuation.EvacuatedZones;
+import org.dragonflygw.core.evacuation.EvacuationNews;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.storage.RowPage;
 import org.dragonflygw.core.storage.VersionedRow;
@@ -152,6 +155,7 @@
                 era,
                 registry,
                 log,
+                new Evacuations(new EvacuatedZones(), zone -> 0, new NoOpEventLog(), clock),
                 new StoreContact(() -> 1, clock, MutableClock.of(Instant.EPOCH, ZoneOffset.UTC)),
                 clock);
         private Optional<RowPage> response = Optional.empty();
@@ -213,7 +217,8 @@
                     other.listed() ? 0 : -1,
                     other.log.completeFrom(),
                     other.log.changes(),
-                    ConfigurationNews.NONE);
+                    ConfigurationNews.NONE,
+                    EvacuationNews.UNKNOWN);
             applier.apply(news, this, this, this);
         }
 
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -25,6 +25,7 @@
 import org.dragonflygw.core.dispatch.FleetSizeSampler;
 import org.dragonflygw.core.dispatch.RoundRobinChooser;
 import org.dragonflygw.core.dispatch.TwoChoicesChooser;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
@@ -149,6 +150,7 @@
                 settings,
                 catalogs,
                 registry,
+                new Evacuations(loads.evacuated(), loads::countIn, log, System::nanoTime),
                 contact,
                 peers,
                 storedSuspects,
@@ -175,6 +177,8 @@
         metrics.registerGauge("crashing_parts", crashingParts::count);
         metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
         metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
+        metrics.registerGauge("evacuated_zones", loads.evacuated()::count);
+        metrics.registerGauge("requests_in_evacuated_zones", loads::requestsInEvacuatedZones);
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
         metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -7,6 +7,7 @@
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.crash.StoredSuspects;
 import org.dragonflygw.core.discovery.EndpointRegistry;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.resume.SoftwareVersions;
@@ -33,6 +34,7 @@
     private final PeerTable peers;
     private final ReaderSelection readerSelection;
     private final ConfigurationFeed configurationFeed;
+    private final Evacuations evacuations;
     private final EndpointChangeLog changes = new EndpointChangeLog();
     private final TableFollower configuration;
     private final TableFollower endpoints;
@@ -54,6 +56,7 @@
             SettingsHolder settings,
             CatalogHolder catalogs,
             EndpointRegistry registry,
+            Evacuations evacuations,
             StoreContact contact,
             PeerTable peers,
             StoredSuspects storedSuspects,
@@ -64,6 +67,7 @@
         this.group = group;
         this.settings = settings;
         this.registry = registry;
+        this.evacuations = evacuations;
         this.peers = peers;
         ObjectMapper mapper = new ObjectMapper();
         era = new StoreEra(log, this::onNewEra);
@@ -71,13 +75,15 @@
         TableFollowerFactory followers = new TableFollowerFactory(
                 group, settings, new StoreApiCodec(mapper), metrics, log, readerSelection, era);
         configurationFeed = new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log);
-        configuration = followers.configuration(configurationFeed, afterRead);
+        // Evacuations first: a host that knows a configuration may serve.
+        configuration = followers.configuration(
+                new TableListeners(new EvacuationFeed(evacuations, log), configurationFeed), afterRead);
         endpoints = followers.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry, changes), afterRead);
         suspectRows = followers.suspectRows(storedSuspects);
         suspects = followers.suspects(suspectRows);
         versionRows = followers.versionRows(versions);
         peerDiscovery = followers.peerDiscovery(peers);
-        newsApplier = new StoreNewsApplier(era, registry, changes, contact, System::nanoTime);
+        newsApplier = new StoreNewsApplier(era, registry, changes, evacuations, contact, System::nanoTime);
     }
 
     private void onNewEra() {
@@ -108,6 +114,7 @@
         long now = System.nanoTime();
         registry.removeLapsed(now);
         changes.expire(now);
+        evacuations.releaseHeld();
         return new StoreNews(
                 era.current(),
                 configuration.isReachable() && endpoints.isReachable(),
@@ -115,7 +122,8 @@
                 endpoints.ageMs(),
                 changes.completeFrom(),
                 changes.changes(),
-                configurationFeed.news());
+                configurationFeed.news(),
+                evacuations.news());
     }
 
     /** Returns whether this host knows which requests the store names as crashing endpoints. */
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -21,6 +21,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.dispatch.PromptPart;
+import org.dragonflygw.core.evacuation.EvacuationNews;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
@@ -112,7 +113,8 @@
         for (int i = 0; i < CHANGES; i++) {
             changes.add(new EndpointChange(endpoint(i).id(), Optional.of(endpoint(i)), i + 1));
         }
-        return new StoreNews(0, true, CHANGES, 0, 0, changes, new ConfigurationNews(1, 0, 0, List.of()));
+        return new StoreNews(
+                0, true, CHANGES, 0, 0, changes, new ConfigurationNews(1, 0, 0, List.of()), EvacuationNews.UNKNOWN);
     }
 
     /**
--- a/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
@@ -18,6 +18,9 @@
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.discovery.EndpointRegistry;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.evacuation.EvacuatedZones;
+import org.dragonflygw.core.evacuation.EvacuationNews;
+import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.storage.VersionedRow;
 import org.dragonflygw.core.storenews.CatalogUpdate;
@@ -190,6 +193,7 @@
                 new StoreEra(new NoOpEventLog(), () -> {}),
                 new EndpointRegistry(new EndpointLoads(), () -> 1, new NoOpEventLog()),
                 new EndpointChangeLog(),
+                new Evacuations(new EvacuatedZones(), zone -> 0, new NoOpEventLog(), System::nanoTime),
                 contact,
                 System::nanoTime);
         private long lastVersion;
@@ -206,7 +210,9 @@
         /** Applies the news of another host; returns 1 if the configuration in force changed, otherwise 0. */
         int applyNewsOf(Host other) {
             long before = feed.rowVersion();
-            newsApplier.apply(new StoreNews(0, true, 0, -1, 0, List.of(), other.feed.news()), this, this, feed);
+            EvacuationNews noZones = new EvacuationNews(other.feed.rowVersion(), List.of());
+            newsApplier.apply(
+                    new StoreNews(0, true, 0, -1, 0, List.of(), other.feed.news(), noZones), this, this, feed);
             return feed.rowVersion() > before ? 1 : 0;
         }
 
--- a/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.evacuation.EvacuationNews;
 import org.dragonflygw.core.storenews.ConfigurationNews;
 import org.dragonflygw.core.storenews.EndpointChange;
 import org.dragonflygw.core.storenews.StoreEra;
@@ -29,10 +30,29 @@
                 news.configuration().updates().stream()
                         .map(CatalogUpdateCodec::encode)
                         .toList());
+        setEvacuations(message, news.evacuations());
         return message.setStoreEra(news.era())
                 .setConfigVersion(news.configuration().configVersion());
     }
 
+    private static void setEvacuations(StoreNewsMessage message, EvacuationNews news) {
+        if (!news.isKnown()) {
+            return;
+        }
+        message.setEvacuationVersion(news.version());
+        if (!news.zones().isEmpty()) {
+            message.setEvacuatedZones(news.zones());
+        }
+    }
+
+    private static EvacuationNews decodeEvacuations(StoreNewsMessage m) {
+        if (!m.isSetEvacuationVersion()) {
+            return EvacuationNews.UNKNOWN;
+        }
+        return new EvacuationNews(
+                m.getEvacuationVersion(), m.isSetEvacuatedZones() ? m.getEvacuatedZones() : List.of());
+    }
+
     private static EndpointChangeMessage encode(EndpointChange change) {
         EndpointChangeMessage m = new EndpointChangeMessage(change.id(), change.version());
         change.entry()
@@ -62,7 +82,8 @@
                 m.getEndpointsAgeMillis(),
                 m.getCompleteFrom(),
                 changes,
-                configuration);
+                configuration,
+                decodeEvacuations(m));
     }
 
     private static EndpointChange decode(EndpointChangeMessage m) {
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -110,6 +110,10 @@
   9: optional i64 storeEra
   /** Version of the configuration in force. */
   10: optional i64 configVersion
+  /** Version up to which the evacuated zones are complete; not set if the host does not know them. */
+  11: optional i64 evacuationVersion
+  /** Availability zones that are evacuated. */
+  12: optional list<string> evacuatedZones
 }
 
 /** A request during which connections to endpoints were lost. */
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -30,6 +30,7 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
 import org.dragonflygw.core.dispatch.PromptPart;
+import org.dragonflygw.core.evacuation.EvacuationNews;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
@@ -89,7 +90,8 @@
                 20,
                 3,
                 List.of(new EndpointChange("i-1", Optional.of(e), 8), new EndpointChange("i-2", Optional.empty(), 9)),
-                new ConfigurationNews(9, 0, 30, List.of(update())));
+                new ConfigurationNews(9, 0, 30, List.of(update())),
+                new EvacuationNews(77, List.of("zone-a", "zone-b")));
         return new HostReport(
                 "h1",
                 new HostAddress("10.0.0.2", 7_000),
@@ -176,8 +178,15 @@
                     "v1.1");
             changes.add(new EndpointChange(e.id(), Optional.of(e), 100_000 + i));
         }
-        StoreNews news =
-                new StoreNews(3, true, 100_100, 500, 100_000, changes, new ConfigurationNews(9, 9, 300, List.of()));
+        StoreNews news = new StoreNews(
+                3,
+                true,
+                100_100,
+                500,
+                100_000,
+                changes,
+                new ConfigurationNews(9, 9, 300, List.of()),
+                EvacuationNews.UNKNOWN);
         HostReport largest = new HostReport(
                 empty.host(),
                 empty.address(),
