--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -48,6 +48,7 @@
 import org.dragonflygw.core.settings.HostBounds;
 import org.dragonflygw.core.settings.HostIdentity;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.core.warmup.WarmupTracker;
 import org.dragonflygw.edge.front.FrontContext;
 import org.dragonflygw.edge.front.FrontServer;
 import org.dragonflygw.edge.front.FrontState;
@@ -77,6 +78,9 @@
     /** Interval in milliseconds at which held requests are checked while the process starts. */
     private static final long HOLD_CHECK_MS = 10;
 
+    /** Interval in milliseconds at which cold endpoints are checked for the end of their warm-up. */
+    private static final long WARMUP_CHECK_MS = 200;
+
     private final SettingsHolder settings;
     private final HostIdentity identity;
     private final ChoicePolicy policy;
@@ -92,6 +96,7 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointNotices notices;
     private final EndpointRegistry registry;
+    private final WarmupTracker warmups;
     private final FleetRetryShare retries;
     private final CrashSuspects crashes;
     private final CrashingParts crashingParts;
@@ -115,10 +120,13 @@
         this.log = log;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.metrics = new EdgeMetrics(new MetricRegistry());
-        this.notices = new EndpointNotices(loads, log, System::nanoTime);
-        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics);
         this.contact = new StoreContact(this::maxKeyAgeNanos, System::nanoTime, InstantSource.system());
         this.registry = new EndpointRegistry(new EndpointUpdates(), this::heartbeatNanos, log);
+        this.warmups = new WarmupTracker(
+                loads.rates(), catalogs::current, registry::loaded, System::nanoTime, InstantSource.system(), log);
+        catalogs.onReplaced(warmups::refresh);
+        this.notices = new EndpointNotices(loads, warmups::onResponse, log, System::nanoTime);
+        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics);
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
@@ -179,6 +187,7 @@
         metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
         metrics.registerGauge("evacuated_zones", loads.evacuated()::count);
         metrics.registerGauge("requests_in_evacuated_zones", loads::requestsInEvacuatedZones);
+        metrics.registerGauge("endpoints_cold", loads.rates()::coldCount);
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
         metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
@@ -188,6 +197,7 @@
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
         startStoreAndPeers();
+        scheduleWithFixedDelay(WARMUP_CHECK_MS, warmups::refresh);
         listener = new FrontServer(group, frontParts()).listen(identity.callers());
         releaseHeldRequests();
         logStart();
@@ -344,12 +354,14 @@
         @Override
         public void onUpdated(DiscoveredEndpoint endpoint) {
             loads.onUpdated(endpoint);
+            warmups.onUpdated(endpoint);
             versions.onUpdated(endpoint);
         }
 
         @Override
         public void onRemoved(DiscoveredEndpoint endpoint) {
             loads.onRemoved(endpoint);
+            warmups.onRemoved(endpoint);
             versions.onRemoved(endpoint);
             pool.removeEndpoint(endpoint);
             if (!endpoint.draining()) {
