Even load of engines from load reports that are seconds old

Cause: all hosts compared the same old loads exactly and turned to the same engine; a prompt prefix stayed on its first engine until old reports showed it over the bound. Change: the newer of the peers' and the endpoint's word counts, corrected by its age with what the fleet is expected to have sent since; loads are drawn from their uncertainty; with old reports a request compares a random share of the engines, and a hot prefix has as many home engines as its traffic needs. PeerLoad has the age of its reports. Gauges load_spread_percent and load_knowledge_age_ms, field loadAgeMs. RendezvousOrderTest passes the new constructor argument.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -26,6 +26,16 @@
     /** Time for which the endpoint's own report may be ahead of the peers' reports, in nanoseconds. */
     private static final long RECENT_REPORT_NANOS = 500_000_000L;
 
+    /** Time for which a prompt typically stays unread, in nanoseconds. */
+    private static final double UNREAD_NANOS = 3e8;
+
+    /** Largest level of an endpoint that is believed, as a multiple of the mean load of its service. */
+    private static final double MAX_LEVEL = 4;
+
+    /** Mean number of requests of other hosts at an endpoint from which the level of an endpoint can be told. */
+    private static final double MIN_MEAN_LOAD = 0.5;
+
+    private final ServiceTraffic traffic;
     private final CachedParts cached;
     private final QuietTime quiet;
     private final EndpointRate rate;
@@ -37,13 +47,19 @@
     private long reportNanos = Long.MIN_VALUE;
     private PeerLoad peerLoad = PeerLoad.NONE;
     private long peerLoadNanos = Long.MIN_VALUE;
+    private double level = 1;
+    private long estimateNanos = Long.MIN_VALUE;
+    private double estimatedOthers;
+    private double othersDeviation;
     private double failureScore;
     private long failureScoreNanos;
     private long blockedUntilNanos = Long.MIN_VALUE;
     private boolean leaving;
 
-    EndpointLoadState(DiscoveredEndpoint entry, QuietTime quiet, EndpointRate rate, long cacheTokens) {
+    EndpointLoadState(
+            DiscoveredEndpoint entry, ServiceTraffic traffic, QuietTime quiet, EndpointRate rate, long cacheTokens) {
         this.entry = entry;
+        this.traffic = traffic;
         this.quiet = quiet;
         this.rate = rate;
         this.cached = new CachedParts(cacheTokens);
@@ -87,6 +103,9 @@
     /** Records a prompt prefix that another host sent to the endpoint. */
     public void onPromptSentByPeer(List<PromptPart> parts, long nowNanos) {
         cached.add(parts, readNanos(nowNanos));
+        if (!parts.isEmpty()) {
+            traffic.onPrefix(parts.get(parts.size() - 1).id());
+        }
     }
 
     private long readNanos(long nowNanos) {
@@ -103,27 +122,102 @@
         inFlight--;
     }
 
+    /** Records how long a request of this host took that was answered in whole, in nanoseconds from its sending. */
+    public void onRequestTime(long nanos) {
+        traffic.onRequestTime(nanos);
+    }
+
     /** Records the load that the endpoint reported in a response. */
     public void onLoadReport(LoadReport report, long nowNanos) {
         otherRequestsAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
         reportNanos = nowNanos;
+        estimateNanos = Long.MIN_VALUE;
     }
 
-    /** Records the load that other hosts put on the endpoint. */
+    /** Records the load that other hosts put on the endpoint, as known at a time. */
     public void onPeerLoad(PeerLoad load, long nowNanos) {
+        updateLevel(load, nowNanos);
         peerLoad = load;
         peerLoadNanos = nowNanos;
     }
 
     /**
-     * Returns the estimated number of requests of all hosts at the endpoint. Reports of peers take precedence over the
-     * endpoint's own reports.
+     * Returns the estimated number of requests of all hosts at the endpoint: those of this host, and those of the others.
+     * What is known of the others is the newer one of the peers' reports and the endpoint's own. Of the requests that it
+     * shows some have ended since, and others were sent; with its age the estimate moves to the mean of the service.
      */
     public double load(long nowNanos) {
-        if (isFresh(peerLoadNanos, nowNanos)) {
-            return inFlight + peerLoad.inFlight();
+        estimate(nowNanos);
+        return inFlight + estimatedOthers;
+    }
+
+    /** Returns the standard deviation of the load about its estimate, as requests arrived and ended since the report. */
+    double loadDeviation(long nowNanos) {
+        estimate(nowNanos);
+        return othersDeviation;
+    }
+
+    private void estimate(long nowNanos) {
+        if (estimateNanos == nowNanos) {
+            return;
+        }
+        double expected = level * traffic.othersPerEndpoint(nowNanos);
+        double remaining = isKnown(nowNanos) ? traffic.remainingShare(ageNanos(nowNanos)) : 0;
+        estimatedOthers = remaining * othersReported(nowNanos) + (1 - remaining) * expected;
+        othersDeviation = Math.sqrt(expected * (1 - remaining * remaining));
+        estimateNanos = nowNanos;
+    }
+
+    /** Returns whether there is a recent report of the endpoint's load. */
+    boolean isKnown(long nowNanos) {
+        return isFresh(peerLoadNanos, nowNanos) || isFresh(reportNanos, nowNanos);
+    }
+
+    /** Returns the number of requests of other hosts at the endpoint by the newest report. */
+    double othersReported(long nowNanos) {
+        return isOwnReportNewer(nowNanos) ? otherRequestsAtReport : peerLoad.inFlight();
+    }
+
+    /** Returns the prompt tokens of other hosts that the endpoint had not read by the peers' reports. */
+    double othersUnreadTokens(long nowNanos) {
+        return isFresh(peerLoadNanos, nowNanos) ? peerLoad.unreadTokens() : 0;
+    }
+
+    /** Returns the age of the newest report of the endpoint's load, in nanoseconds. */
+    double ageNanos(long nowNanos) {
+        return isOwnReportNewer(nowNanos) ? nowNanos - reportNanos : peerLoadAgeNanos(nowNanos);
+    }
+
+    /** Returns the age of the newest report of the endpoint's load in milliseconds; -1 if there is no recent one. */
+    public long loadAgeMs(long nowNanos) {
+        return isKnown(nowNanos) ? (long) (ageNanos(nowNanos) / NANOS_PER_MS) : -1;
+    }
+
+    private boolean isOwnReportNewer(long nowNanos) {
+        boolean known = isFresh(reportNanos, nowNanos) || isFresh(peerLoadNanos, nowNanos);
+        if (!known || reportNanos == Long.MIN_VALUE) {
+            return false;
+        }
+        return !isFresh(peerLoadNanos, nowNanos) || nowNanos - reportNanos < peerLoadAgeNanos(nowNanos);
+    }
+
+    private double peerLoadAgeNanos(long nowNanos) {
+        return nowNanos - peerLoadNanos + peerLoad.ageMs() * NANOS_PER_MS;
+    }
+
+    /** Returns what is known of all requests to the service of the endpoint. */
+    public ServiceTraffic traffic() {
+        return traffic;
+    }
+
+    private void updateLevel(PeerLoad load, long nowNanos) {
+        double mean = traffic.othersPerEndpoint(nowNanos);
+        estimateNanos = Long.MIN_VALUE;
+        if (peerLoadNanos == Long.MIN_VALUE || mean < MIN_MEAN_LOAD) {
+            return;
         }
-        return inFlight + (isFresh(reportNanos, nowNanos) ? otherRequestsAtReport : 0);
+        double weight = 1 - Math.exp(-(nowNanos - peerLoadNanos) / traffic.levelNanos());
+        level += weight * (Math.min(MAX_LEVEL, load.inFlight() / mean) - level);
     }
 
     /**
@@ -137,7 +231,11 @@
 
     /** Returns the estimated number of prompt tokens of all hosts that the endpoint has not read yet. */
     public double estimatedUnreadTokens(long nowNanos) {
-        return unreadTokens + (isFresh(peerLoadNanos, nowNanos) ? peerLoad.unreadTokens() : 0);
+        double remaining = Math.exp(-peerLoadAgeNanos(nowNanos) / UNREAD_NANOS);
+        return unreadTokens
+                + (isFresh(peerLoadNanos, nowNanos)
+                        ? remaining * peerLoad.unreadTokens() + (1 - remaining) * traffic.unreadPerEndpoint(nowNanos)
+                        : 0);
     }
 
     private static boolean isFresh(long atNanos, long nowNanos) {
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -16,6 +16,9 @@
     /** Assumed prompt cache capacity of an engine, in tokens. */
     private static final long DEFAULT_CACHE_TOKENS = 300_000;
 
+    /** Request time assumed before the first request has ended, in milliseconds; that of a short stream. */
+    private static final double INITIAL_REQUEST_MS = 1_000;
+
     /** Largest number of prompt prefixes queued for the next report to peers; more are not worth the traffic. */
     private static final int MAX_NEW_HOLDINGS = 64;
 
@@ -24,7 +27,7 @@
     private final QuietTimes quietTimes = new QuietTimes();
     private final EndpointRates rates = new EndpointRates();
     private final Map<String, EndpointLoadState> byId = new HashMap<>();
-    private final Map<String, List<EndpointLoadState>> byService = new HashMap<>();
+    private final Map<String, ServiceTraffic> byService = new HashMap<>();
 
     @Override
     public void onUpdated(DiscoveredEndpoint endpoint) {
@@ -33,13 +36,19 @@
             known.entry(endpoint);
             return;
         }
+        ServiceTraffic traffic =
+                byService.computeIfAbsent(endpoint.service(), s -> new ServiceTraffic(INITIAL_REQUEST_MS));
         EndpointLoadState state = new EndpointLoadState(
-                endpoint, quietTimes.of(endpoint), rates.of(endpoint.id(), endpoint.startedMs()), DEFAULT_CACHE_TOKENS);
+                endpoint,
+                traffic,
+                quietTimes.of(endpoint),
+                rates.of(endpoint.id(), endpoint.startedMs()),
+                DEFAULT_CACHE_TOKENS);
         if (leaving.contains(endpoint)) {
             state.markLeaving();
         }
         byId.put(endpoint.id(), state);
-        byService.computeIfAbsent(endpoint.service(), s -> new ArrayList<>()).add(state);
+        traffic.add(state);
     }
 
     @Override
@@ -107,7 +116,24 @@
 
     /** Returns the endpoints of a service, including draining ones. */
     public List<EndpointLoadState> ofService(String service) {
-        return byService.getOrDefault(service, List.of());
+        ServiceTraffic traffic = byService.get(service);
+        return traffic == null ? List.of() : traffic.endpoints();
+    }
+
+    /** Returns the largest load of an endpoint as a multiple of the mean of its service, in percent; 100 if none. */
+    public long maxSpreadPercent(long nowNanos) {
+        return byService.values().stream()
+                .mapToLong(t -> t.spreadPercent(nowNanos))
+                .max()
+                .orElse(100);
+    }
+
+    /** Returns the largest mean age of what is known of the loads of a service's endpoints, in milliseconds. */
+    public long maxKnowledgeAgeMs(long nowNanos) {
+        return byService.values().stream()
+                .mapToLong(t -> t.ageMs(nowNanos))
+                .max()
+                .orElse(0);
     }
 
     /** Returns the state of the endpoint with an id. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SplittableRandom;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 
@@ -11,8 +13,8 @@
  * Chooses the endpoint with the lowest cost. The cost is based on the expected time until the response begins: the time
  * for the prompt tokens that the engine has not read (prefilled) yet, for the uncached tokens of this prompt, and for
  * the load. Failures, a different availability zone and other penalties add to the cost. All hosts rank engines for a
- * shared prompt prefix in the same order, so that a prefix stays on one engine until waiting there costs more than
- * reading the prefix elsewhere. Not thread-safe.
+ * shared prompt prefix in the same order, so that a prefix stays on its first engines, as many as its traffic needs, until
+ * waiting there costs more than reading the prefix elsewhere. Not thread-safe.
  */
 public final class ExpectedTimeChooser implements EndpointChooser {
     /** Delay of the first token per running request, in milliseconds. */
@@ -36,6 +38,18 @@
      */
     private static final double FIRST_RANK_UNCACHED_SHARE = 0.4;
 
+    /**
+     * Share of the cost of a fetch that is charged at a home engine of the prompt prefix. Once it has the prefix, later
+     * requests find it there.
+     */
+    private static final double HOME_FETCH_SHARE = 0.1;
+
+    /** Cost per running request of an engine in milliseconds, beyond the expected time, to keep the load even. */
+    private static final double LOAD_COST_MS = 3.75;
+
+    /** Standard deviation of a load, in requests, from which it is drawn rather than taken as known. */
+    private static final double MIN_DEVIATION = 0.1;
+
     /** Share of the objective up to which an expected time is considered on time, as estimates are rough. */
     private static final double ON_TIME_SHARE = 0.4;
 
@@ -69,6 +83,8 @@
     private final UsableEndpoints usable;
     private final Supplier<DispatchSettings> settings;
     private final CandidateSampler sampler;
+    private final PrefixSpread spread;
+    private final RandomGenerator random;
 
     /**
      * Creates a chooser.
@@ -76,12 +92,24 @@
      * @param loads known endpoints with their loads
      * @param settings supplier of the current settings
      * @param sampler preselects the endpoints of plain services
+     * @param random source of the samples of engines; differs between hosts
      */
-    public ExpectedTimeChooser(EndpointLoads loads, Supplier<DispatchSettings> settings, CandidateSampler sampler) {
+    public ExpectedTimeChooser(
+            EndpointLoads loads,
+            Supplier<DispatchSettings> settings,
+            CandidateSampler sampler,
+            RandomGenerator random) {
         this.loads = loads;
         this.usable = new UsableEndpoints(loads);
         this.settings = settings;
         this.sampler = sampler;
+        this.random = random;
+        this.spread = new PrefixSpread(random);
+    }
+
+    /** Creates a chooser with its own source of samples. */
+    public ExpectedTimeChooser(EndpointLoads loads, Supplier<DispatchSettings> settings, CandidateSampler sampler) {
+        this(loads, settings, sampler, new SplittableRandom());
     }
 
     @Override
@@ -122,20 +150,33 @@
 
     private ScoredEndpoint best(
             ChoiceRequest request, List<EndpointLoadState> candidates, double bound, long nowNanos) {
+        if (candidates.isEmpty()) {
+            return null;
+        }
         RendezvousOrder order = new RendezvousOrder(candidates, request.prompt().sharedKey());
         PromptSources sources = sources(request, nowNanos);
+        PrefixSpread.Selection selection = spread.select(
+                request.prompt().sharedKey(),
+                candidates.size(),
+                candidates.get(0).traffic(),
+                nowNanos);
         ScoredEndpoint best = null;
+        ScoredEndpoint bestOther = null;
         for (int i = 0; i < candidates.size(); i++) {
             EndpointLoadState e = candidates.get(i);
-            if (UsableEndpoints.isFull(request, e, nowNanos)) {
+            boolean selected = selection.contains(order.rank(i));
+            if ((!selected && best != null) || UsableEndpoints.isFull(request, e, nowNanos)) {
                 continue;
             }
-            ScoredEndpoint s = score(request, e, order.rank(i), sources, bound, nowNanos);
-            if (best == null || s.cost < best.cost) {
-                best = s;
+            int rank = Math.max(0, order.rank(i) - selection.homes() + 1);
+            ScoredEndpoint s = score(request, e, rank, sources, bound, nowNanos);
+            if (selected) {
+                best = best == null || s.cost < best.cost ? s : best;
+            } else {
+                bestOther = bestOther == null || s.cost < bestOther.cost ? s : bestOther;
             }
         }
-        return best;
+        return best == null ? bestOther : best;
     }
 
     private PromptSources sources(ChoiceRequest request, long nowNanos) {
@@ -152,7 +193,7 @@
 
     private ScoredEndpoint score(
             ChoiceRequest request, EndpointLoadState e, int rank, PromptSources sources, double bound, long nowNanos) {
-        double load = e.load(nowNanos);
+        double load = drawnLoad(e, nowNanos);
         PromptReading reading = request.service().hasModelEngines()
                 ? reading(request.prompt(), e, rank, sources, nowNanos)
                 : PromptReading.NONE;
@@ -162,12 +203,13 @@
                 : expectedPlainMs(e, load);
         double cost = waitCost(request, expected)
                 + reading.extraMs
+                + (request.service().hasModelEngines() ? load * LOAD_COST_MS : 0)
                 + rank * RANK_PENALTY_MS
                 + e.failureScore(nowNanos) * FAILURE_PENALTY_MS;
         if (!settings.get().zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_PENALTY_MS;
         }
-        if (e.highestLoad(nowNanos) + 1 > bound) {
+        if (Math.max(load, e.highestLoad(nowNanos)) + 1 > bound) {
             cost += OVER_BOUND_PENALTY_MS;
         }
         if (e.isBlocked(nowNanos)) {
@@ -176,6 +218,16 @@
         return new ScoredEndpoint(e, cost, expected, reading);
     }
 
+    /**
+     * Returns a load that the endpoint may have by now, drawn from what is known. With old knowledge hosts so draw
+     * different loads, and do not all choose the endpoint that was the least loaded one at the time of the reports.
+     */
+    private double drawnLoad(EndpointLoadState e, long nowNanos) {
+        double deviation = e.loadDeviation(nowNanos);
+        double load = e.load(nowNanos);
+        return deviation < MIN_DEVIATION ? load : Math.max(e.inFlight(), load + deviation * random.nextGaussian());
+    }
+
     /** Returns a cost that is low while the response is expected on time and rises steeply when it may be late. */
     private static double waitCost(ChoiceRequest request, double expectedMs) {
         double lateMs = Math.max(0, expectedMs - ON_TIME_SHARE * request.objectiveMs());
@@ -199,6 +251,9 @@
         int fetchedTokens = Math.max(0, Math.min(fetchableTokens, shared) - cachedTokens);
         int unreadTokens = uncachedShared - fetchedTokens;
         double extraMs = fetchedTokens > 0 ? FETCH_SETUP_MS + fetchedTokens * FETCH_MS_PER_TOKEN : 0;
+        if (rank == 0) {
+            extraMs *= HOME_FETCH_SHARE;
+        }
         double readMs = unreadTokens / EndpointLoadState.READ_TOKENS_PER_MS;
         extraMs += rank == 0 ? -(1 - FIRST_RANK_UNCACHED_SHARE) * readMs : readMs;
         Optional<EndpointLoadState> source = unreadTokens > fetchedTokens ? holders.likelyHolder(e) : holder;
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -217,6 +217,7 @@
         if (head.isSuccess()) {
             endpoint.onSuccess(now);
             crashes.onCompleted(now);
+            endpoint.onRequestTime(now - attemptStartNanos);
             endAttempt();
             response.complete();
             end("ok", head.status());
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -125,6 +125,7 @@
         removeSilent(now);
         Map<String, PeerLoadSum> sums = new HashMap<>();
         int reportingPeers = 0;
+        long agesNanos = 0;
         for (Map.Entry<String, Peer> e : peers.entrySet()) {
             Peer p = e.getValue();
             boolean fresh = p.report != null && now - p.lastReportNanos < reportExpiryNanos();
@@ -134,6 +135,7 @@
             }
             if (fresh) {
                 reportingPeers++;
+                agesNanos += now - p.lastReportNanos;
                 p.report
                         .uses()
                         .forEach(u -> sums.computeIfAbsent(u.endpoint(), x -> new PeerLoadSum())
@@ -143,9 +145,11 @@
         if (reportingPeers == 0) {
             return;
         }
+        long ageMs = agesNanos / reportingPeers / NANOS_PER_MS;
+        PeerLoadSum none = new PeerLoadSum();
         for (EndpointLoadState s : loads.all()) {
-            PeerLoadSum sum = sums.get(s.entry().id());
-            s.onPeerLoad(sum == null ? PeerLoad.NONE : sum.toPeerLoad(reportingPeers), now);
+            PeerLoadSum sum = sums.getOrDefault(s.entry().id(), none);
+            s.onPeerLoad(sum.toPeerLoad(reportingPeers, ageMs), now);
         }
     }
 
@@ -250,8 +254,8 @@
             failureScoreSum += use.failureScore();
         }
 
-        PeerLoad toPeerLoad(int hosts) {
-            return new PeerLoad(inFlight, unreadTokens, failureScoreSum / hosts);
+        PeerLoad toPeerLoad(int hosts, long ageMs) {
+            return new PeerLoad(inFlight, unreadTokens, failureScoreSum / hosts, ageMs);
         }
     }
 
--- a/core/src/test/java/org/dragonflygw/core/dispatch/RendezvousOrderTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/RendezvousOrderTest.java
@@ -17,6 +17,7 @@
         for (int i = 0; i < count; i++) {
             engines.add(new EndpointLoadState(
                     new DiscoveredEndpoint("i-" + i, "s", "10.0.0.1", 80, "a", 8, false, 0, 1, "v1"),
+                    new ServiceTraffic(1_000),
                     new QuietTime(),
                     new EndpointRates().of("i-" + i, 1),
                     1_000));
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -175,6 +175,8 @@
         metrics.registerGauge("crashing_parts", crashingParts::count);
         metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
         metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
+        metrics.registerGauge("load_spread_percent", () -> loads.maxSpreadPercent(System.nanoTime()));
+        metrics.registerGauge("load_knowledge_age_ms", () -> loads.maxKnowledgeAgeMs(System.nanoTime()));
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
         metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
@@ -273,7 +275,8 @@
                         loads,
                         () -> new DispatchSettings(
                                 identity.zone(), settings.bounds().capFactor()),
-                        new FleetSizeSampler(peers::fleetSize, new SplittableRandom()));
+                        new FleetSizeSampler(peers::fleetSize, new SplittableRandom()),
+                        new SplittableRandom());
             case ROUND_ROBIN -> new RoundRobinChooser(loads);
             case TWO_CHOICES -> new TwoChoicesChooser(loads, new SplittableRandom());
             case BOUNDED_HASH -> new BoundedHashChooser(loads);
