Let no stream be taken up at another service after its route moved and all hosts were lost

Cause: the service of a stream that is taken up follows from the present configuration. After the loss of all records the only version of that service was taken for the origin, though the route went to another service when the stream began. Change: a digest of the routes whose streams may be taken up is kept in the version rows like the version of a service; while it has changed within the last minute, or its past is not known, there is no only version.

--- a/core/src/main/java/org/dragonflygw/core/catalog/CatalogHolder.java
+++ b/core/src/main/java/org/dragonflygw/core/catalog/CatalogHolder.java
@@ -1,10 +1,17 @@
 package org.dragonflygw.core.catalog;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Holds the current catalog of this process. The version never decreases. Not thread-safe. */
 public final class CatalogHolder {
     private Optional<Catalog> current = Optional.empty();
+    private Consumer<Catalog> listener = c -> {};
+
+    /** Sets what is called with each catalog as it comes into force. */
+    public void onChange(Consumer<Catalog> changed) {
+        listener = changed;
+    }
 
     /** Returns the current catalog, or empty until the first one is read. */
     public Optional<Catalog> current() {
@@ -22,6 +29,7 @@
             return false;
         }
         current = Optional.of(next);
+        listener.accept(next);
         return true;
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/resume/SoftwareVersions.java
+++ b/core/src/main/java/org/dragonflygw/core/resume/SoftwareVersions.java
@@ -30,6 +30,11 @@
      */
     private static final long MAX_WAIT_NANOS = 5_000_000_000L;
 
+    /** Name under which the routes of the configuration are kept like versions of a service. */
+    static final String ROUTES = "";
+
+    private static final String CONFIGURATION = "configuration";
+
     private final LongSupplier listAgeMs;
     private final MonotonicClock clock;
     private final Map<String, Map<String, Seen>> byService = new HashMap<>();
@@ -40,6 +45,7 @@
     /** Time since which the list of endpoints was never old. */
     private long listSinceNanos;
 
+    private String routes = "";
     private boolean listKnown;
     private boolean listFresh;
     private boolean storeRead;
@@ -77,6 +83,24 @@
         seen.lastNanos = clock.nanos();
     }
 
+    /**
+     * Records the routes in force. If they have changed lately, a stream may have begun at another service.
+     *
+     * @param digest see {@link ResumableRoutes#digest}
+     */
+    public void onRoutes(String digest) {
+        if (digest.equals(routes)) {
+            return;
+        }
+        if (!routes.isEmpty()) {
+            Seen before = seen(ROUTES, routes);
+            before.endpoints.clear();
+            before.lastNanos = clock.nanos();
+        }
+        routes = digest;
+        seen(ROUTES, digest).endpoints.add(CONFIGURATION);
+    }
+
     private Seen seen(String service, String version) {
         return byService
                 .computeIfAbsent(service, s -> new HashMap<>())
@@ -130,9 +154,14 @@
         return !recent(service).containsKey(version);
     }
 
-    /** Returns whether a service has or had more than one version. */
+    /** Returns whether a service has or had more than one version, or may have had streams that another one began. */
     public boolean several(String service) {
-        return recent(service).size() > 1;
+        return recent(service).size() > 1 || recent(ROUTES).size() > 1;
+    }
+
+    /** Retains the services that have another version than one that the store does not name. */
+    void retainAvoided(Set<String> services) {
+        services.removeIf(s -> s.equals(ROUTES) || recent(s).size() < 2);
     }
 
     /**
@@ -172,9 +201,9 @@
     /** Returns the only version that can have begun a stream; nothing if there were several or it is not certain. */
     public Optional<String> only(String service) {
         observe();
-        boolean knowsThePast =
-                (storeRead && knownPast.contains(service)) || clock.nanos() - listSinceNanos >= MEMORY_NANOS;
-        if (!listFresh || !knowsThePast) {
+        boolean sameRoutes =
+                routes.isEmpty() || (knowsThePast(ROUTES) && recent(ROUTES).size() == 1);
+        if (!listFresh || !knowsThePast(service) || !sameRoutes) {
             return Optional.empty();
         }
         Map<String, Seen> versions = recent(service);
@@ -183,6 +212,10 @@
                 : Optional.empty();
     }
 
+    private boolean knowsThePast(String service) {
+        return (storeRead && knownPast.contains(service)) || clock.nanos() - listSinceNanos >= MEMORY_NANOS;
+    }
+
     private Map<String, Seen> recent(String service) {
         long now = clock.nanos();
         Map<String, Seen> versions = byService.getOrDefault(service, new HashMap<>());
--- a/core/src/main/java/org/dragonflygw/core/resume/VersionKeeper.java
+++ b/core/src/main/java/org/dragonflygw/core/resume/VersionKeeper.java
@@ -94,7 +94,7 @@
         boolean writes = writer.getAsBoolean() && now - firstReadNanos >= START_MS * NANOS_PER_MS;
         Map<String, Set<String>> unnamed = versions.unnamed();
         if (!writes) {
-            unnamed.keySet().removeIf(s -> !versions.several(s));
+            versions.retainAvoided(unnamed.keySet());
         }
         if (unnamed.isEmpty()) {
             waiting = false;
--- a/core/src/test/java/org/dragonflygw/core/resume/VersionFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/resume/VersionFleet.java
@@ -34,6 +34,7 @@
     final List<Host> hosts = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::atMs));
     private final Map<String, DiscoveredEndpoint> list = new LinkedHashMap<>();
+    private String routes = "r1";
     private long nowMs;
 
     private record Event(long atMs, Runnable task) {}
@@ -83,6 +84,12 @@
         return this;
     }
 
+    /** Brings a configuration into force in which routes go to other services. */
+    VersionFleet moveRoutes(String digest) {
+        routes = digest;
+        return this;
+    }
+
     VersionFleet restartAll() {
         return restart(0, hosts.size());
     }
@@ -160,6 +167,7 @@
         }
 
         private void readList() {
+            versions.onRoutes(routes);
             listRead = true;
             listReadMs = nowMs;
             for (DiscoveredEndpoint e : List.copyOf(known.values())) {
--- a/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
+++ b/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
@@ -111,7 +111,11 @@
 
         private Set<String> namedByStore() {
             Set<String> named = new TreeSet<>();
-            fleet.store.rows.values().forEach(named::addAll);
+            fleet.store.rows.forEach((key, versions) -> {
+                if (VersionRowKey.parse(key).service().equals(VersionFleet.SERVICE)) {
+                    named.addAll(versions);
+                }
+            });
             return named;
         }
 
@@ -216,6 +220,26 @@
             assertNotJoined(true);
         }
 
+        /** A stream that began at another service is not taken up at the one that its route goes to now. */
+        @Test
+        void afterARouteMovedToAnotherService() {
+            calm().moveRoutes("r2").run(1_000);
+            assertNotJoined(true);
+            fleet.restartAll().run(START_MS);
+            assertNotJoined(true);
+            fleet.run(70_000).restartAll().run(START_MS);
+            assertThat(fleet.resumedAt(1)).hasValue("v1");
+        }
+
+        /** A configuration names a service for the first time, and nobody knows what streams of the route went to before. */
+        @Test
+        void whenTheConfigurationNamesTheServiceForTheFirstTime() {
+            fleet.run(CALM_MS).moveRoutes("r2").enter("e", "v1").run(1_000);
+            assertNotJoined(true);
+            fleet.restartAll().run(START_MS);
+            assertNotJoined(true);
+        }
+
         /** While the store is away, the second version serves though no row names it, as nothing else does. */
         @Test
         void whileTheStoreIsAway() {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -40,6 +40,7 @@
 import org.dragonflygw.core.ratelimit.PermitIssuer;
 import org.dragonflygw.core.ratelimit.PermitOwners;
 import org.dragonflygw.core.ratelimit.SharedPermits;
+import org.dragonflygw.core.resume.ResumableRoutes;
 import org.dragonflygw.core.resume.SoftwareVersions;
 import org.dragonflygw.core.resume.StreamOrigins;
 import org.dragonflygw.core.retry.FleetRetryShare;
@@ -127,6 +128,7 @@
         this.permitIssuer = new PermitIssuer(identity.hostName(), loads.rates(), owners, System::nanoTime);
         this.messages = new PeerMessages(peerSocket, peers);
         this.versions = new SoftwareVersions(this::endpointListAgeMs, System::nanoTime);
+        catalogs.onChange(c -> versions.onRoutes(ResumableRoutes.digest(c)));
         this.origins =
                 new StreamOrigins(identity.hostName(), ranking, peers::mayBeUp, versions, messages, System::nanoTime);
         this.permits = new SharedPermits(
