--- a/core/src/main/java/org/dragonflygw/core/catalog/CatalogHolder.java
+++ b/core/src/main/java/org/dragonflygw/core/catalog/CatalogHolder.java
@@ -1,15 +1,18 @@
 package org.dragonflygw.core.catalog;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /** Holds the current catalog of this process. The version never decreases. Not thread-safe. */
 public final class CatalogHolder {
     private Optional<Catalog> current = Optional.empty();
-    private Runnable onReplaced = () -> {};
+    private final List<Consumer<Catalog>> listeners = new ArrayList<>();
 
-    /** Sets what is run after each replacement of the catalog. */
-    public void onReplaced(Runnable listener) {
-        onReplaced = listener;
+    /** Adds what is called with each catalog as it comes into force. */
+    public void onChange(Consumer<Catalog> listener) {
+        listeners.add(listener);
     }
 
     /** Returns the current catalog, or empty until the first one is read. */
@@ -28,7 +31,7 @@
             return false;
         }
         current = Optional.of(next);
-        onReplaced.run();
+        listeners.forEach(l -> l.accept(next));
         return true;
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -41,6 +41,7 @@
 import org.dragonflygw.core.ratelimit.PermitIssuer;
 import org.dragonflygw.core.ratelimit.PermitOwners;
 import org.dragonflygw.core.ratelimit.SharedPermits;
+import org.dragonflygw.core.resume.ResumableRoutes;
 import org.dragonflygw.core.resume.SoftwareVersions;
 import org.dragonflygw.core.resume.StreamOrigins;
 import org.dragonflygw.core.retry.FleetRetryShare;
@@ -124,7 +125,7 @@
         this.registry = new EndpointRegistry(new EndpointUpdates(), this::heartbeatNanos, log);
         this.warmups = new WarmupTracker(
                 loads.rates(), catalogs::current, registry::loaded, System::nanoTime, InstantSource.system(), log);
-        catalogs.onReplaced(warmups::refresh);
+        catalogs.onChange(c -> warmups.refresh());
         this.notices = new EndpointNotices(loads, warmups::onResponse, log, System::nanoTime);
         this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics);
         this.crashes = new CrashSuspects(log);
@@ -136,6 +137,7 @@
         this.permitIssuer = new PermitIssuer(identity.hostName(), loads.rates(), owners, System::nanoTime);
         this.messages = new PeerMessages(peerSocket, peers);
         this.versions = new SoftwareVersions(this::endpointListAgeMs, System::nanoTime);
+        catalogs.onChange(c -> versions.onRoutes(ResumableRoutes.digest(c)));
         this.origins =
                 new StreamOrigins(identity.hostName(), ranking, peers::mayBeUp, versions, messages, System::nanoTime);
         this.permits = new SharedPermits(
