Let the loads of hosts in large fleets travel as sums

Reports told each load host by host: 40 datagrams of several KB a second, 3.2 s old at 128 hosts, 10 s at 401. Above 16 peers a relay now adds the loads up and all hosts pass the sums on; direct reports leave loads and prefixes out and go to 2 peers a round unless they hold urgent news.

--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -71,6 +71,17 @@
      * @param news what this host has read from the store
      */
     public HostReport next(int rounds, StoreNews news) {
+        return next(rounds, news, false);
+    }
+
+    /**
+     * Creates the report of the next round.
+     *
+     * @param rounds number of reports until each peer has received one
+     * @param news what this host has read from the store
+     * @param inSums whether loads and prompt prefixes travel as sums and are left out
+     */
+    public HostReport next(int rounds, StoreNews news, boolean inSums) {
         round++;
         loads.takeNewHoldings().forEach(h -> recentHoldings.addLast(new RecentHolding(h, round)));
         while (recentHoldings.size() > MAX_HOLDINGS
@@ -78,26 +89,47 @@
                         && round - recentHoldings.peekFirst().firstRound >= (long) rounds * REPORTS_PER_PEER)) {
             recentHoldings.removeFirst();
         }
-        List<PromptHolding> holdings = new ArrayList<>();
-        recentHoldings.forEach(t -> holdings.add(t.holding));
         long now = clock.nanos();
         return report(
-                holdings,
+                inSums ? List.of() : uses(),
+                inSums ? List.of() : holdingsSince(0),
                 crashes.nextReport(rounds, now),
                 crashingParts.nextReport(rounds, now),
                 loads.rates().nextReports(now),
                 news);
     }
 
+    /** Returns the prompt prefixes that were sent to endpoints in the last rounds. */
+    public List<PromptHolding> holdingsOfLastRounds(int rounds) {
+        return holdingsSince(round - rounds);
+    }
+
+    private List<PromptHolding> holdingsSince(long firstRound) {
+        return recentHoldings.stream()
+                .filter(h -> h.firstRound > firstRound)
+                .map(RecentHolding::holding)
+                .toList();
+    }
+
     /**
      * Creates a report without prompt prefixes and lost endpoints, to be sent to many hosts at once as soon as the store
      * has news. Short messages are not lost on a narrow link. What is left out stays in the next reports.
      */
     public HostReport nextWithoutHoldings(StoreNews news) {
-        return report(List.of(), CrashReport.NONE, PartReport.NONE, List.of(), news);
+        return nextWithoutHoldings(news, false);
+    }
+
+    /**
+     * Creates such a report.
+     *
+     * @param inSums whether loads travel as sums and are left out
+     */
+    public HostReport nextWithoutHoldings(StoreNews news, boolean inSums) {
+        return report(inSums ? List.of() : uses(), List.of(), CrashReport.NONE, PartReport.NONE, List.of(), news);
     }
 
     private HostReport report(
+            List<EndpointUse> uses,
             List<PromptHolding> holdings,
             CrashReport crashReport,
             PartReport partReport,
@@ -108,7 +140,7 @@
                 address,
                 startedMs,
                 ++sequence,
-                uses(),
+                uses,
                 holdings,
                 crashReport,
                 partReport,
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -47,6 +47,7 @@
     private final EventLog log;
     private final MonotonicClock clock;
     private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<Integer, String> namesByHash = new HashMap<>();
     private final RateLog rateLog;
     private final FleetMembers members = new FleetMembers();
 
@@ -71,7 +72,7 @@
         members.onSeen(host, clock.nanos());
         Peer known = peers.get(host);
         if (known == null) {
-            peers.put(host, new Peer(address, clock.nanos()));
+            addPeer(host, address);
         } else if (known.report == null) {
             known.address = address;
         }
@@ -87,7 +88,8 @@
         if (report.host().equals(self)) {
             return false;
         }
-        Peer peer = peers.computeIfAbsent(report.host(), h -> new Peer(report.address(), clock.nanos()));
+        Peer known = peers.get(report.host());
+        Peer peer = known == null ? addPeer(report.host(), report.address()) : known;
         if (peer.report != null && !report.newerThan(peer.report)) {
             return false;
         }
@@ -96,6 +98,7 @@
         }
         members.onSeen(report.host(), clock.nanos());
         peer.report = report;
+        peer.inSums = false;
         peer.address = report.address();
         peer.lastReportNanos = clock.nanos();
         peer.reporting = true;
@@ -107,6 +110,32 @@
         return true;
     }
 
+    private Peer addPeer(String host, HostAddress address) {
+        Peer peer = new Peer(ShortHash.of(host), address, clock.nanos());
+        peers.put(host, peer);
+        namesByHash.put(peer.hash, host);
+        return peer;
+    }
+
+    /**
+     * Records that the load of a host is part of the sums: it was up at that time, and what it reported directly before
+     * counts no more.
+     */
+    void onIncluded(int host, long atNanos) {
+        String name = namesByHash.get(host);
+        if (name == null) {
+            return;
+        }
+        Peer peer = peers.get(name);
+        members.onSeen(name, clock.nanos());
+        peer.inSums = true;
+        peer.lastReportNanos = Math.max(peer.lastReportNanos, atNanos);
+        if (!peer.reporting && clock.nanos() - peer.lastReportNanos < reportExpiryNanos()) {
+            peer.reporting = true;
+            logPeer(name, "heard");
+        }
+    }
+
     private void onLeaving(String peer, LeavingEndpoint leaving) {
         long sinceNanos = clock.nanos() - leaving.ageMs() * NANOS_PER_MS;
         if (loads.onLeaving(leaving.id(), leaving.startedMs(), sinceNanos)) {
@@ -119,33 +148,53 @@
         }
     }
 
-    /** Recomputes the load that peers put on each endpoint and removes silent peers. */
+    /** Recomputes the load that peers put on each endpoint from direct reports alone, and removes silent peers. */
     public void refreshPeerLoads() {
+        refreshPeerLoads(Optional.empty());
+    }
+
+    /**
+     * Recomputes the load that peers put on each endpoint and removes silent peers. The load of a peer counts once: in the
+     * sums, or else from its direct report.
+     *
+     * @param fleet sums of the loads of many hosts, if there are any
+     */
+    public void refreshPeerLoads(Optional<FleetSum> fleet) {
         long now = clock.nanos();
         removeSilent(now);
-        Map<String, PeerLoadSum> sums = new HashMap<>();
-        int reportingPeers = 0;
+        Map<String, PeerLoadSum> direct = new HashMap<>();
+        int hosts = fleet.map(f -> f.hosts() - 1).orElse(0);
         for (Map.Entry<String, Peer> e : peers.entrySet()) {
             Peer p = e.getValue();
-            boolean fresh = p.report != null && now - p.lastReportNanos < reportExpiryNanos();
+            boolean fresh = now - p.lastReportNanos < reportExpiryNanos();
             if (p.reporting && !fresh) {
                 p.reporting = false;
                 logPeer(e.getKey(), "silent");
             }
-            if (fresh) {
-                reportingPeers++;
+            boolean counted = p.inSums || (fleet.isPresent() && fleet.get().includes(p.hash));
+            if (fresh && p.report != null && !counted) {
+                hosts++;
                 p.report
                         .uses()
-                        .forEach(u -> sums.computeIfAbsent(u.endpoint(), x -> new PeerLoadSum())
+                        .forEach(u -> direct.computeIfAbsent(u.endpoint(), x -> new PeerLoadSum())
                                 .add(u));
             }
         }
-        if (reportingPeers == 0) {
-            return;
+        if (hosts > 0) {
+            applyLoads(direct, fleet, hosts, fleet.map(FleetSum::atNanos).orElse(now));
         }
+    }
+
+    private void applyLoads(Map<String, PeerLoadSum> direct, Optional<FleetSum> fleet, int hosts, long atNanos) {
         for (EndpointLoadState s : loads.all()) {
-            PeerLoadSum sum = sums.get(s.entry().id());
-            s.onPeerLoad(sum == null ? PeerLoad.NONE : sum.toPeerLoad(reportingPeers), now);
+            String id = s.entry().id();
+            PeerLoadSum sum = direct.get(id);
+            Optional<EndpointSum> others = fleet.flatMap(f -> f.others(ShortHash.of(id)));
+            if (others.isPresent()) {
+                sum = sum == null ? new PeerLoadSum() : sum;
+                sum.add(others.get());
+            }
+            s.onPeerLoad(sum == null ? PeerLoad.NONE : sum.toPeerLoad(hosts), atNanos);
         }
     }
 
@@ -153,6 +202,7 @@
         peers.entrySet().removeIf(e -> {
             boolean gone = now - e.getValue().lastReportNanos > REMOVAL_SILENCE_NANOS;
             if (gone) {
+                namesByHash.remove(e.getValue().hash, e.getKey());
                 logPeer(e.getKey(), "gone");
             }
             return gone;
@@ -176,6 +226,11 @@
         return others.isPresent() ? OptionalInt.of(others.getAsInt() + 1) : others;
     }
 
+    /** Returns the number of peers. */
+    public int size() {
+        return peers.size();
+    }
+
     /** Returns the names of the peers. */
     public Set<String> hostNames() {
         return Set.copyOf(peers.keySet());
@@ -217,6 +272,11 @@
         return Optional.ofNullable(peers.get(host)).map(p -> p.address);
     }
 
+    /** Returns the address of the peer whose name has a short hash. */
+    Optional<HostAddress> addressOfHash(int host) {
+        return Optional.ofNullable(namesByHash.get(host)).flatMap(this::addressOf);
+    }
+
     /** Returns whether the list of hosts was read. */
     public boolean isListed() {
         return fleetSize().isPresent();
@@ -250,18 +310,27 @@
             failureScoreSum += use.failureScore();
         }
 
+        void add(EndpointSum sum) {
+            inFlight += sum.inFlight();
+            unreadTokens += sum.unreadTokens();
+            failureScoreSum += sum.failureScore();
+        }
+
         PeerLoad toPeerLoad(int hosts) {
             return new PeerLoad(inFlight, unreadTokens, failureScoreSum / hosts);
         }
     }
 
     private static final class Peer {
+        private final int hash;
         private HostAddress address;
         private HostReport report;
         private long lastReportNanos;
         private boolean reporting;
+        private boolean inSums;
 
-        Peer(HostAddress address, long nowNanos) {
+        Peer(int hash, HostAddress address, long nowNanos) {
+            this.hash = hash;
             this.address = address;
             this.lastReportNanos = nowNanos;
         }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -33,6 +33,7 @@
 import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.peers.FleetLoads;
 import org.dragonflygw.core.peers.HostRanking;
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
@@ -52,6 +53,7 @@
 import org.dragonflygw.edge.front.FrontState;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.ops.OpsServer;
+import org.dragonflygw.edge.peers.LoadExchange;
 import org.dragonflygw.edge.peers.PeerMessages;
 import org.dragonflygw.edge.peers.PeerReports;
 import org.dragonflygw.edge.peers.PeerSocket;
@@ -97,6 +99,8 @@
     private final PeerTable peers;
     private final StoreView store;
     private final PeerSocket peerSocket;
+    private final FleetLoads fleetLoads;
+    private final long startedMs = InstantSource.system().instant().toEpochMilli();
     private final PermitIssuer permitIssuer;
     private final PeerMessages messages;
     private final SharedPermits permits;
@@ -124,6 +128,7 @@
         HostRanking ranking = new HostRanking(identity.hostName(), peers::hostNames, System::nanoTime);
         PermitOwners owners = new PermitOwners(identity.hostName(), ranking, peers::isListed, peers::mayBeUp);
         this.peerSocket = new PeerSocket(group, log);
+        this.fleetLoads = new FleetLoads(identity.hostName(), startedMs, peers, loads, ranking, log, System::nanoTime);
         this.permitIssuer = new PermitIssuer(identity.hostName(), loads.rates(), owners, System::nanoTime);
         this.messages = new PeerMessages(peerSocket, peers);
         this.versions = new SoftwareVersions(this::endpointListAgeMs, System::nanoTime);
@@ -178,6 +183,9 @@
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
         metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
+        metrics.registerGauge("load_sum_age_ms", fleetLoads::ageMs);
+        metrics.registerGauge("load_sum_hosts", fleetLoads::includedHosts);
+        metrics.registerGauge("load_relay_active", () -> fleetLoads.isActing() ? 1 : 0);
         metrics.registerGauge("stream_origins", origins::size);
         metrics.registerGauge("stream_origins_unknown_total", origins::unknownCount);
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
@@ -238,12 +246,19 @@
     }
 
     private void startStoreAndPeers() {
-        long startedMs = InstantSource.system().instant().toEpochMilli();
         HostReportFactory reportFactory = new HostReportFactory(
                 identity.hostName(), identity.internal(), startedMs, loads, crashes, crashingParts, System::nanoTime);
+        LoadExchange loadExchange = new LoadExchange(peerSocket, fleetLoads, log);
         reports = new PeerReports(
-                peerSocket, peers, reportFactory, log, this::acceptCrashes, store::news, store::applyNews);
-        reports.listen(identity.internal(), messages.handler(permitIssuer, origins));
+                peerSocket,
+                peers,
+                reportFactory,
+                loadExchange,
+                log,
+                this::acceptCrashes,
+                store::news,
+                store::applyNews);
+        reports.listen(identity.internal(), messages.handler(permitIssuer, origins, loadExchange));
         store.start();
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerMessages.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerMessages.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.dragonflygw.core.peers.FleetLoad;
+import org.dragonflygw.core.peers.HostLoad;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.ratelimit.PermitIssuer;
 import org.dragonflygw.core.ratelimit.PermitReply;
@@ -76,19 +78,29 @@
      *
      * @param permits decides on requests for permits
      * @param origins keeps where streams began
+     * @param loads receives loads of hosts
      */
-    public PeerSocket.Handler handler(PermitIssuer permits, StreamOrigins origins) {
-        return (content, sender) -> codec.decode(content, new Receiver(permits, origins, sender));
+    public PeerSocket.Handler handler(PermitIssuer permits, StreamOrigins origins, LoadExchange loads) {
+        return (content, sender) -> codec.decode(content, new Receiver(permits, origins, loads, content, sender));
     }
 
     private final class Receiver implements PeerMessageHandler {
         private final PermitIssuer permits;
         private final StreamOrigins origins;
+        private final LoadExchange loads;
+        private final byte[] content;
         private final InetSocketAddress sender;
 
-        Receiver(PermitIssuer permits, StreamOrigins origins, InetSocketAddress sender) {
+        Receiver(
+                PermitIssuer permits,
+                StreamOrigins origins,
+                LoadExchange loads,
+                byte[] content,
+                InetSocketAddress sender) {
             this.permits = permits;
             this.origins = origins;
+            this.loads = loads;
+            this.content = content;
             this.sender = sender;
         }
 
@@ -116,5 +128,15 @@
         public void onOriginReply(long id, OriginReply reply) {
             originReplies.end(id, Optional.of(reply));
         }
+
+        @Override
+        public void onHostLoad(HostLoad load) {
+            loads.onHostLoad(load);
+        }
+
+        @Override
+        public void onFleetLoad(FleetLoad load) {
+            loads.onFleetLoad(load, content);
+        }
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -11,6 +11,7 @@
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.peers.ReportFanOut;
 import org.dragonflygw.core.peers.ReportTargets;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -18,15 +19,15 @@
 
 /**
  * Exchanges reports with the other hosts over UDP. Each round sends to a bounded number of hosts in turn, so that the
- * cost per host does not grow with the fleet.
+ * cost per host does not grow with the fleet. In large fleets, loads and prompt prefixes travel as sums instead.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A task of the event loop is lost only when the loop shuts down.
 public final class PeerReports {
     /** Interval between rounds in milliseconds: shorter than most requests, so that peers see a load while it lasts. */
     private static final long ROUND_INTERVAL_MS = 200;
 
-    /** Number of hosts that one round sends to. */
-    private static final int FAN_OUT = 8;
+    /** Number of rounds for which a prompt prefix is told to the relay; at least two messages hold it. */
+    private static final int HOLDING_ROUNDS = 6;
 
     /**
      * Time since the last round, in nanoseconds, above which received news are ignored: this process was paused, and
@@ -37,12 +38,14 @@
     private final PeerSocket socket;
     private final PeerTable peers;
     private final HostReportFactory reports;
+    private final LoadExchange loads;
     private final EventLog log;
     private final Consumer<HostReport> crashListener;
     private final Supplier<StoreNews> storeNews;
     private final Consumer<StoreNews> storeNewsListener;
     private final HostReportCodec codec = new HostReportCodec();
-    private final ReportTargets targets = new ReportTargets(FAN_OUT, new SplittableRandom());
+    private final ReportTargets targets = new ReportTargets(ReportFanOut.FULL, new SplittableRandom());
+    private final ReportFanOut fanOut = new ReportFanOut();
     private long lastRoundNanos;
 
     /**
@@ -56,6 +59,7 @@
             PeerSocket socket,
             PeerTable peers,
             HostReportFactory reports,
+            LoadExchange loads,
             EventLog log,
             Consumer<HostReport> crashListener,
             Supplier<StoreNews> storeNews,
@@ -63,6 +67,7 @@
         this.socket = socket;
         this.peers = peers;
         this.reports = reports;
+        this.loads = loads;
         this.log = log;
         this.crashListener = crashListener;
         this.storeNews = storeNews;
@@ -82,15 +87,19 @@
 
     private void sendRound() {
         lastRoundNanos = System.nanoTime();
-        peers.refreshPeerLoads();
         List<HostAddress> addresses = peers.addresses();
-        send(reports.next(targets.rounds(addresses.size()), storeNews.get()), targets.next(addresses));
+        int rounds = targets.rounds(addresses.size());
+        boolean inSums = loads.loads().includeThisHost();
+        HostReport report = reports.next(rounds, storeNews.get(), inSums);
+        loads.sendRound(reports.holdingsOfLastRounds(HOLDING_ROUNDS));
+        peers.refreshPeerLoads(loads.loads().current());
+        send(report, targets.next(addresses, fanOut.peers(report, inSums, rounds)));
     }
 
     /** Sends a short report to the given hosts at once, after a read of the store. */
     public void reportNow(List<HostAddress> targets) {
         if (socket.isOpen() && !targets.isEmpty()) {
-            send(reports.nextWithoutHoldings(storeNews.get()), targets);
+            send(reports.nextWithoutHoldings(storeNews.get(), loads.loads().includeThisHost()), targets);
         }
     }
 
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -22,12 +22,15 @@
 import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.dispatch.PromptPart;
 import org.dragonflygw.core.log.NoOpEventLog;
+import org.dragonflygw.core.peers.FleetLoads;
+import org.dragonflygw.core.peers.HostRanking;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.ConfigurationNews;
 import org.dragonflygw.core.storenews.EndpointChange;
 import org.dragonflygw.core.storenews.StoreNews;
+import org.dragonflygw.edge.peers.LoadExchange;
 import org.dragonflygw.edge.peers.PeerReports;
 import org.dragonflygw.edge.peers.PeerSocket;
 import org.junit.jupiter.api.AfterEach;
@@ -84,10 +87,14 @@
                 new CrashSuspects(new NoOpEventLog()),
                 new CrashingParts(new NoOpEventLog()),
                 System::nanoTime);
+        PeerSocket socket = new PeerSocket(group, new NoOpEventLog());
+        HostRanking ranking = new HostRanking(name, peers::hostNames, System::nanoTime);
+        FleetLoads fleet = new FleetLoads(name, 1, peers, loads, ranking, new NoOpEventLog(), System::nanoTime);
         return new PeerReports(
-                new PeerSocket(group, new NoOpEventLog()),
+                socket,
                 peers,
                 reportFactory,
+                new LoadExchange(socket, fleet, new NoOpEventLog()),
                 new NoOpEventLog(),
                 c -> {},
                 () -> news,
--- a/wire/src/main/java/org/dragonflygw/wire/codec/PeerMessageCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/PeerMessageCodec.java
@@ -5,6 +5,8 @@
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
+import org.dragonflygw.core.peers.FleetLoad;
+import org.dragonflygw.core.peers.HostLoad;
 import org.dragonflygw.core.ratelimit.PermitReply;
 import org.dragonflygw.core.ratelimit.PermitRequest;
 import org.dragonflygw.core.resume.OriginReply;
@@ -70,6 +72,16 @@
         return encode(new PeerMessage(id).setOriginReply(m));
     }
 
+    /** Encodes the load of a host. */
+    public byte[] encode(HostLoad load) {
+        return encode(new PeerMessage(0).setHostLoad(LoadMessageCodec.encode(load)));
+    }
+
+    /** Encodes the sums of the loads of many hosts. */
+    public byte[] encode(FleetLoad load) {
+        return encode(new PeerMessage(0).setFleetLoad(LoadMessageCodec.encode(load)));
+    }
+
     private byte[] encode(PeerMessage message) {
         try {
             byte[] content = serializer.serialize(message);
@@ -104,6 +116,24 @@
                             RateReportCodec.decode(reply.getRate())));
         }
         decodeOrigins(m, handler);
+        decodeLoads(m, handler);
+    }
+
+    private static void decodeLoads(PeerMessage m, PeerMessageHandler handler) {
+        HostLoad host = null;
+        FleetLoad fleet = null;
+        try {
+            host = m.isSetHostLoad() ? LoadMessageCodec.decode(m.getHostLoad()) : null;
+            fleet = m.isSetFleetLoad() ? LoadMessageCodec.decode(m.getFleetLoad()) : null;
+        } catch (RuntimeException e) {
+            throw new WireException(WireCode.MALFORMED_MESSAGE, "lists of the load message do not fit", e);
+        }
+        if (host != null) {
+            handler.onHostLoad(host);
+        }
+        if (fleet != null) {
+            handler.onFleetLoad(fleet);
+        }
     }
 
     private static void decodeOrigins(PeerMessage m, PeerMessageHandler handler) {
--- a/wire/src/main/java/org/dragonflygw/wire/codec/PeerMessageHandler.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/PeerMessageHandler.java
@@ -1,5 +1,7 @@
 package org.dragonflygw.wire.codec;
 
+import org.dragonflygw.core.peers.FleetLoad;
+import org.dragonflygw.core.peers.HostLoad;
 import org.dragonflygw.core.ratelimit.PermitReply;
 import org.dragonflygw.core.ratelimit.PermitRequest;
 import org.dragonflygw.core.resume.OriginReply;
@@ -21,4 +23,10 @@
 
     /** Another host replies to such a question of this host. */
     void onOriginReply(long id, OriginReply reply);
+
+    /** Another host tells its load. */
+    void onHostLoad(HostLoad load);
+
+    /** Another host tells or passes on the sums of the loads of many hosts. */
+    void onFleetLoad(FleetLoad load);
 }
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -231,6 +231,59 @@
   3: optional string onlyVersion
 }
 
+/**
+ * Loads on endpoints. Endpoints are named by 28 bits of the hashes of their ids, sorted; the lists have one element for
+ * each endpoint unless they say otherwise.
+ */
+struct EndpointSumsMessage {
+  /** Differences between successive hashes. */
+  1: required list<i32> endpointGaps
+  /** Requests in flight. */
+  2: required list<i32> inFlight
+  /** Prompt tokens of these requests that the endpoint has not read yet, in units of 16. */
+  3: required list<i32> unreadUnits
+  /** Positions of the endpoints with a failure score. */
+  4: optional list<i32> failurePositions
+  /** Sums of failure scores at these positions, times 100. */
+  5: optional list<i32> failureHundredths
+}
+
+/** Prompt prefixes that were sent to endpoints. */
+struct SharedPrefixesMessage {
+  /** Hashes of the endpoints, one for each prefix. */
+  1: required list<i32> endpoints
+  /** Number of parts of each prefix. */
+  2: required list<i32> partCounts
+  /** The parts of all prefixes. */
+  3: required list<i64> partIds
+  4: required list<i32> partTokens
+}
+
+/** Load of one host on endpoints, sent to the hosts that add loads up. */
+struct HostLoadMessage {
+  1: required string host
+  /** Increases with each message of a host, also over restarts. */
+  2: required i64 sequence
+  3: required EndpointSumsMessage loads
+  4: optional SharedPrefixesMessage prefixes
+}
+
+/** Load of many hosts on endpoints. */
+struct FleetLoadMessage {
+  /** Name of the host that added the loads up. */
+  1: required string relay
+  /** Increases with each message of the relay, also over restarts. */
+  2: required i64 sequence
+  /** Mean age of the loads. */
+  3: required i32 ageMillis
+  /** Differences between successive hashes of the names of the hosts that are included, 28 bits each. */
+  4: required list<i32> hostGaps
+  /** Low 13 bits of the numbers of the messages of these hosts that are included. */
+  5: required list<i32> hostSequences
+  6: required EndpointSumsMessage loads
+  7: optional SharedPrefixesMessage prefixes
+}
+
 /** A message from one host to another beside the reports; one of the optional fields is set. */
 struct PeerMessage {
   /** Number that a reply repeats from its question. */
@@ -240,6 +293,8 @@
   4: optional StreamOriginMessage streamOrigin
   5: optional OriginRequestMessage originRequest
   6: optional OriginReplyMessage originReply
+  7: optional HostLoadMessage hostLoad
+  8: optional FleetLoadMessage fleetLoad
 }
 
 /** Row of the store with the software versions that endpoints of a service have had for as long as streams last. */
