--- a/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
@@ -17,8 +17,8 @@
 
 /**
  * The part of this host in adding up the loads of a large fleet: it reports its own load to the relay and a stand-by,
- * receives the sums and passes them on, and makes them while it is the relay. Small fleets, and hosts that do not know
- * the list of hosts, tell each other their loads in {@link HostReport}s. Not thread-safe.
+ * receives the sums and passes them on, and makes them while it is the relay. Hosts that know few others tell each other
+ * their loads in {@link HostReport}s. Not thread-safe.
  */
 public final class FleetLoads {
     /** Number of peers up to which there are no sums; direct reports reach them all in two rounds. */
@@ -100,12 +100,10 @@
         return received.current(clock.nanos());
     }
 
-    /** Returns whether the load of this host is in recent sums, so that direct reports need not hold it. */
-    public boolean includeThisHost() {
+    /** Returns recent sums that this host's load is part of, so that direct reports to the hosts in them need not hold it. */
+    Optional<FleetSum> includingThisHost() {
         long now = clock.nanos();
-        return received.current(now)
-                .filter(s -> s.includes(selfHash) && now - s.atNanos() < RECENT_NANOS)
-                .isPresent();
+        return received.current(now).filter(s -> s.includes(selfHash) && now - s.atNanos() < RECENT_NANOS);
     }
 
     /** Returns the age of what the sums say, in milliseconds; -1 without sums. */
@@ -128,7 +126,7 @@
      *
      * @param holdings prompt prefixes that this host sent to endpoints lately
      */
-    public LoadMessages nextRound(List<PromptHolding> holdings) {
+    LoadMessages nextRound(List<PromptHolding> holdings) {
         round++;
         if (!isLarge()) {
             act(false);
@@ -151,12 +149,12 @@
     }
 
     /** Returns the number of rounds between two reports of this host's load. */
-    public int roundsPerInterval() {
+    int roundsPerInterval() {
         return peers.size() > MANY_PEERS ? ROUNDS_PER_LONG_INTERVAL : ROUNDS_PER_INTERVAL;
     }
 
     private boolean isLarge() {
-        return peers.isListed() && peers.size() > MAX_DIRECT_PEERS;
+        return peers.size() > MAX_DIRECT_PEERS;
     }
 
     private void noteRelay(long now) {
@@ -200,6 +198,9 @@
         if (relays.isEmpty()) {
             received.current(now).map(FleetSum::relay).ifPresent(relays::add);
         }
+        if (acting) {
+            ranking.mates(self).stream().filter(h -> !relays.contains(h)).forEach(relays::add);
+        }
         if (heard && !relays.isEmpty() && interval % INTERVALS_PER_PROBE == 0) {
             List<String> silent = ranking.before(relays.get(0));
             if (!silent.isEmpty()) {
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReport.java
@@ -57,6 +57,12 @@
                 with(List.of(), CrashReport.NONE, PartReport.NONE, List.of()));
     }
 
+    /** Returns this report without loads and prompt prefixes, for hosts that get them in sums. */
+    public HostReport withoutLoads() {
+        return new HostReport(
+                host, address, startedMs, sequence, List.of(), List.of(), crashes, parts, leaving, rates, news);
+    }
+
     private HostReport with(
             List<PromptHolding> h, CrashReport crashReport, PartReport partReport, List<RateReport> rateReports) {
         return new HostReport(
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -71,17 +71,6 @@
      * @param news what this host has read from the store
      */
     public HostReport next(int rounds, StoreNews news) {
-        return next(rounds, news, false);
-    }
-
-    /**
-     * Creates the report of the next round.
-     *
-     * @param rounds number of reports until each peer has received one
-     * @param news what this host has read from the store
-     * @param inSums whether loads and prompt prefixes travel as sums and are left out
-     */
-    public HostReport next(int rounds, StoreNews news, boolean inSums) {
         round++;
         loads.takeNewHoldings().forEach(h -> recentHoldings.addLast(new RecentHolding(h, round)));
         while (recentHoldings.size() > MAX_HOLDINGS
@@ -91,8 +80,7 @@
         }
         long now = clock.nanos();
         return report(
-                inSums ? List.of() : uses(),
-                inSums ? List.of() : holdingsSince(0),
+                holdingsSince(0),
                 crashes.nextReport(rounds, now),
                 crashingParts.nextReport(rounds, now),
                 loads.rates().nextReports(now),
@@ -100,7 +88,7 @@
     }
 
     /** Returns the prompt prefixes that were sent to endpoints in the last rounds. */
-    public List<PromptHolding> holdingsOfLastRounds(int rounds) {
+    List<PromptHolding> holdingsOfLastRounds(int rounds) {
         return holdingsSince(round - rounds);
     }
 
@@ -116,20 +104,10 @@
      * has news. Short messages are not lost on a narrow link. What is left out stays in the next reports.
      */
     public HostReport nextWithoutHoldings(StoreNews news) {
-        return nextWithoutHoldings(news, false);
-    }
-
-    /**
-     * Creates such a report.
-     *
-     * @param inSums whether loads travel as sums and are left out
-     */
-    public HostReport nextWithoutHoldings(StoreNews news, boolean inSums) {
-        return report(inSums ? List.of() : uses(), List.of(), CrashReport.NONE, PartReport.NONE, List.of(), news);
+        return report(List.of(), CrashReport.NONE, PartReport.NONE, List.of(), news);
     }
 
     private HostReport report(
-            List<EndpointUse> uses,
             List<PromptHolding> holdings,
             CrashReport crashReport,
             PartReport partReport,
@@ -140,7 +118,7 @@
                 address,
                 startedMs,
                 ++sequence,
-                uses,
+                uses(),
                 holdings,
                 crashReport,
                 partReport,
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -272,6 +273,17 @@
         return Optional.ofNullable(peers.get(host)).map(p -> p.address);
     }
 
+    /** Returns the addresses of the peers that were heard recently and whose loads are not part of the sums. */
+    Set<HostAddress> heardOutside(FleetSum fleet) {
+        Set<HostAddress> outside = new HashSet<>();
+        for (Peer p : peers.values()) {
+            if (p.reporting && !fleet.includes(p.hash)) {
+                outside.add(p.address);
+            }
+        }
+        return outside;
+    }
+
     /** Returns the address of the peer whose name has a short hash. */
     Optional<HostAddress> addressOfHash(int host) {
         return Optional.ofNullable(namesByHash.get(host)).flatMap(this::addressOf);
--- a/core/src/main/java/org/dragonflygw/core/peers/RelayRanking.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/RelayRanking.java
@@ -1,7 +1,9 @@
 package org.dragonflygw.core.peers;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.dragonflygw.core.routing.RoutingHash;
 
@@ -52,6 +54,17 @@
         return candidates().stream().filter(h -> isBetter(h, host)).toList();
     }
 
+    /**
+     * Returns the hosts to which a relay reports its load whether they are heard or not, so that two relays that act at
+     * once hear of each other: the first ones, and all that come before it.
+     */
+    List<String> mates(String relay) {
+        Set<String> mates = new LinkedHashSet<>(ranking.first(KEY, RELAYS));
+        mates.addAll(before(relay));
+        mates.remove(relay);
+        return List.copyOf(mates);
+    }
+
     private List<String> candidates() {
         return ranking.first(KEY, CANDIDATES);
     }
--- a/core/src/main/java/org/dragonflygw/core/peers/ReportTargets.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportTargets.java
@@ -28,16 +28,11 @@
 
     /** Returns the peers that get the next reports. */
     public List<HostAddress> next(List<HostAddress> peers) {
-        return next(peers, perRound);
-    }
-
-    /** Returns the peers that get the next reports, up to a number. */
-    public List<HostAddress> next(List<HostAddress> peers, int count) {
         if (next < 0 && !peers.isEmpty()) {
             next = random.nextInt(peers.size());
         }
         List<HostAddress> targets = new ArrayList<>();
-        for (int i = 0; i < Math.min(count, peers.size()); i++) {
+        for (int i = 0; i < Math.min(perRound, peers.size()); i++) {
             targets.add(peers.get(Math.floorMod(next++, peers.size())));
         }
         return targets;
--- a/core/src/main/java/org/dragonflygw/core/peers/ReportFanOut.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportUrgency.java
@@ -4,34 +4,24 @@
 import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.storenews.StoreNews;
 
-/**
- * Decides to how many peers a direct report is sent. While the loads travel as sums, a report without anything that must
- * spread at once goes to few. Not thread-safe.
- */
-public final class ReportFanOut {
-    /** Number of peers that get a report with urgent content, or with loads. */
-    public static final int FULL = 8;
-
-    /** Number of peers that get another report: with it, a host hears the state of the store ten times a second. */
-    static final int CALM = 2;
-
+/** Decides which direct reports hold something that must spread at once. Not thread-safe. */
+final class ReportUrgency {
     private StoreNews lastNews = StoreNews.NONE;
     private long urgentRounds;
 
     /**
-     * Returns the number of peers to send a report to.
+     * Returns whether the report of a round is urgent.
      *
-     * @param inSums whether the loads and prompt prefixes travel as sums
-     * @param rounds number of rounds until each peer has received one report, at the full number
+     * @param rounds number of rounds until each peer has received one urgent report
      */
-    public int peers(HostReport report, boolean inSums, int rounds) {
+    boolean isUrgent(HostReport report, int rounds) {
         if (isOtherState(report.news(), lastNews)) {
             urgentRounds = rounds;
         }
         lastNews = report.news();
         boolean urgent = urgentRounds > 0 || holdsUrgent(report);
         urgentRounds = Math.max(0, urgentRounds - 1);
-        return urgent || !inSums ? FULL : CALM;
+        return urgent;
     }
 
     /** Changes that hold for longer than they are told: each peer must get them once. */
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -38,6 +38,7 @@
 import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.peers.ReportRounds;
 import org.dragonflygw.core.ratelimit.PermitIssuer;
 import org.dragonflygw.core.ratelimit.PermitOwners;
 import org.dragonflygw.core.ratelimit.SharedPermits;
@@ -248,16 +249,10 @@
     private void startStoreAndPeers() {
         HostReportFactory reportFactory = new HostReportFactory(
                 identity.hostName(), identity.internal(), startedMs, loads, crashes, crashingParts, System::nanoTime);
+        ReportRounds rounds = new ReportRounds(peers, reportFactory, fleetLoads, new SplittableRandom());
         LoadExchange loadExchange = new LoadExchange(peerSocket, fleetLoads, log);
         reports = new PeerReports(
-                peerSocket,
-                peers,
-                reportFactory,
-                loadExchange,
-                log,
-                this::acceptCrashes,
-                store::news,
-                store::applyNews);
+                peerSocket, peers, rounds, loadExchange, log, this::acceptCrashes, store::news, store::applyNews);
         reports.listen(identity.internal(), messages.handler(permitIssuer, origins, loadExchange));
         store.start();
     }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/LoadExchange.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/LoadExchange.java
@@ -7,7 +7,6 @@
 import org.dragonflygw.core.peers.FleetLoads;
 import org.dragonflygw.core.peers.HostLoad;
 import org.dragonflygw.core.peers.LoadMessages;
-import org.dragonflygw.core.peers.PromptHolding;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.wire.codec.PeerMessageCodec;
 
@@ -31,15 +30,9 @@
         this.log = log;
     }
 
-    /** Returns the loads of the fleet as this host knows them. */
-    FleetLoads loads() {
-        return loads;
-    }
-
     /** Sends what is due in a round. */
-    void sendRound(List<PromptHolding> holdings) {
+    void send(LoadMessages messages) {
         lastRoundNanos = System.nanoTime();
-        LoadMessages messages = loads.nextRound(holdings);
         messages.own().ifPresent(m -> send(codec.encode(m), messages.ownTargets()));
         messages.sums().ifPresent(m -> send(codec.encode(m), messages.sumTargets()));
     }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -2,17 +2,15 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.peers.HostReport;
-import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
-import org.dragonflygw.core.peers.ReportFanOut;
-import org.dragonflygw.core.peers.ReportTargets;
+import org.dragonflygw.core.peers.ReportRounds;
+import org.dragonflygw.core.peers.RoundOfReports;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 import org.dragonflygw.wire.codec.HostReportCodec;
@@ -23,12 +21,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A task of the event loop is lost only when the loop shuts down.
 public final class PeerReports {
-    /** Interval between rounds in milliseconds: shorter than most requests, so that peers see a load while it lasts. */
-    private static final long ROUND_INTERVAL_MS = 200;
-
-    /** Number of rounds for which a prompt prefix is told to the relay; at least two messages hold it. */
-    private static final int HOLDING_ROUNDS = 6;
-
     /**
      * Time since the last round, in nanoseconds, above which received news are ignored: this process was paused, and
      * queued datagrams may be older than they state.
@@ -37,15 +29,13 @@
 
     private final PeerSocket socket;
     private final PeerTable peers;
-    private final HostReportFactory reports;
+    private final ReportRounds rounds;
     private final LoadExchange loads;
     private final EventLog log;
     private final Consumer<HostReport> crashListener;
     private final Supplier<StoreNews> storeNews;
     private final Consumer<StoreNews> storeNewsListener;
     private final HostReportCodec codec = new HostReportCodec();
-    private final ReportTargets targets = new ReportTargets(ReportFanOut.FULL, new SplittableRandom());
-    private final ReportFanOut fanOut = new ReportFanOut();
     private long lastRoundNanos;
 
     /**
@@ -58,7 +48,7 @@
     public PeerReports(
             PeerSocket socket,
             PeerTable peers,
-            HostReportFactory reports,
+            ReportRounds rounds,
             LoadExchange loads,
             EventLog log,
             Consumer<HostReport> crashListener,
@@ -66,7 +56,7 @@
             Consumer<StoreNews> storeNewsListener) {
         this.socket = socket;
         this.peers = peers;
-        this.reports = reports;
+        this.rounds = rounds;
         this.loads = loads;
         this.log = log;
         this.crashListener = crashListener;
@@ -82,24 +72,21 @@
     public void listen(HostAddress address, PeerSocket.Handler messages) {
         socket.listen(address, this::onReport, messages);
         socket.loop()
-                .scheduleWithFixedDelay(this::sendRound, ROUND_INTERVAL_MS, ROUND_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                .scheduleWithFixedDelay(
+                        this::sendRound, ReportRounds.INTERVAL_MS, ReportRounds.INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private void sendRound() {
         lastRoundNanos = System.nanoTime();
-        List<HostAddress> addresses = peers.addresses();
-        int rounds = targets.rounds(addresses.size());
-        boolean inSums = loads.loads().includeThisHost();
-        HostReport report = reports.next(rounds, storeNews.get(), inSums);
-        loads.sendRound(reports.holdingsOfLastRounds(HOLDING_ROUNDS));
-        peers.refreshPeerLoads(loads.loads().current());
-        send(report, targets.next(addresses, fanOut.peers(report, inSums, rounds)));
+        RoundOfReports round = rounds.next(storeNews.get());
+        round.reports().forEach(r -> send(r.report(), r.targets()));
+        loads.send(round.loads());
     }
 
     /** Sends a short report to the given hosts at once, after a read of the store. */
     public void reportNow(List<HostAddress> targets) {
         if (socket.isOpen() && !targets.isEmpty()) {
-            send(reports.nextWithoutHoldings(storeNews.get(), loads.loads().includeThisHost()), targets);
+            send(rounds.shortReport(storeNews.get()), targets);
         }
     }
 
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
 import org.dragonflygw.core.peers.HostRanking;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.peers.ReportRounds;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.ConfigurationNews;
 import org.dragonflygw.core.storenews.EndpointChange;
@@ -93,7 +95,7 @@
         return new PeerReports(
                 socket,
                 peers,
-                reportFactory,
+                new ReportRounds(peers, reportFactory, fleet, new SplittableRandom()),
                 new LoadExchange(socket, fleet, new NoOpEventLog()),
                 new NoOpEventLog(),
                 c -> {},
