Merge part-g: loads of hosts in large fleets travel as sums

Conflicts: PeerTable takes the age of direct reports from the even-load part and the time of the sums from the reports part; generated code was generated anew from the merged schema.

--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -140,8 +140,7 @@
 
     /** Chooses an endpoint; after denials of permits a cold endpoint is tried some times more if no other can serve. */
     private Choice choose(Set<String> excluded, long now) {
-        Choice choice =
-                context.chooser().choose(choiceRequest(excluded, permitDenials < MAX_PERMIT_DENIALS, now), now);
+        Choice choice = context.chooser().choose(choiceRequest(excluded, permitDenials < MAX_PERMIT_DENIALS, now), now);
         if (choice.endpoint().isPresent() || permitDenials < MAX_PERMIT_DENIALS || permitDenials >= MAX_COLD_DENIALS) {
             return choice;
         }
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -78,17 +78,27 @@
                         && round - recentHoldings.peekFirst().firstRound >= (long) rounds * REPORTS_PER_PEER)) {
             recentHoldings.removeFirst();
         }
-        List<PromptHolding> holdings = new ArrayList<>();
-        recentHoldings.forEach(t -> holdings.add(t.holding));
         long now = clock.nanos();
         return report(
-                holdings,
+                holdingsSince(0),
                 crashes.nextReport(rounds, now),
                 crashingParts.nextReport(rounds, now),
                 loads.rates().nextReports(now),
                 news);
     }
 
+    /** Returns the prompt prefixes that were sent to endpoints in the last rounds. */
+    List<PromptHolding> holdingsOfLastRounds(int rounds) {
+        return holdingsSince(round - rounds);
+    }
+
+    private List<PromptHolding> holdingsSince(long firstRound) {
+        return recentHoldings.stream()
+                .filter(h -> h.firstRound > firstRound)
+                .map(RecentHolding::holding)
+                .toList();
+    }
+
     /**
      * Creates a report without prompt prefixes and lost endpoints, to be sent to many hosts at once as soon as the store
      * has news. Short messages are not lost on a narrow link. What is left out stays in the next reports.
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -50,6 +51,7 @@
     private final EventLog log;
     private final MonotonicClock clock;
     private final Map<String, Peer> peers = new HashMap<>();
+    private final Map<Integer, String> namesByHash = new HashMap<>();
     private final RateLog rateLog;
     private final FleetMembers members = new FleetMembers();
     private final RankedHosts ranked = new RankedHosts();
@@ -76,7 +78,7 @@
         ranked.onListed(host, clock.nanos());
         Peer known = peers.get(host);
         if (known == null) {
-            peers.put(host, new Peer(address, clock.nanos()));
+            addPeer(host, address);
         } else if (known.report == null) {
             known.address = address;
         }
@@ -92,7 +94,8 @@
         if (report.host().equals(self)) {
             return false;
         }
-        Peer peer = peers.computeIfAbsent(report.host(), h -> new Peer(report.address(), clock.nanos()));
+        Peer known = peers.get(report.host());
+        Peer peer = known == null ? addPeer(report.host(), report.address()) : known;
         if (peer.report != null && !report.newerThan(peer.report)) {
             return false;
         }
@@ -102,6 +105,7 @@
         members.onSeen(report.host(), clock.nanos());
         ranked.onHeard(report.host(), clock.nanos());
         peer.report = report;
+        peer.inSums = false;
         peer.address = report.address();
         peer.lastReportNanos = clock.nanos();
         peer.reporting = true;
@@ -113,6 +117,32 @@
         return true;
     }
 
+    private Peer addPeer(String host, HostAddress address) {
+        Peer peer = new Peer(ShortHash.of(host), address, clock.nanos());
+        peers.put(host, peer);
+        namesByHash.put(peer.hash, host);
+        return peer;
+    }
+
+    /**
+     * Records that the load of a host is part of the sums: it was up at that time, and what it reported directly before
+     * counts no more.
+     */
+    void onIncluded(int host, long atNanos) {
+        String name = namesByHash.get(host);
+        if (name == null) {
+            return;
+        }
+        Peer peer = peers.get(name);
+        members.onSeen(name, clock.nanos());
+        peer.inSums = true;
+        peer.lastReportNanos = Math.max(peer.lastReportNanos, atNanos);
+        if (!peer.reporting && clock.nanos() - peer.lastReportNanos < reportExpiryNanos()) {
+            peer.reporting = true;
+            logPeer(name, "heard");
+        }
+    }
+
     private void onLeaving(String peer, LeavingEndpoint leaving) {
         long sinceNanos = clock.nanos() - leaving.ageMs() * NANOS_PER_MS;
         if (loads.onLeaving(leaving.id(), leaving.startedMs(), sinceNanos)) {
@@ -125,37 +155,63 @@
         }
     }
 
-    /** Recomputes the load that peers put on each endpoint and removes silent peers. */
+    /** Recomputes the load that peers put on each endpoint from direct reports alone, and removes silent peers. */
     public void refreshPeerLoads() {
+        refreshPeerLoads(Optional.empty());
+    }
+
+    /**
+     * Recomputes the load that peers put on each endpoint and removes silent peers. The load of a peer counts once: in the
+     * sums, or else from its direct report.
+     *
+     * @param fleet sums of the loads of many hosts, if there are any
+     */
+    public void refreshPeerLoads(Optional<FleetSum> fleet) {
         long now = clock.nanos();
         removeSilent(now);
-        Map<String, PeerLoadSum> sums = new HashMap<>();
-        int reportingPeers = 0;
+        Map<String, PeerLoadSum> direct = new HashMap<>();
+        int hosts = fleet.map(f -> f.hosts() - 1).orElse(0);
+        int directReports = 0;
         long agesNanos = 0;
         for (Map.Entry<String, Peer> e : peers.entrySet()) {
             Peer p = e.getValue();
-            boolean fresh = p.report != null && now - p.lastReportNanos < reportExpiryNanos();
+            boolean fresh = now - p.lastReportNanos < reportExpiryNanos();
             if (p.reporting && !fresh) {
                 p.reporting = false;
                 logPeer(e.getKey(), "silent");
             }
-            if (fresh) {
-                reportingPeers++;
+            boolean counted = p.inSums || (fleet.isPresent() && fleet.get().includes(p.hash));
+            if (fresh && p.report != null && !counted) {
+                hosts++;
+                directReports++;
                 agesNanos += now - p.lastReportNanos;
                 p.report
                         .uses()
-                        .forEach(u -> sums.computeIfAbsent(u.endpoint(), x -> new PeerLoadSum())
+                        .forEach(u -> direct.computeIfAbsent(u.endpoint(), x -> new PeerLoadSum())
                                 .add(u));
             }
         }
-        if (reportingPeers == 0) {
-            return;
+        if (hosts > 0) {
+            long ageMs = fleet.isPresent() ? 0 : agesNanos / directReports / NANOS_PER_MS;
+            applyLoads(direct, fleet, hosts, ageMs);
         }
-        long ageMs = agesNanos / reportingPeers / NANOS_PER_MS;
+    }
+
+    /**
+     * Passes the loads to the endpoints. Sums are as of a time of their own; direct reports, as of now, have a mean age.
+     */
+    private void applyLoads(Map<String, PeerLoadSum> direct, Optional<FleetSum> fleet, int hosts, long ageMs) {
+        long atNanos = fleet.map(FleetSum::atNanos).orElseGet(clock::nanos);
         PeerLoadSum none = new PeerLoadSum();
         for (EndpointLoadState s : loads.all()) {
-            PeerLoadSum sum = sums.getOrDefault(s.entry().id(), none);
-            s.onPeerLoad(sum.toPeerLoad(reportingPeers, ageMs), now);
+            String id = s.entry().id();
+            PeerLoadSum sum = direct.get(id);
+            Optional<EndpointSum> others = fleet.flatMap(f -> f.others(ShortHash.of(id)));
+            if (others.isPresent()) {
+                sum = sum == null ? new PeerLoadSum() : sum;
+                sum.add(others.get());
+            }
+            s.onPeerLoad((sum == null ? none : sum).toPeerLoad(hosts, ageMs), atNanos);
         }
     }
 
@@ -163,6 +219,7 @@
         peers.entrySet().removeIf(e -> {
             boolean gone = now - e.getValue().lastReportNanos > REMOVAL_SILENCE_NANOS;
             if (gone) {
+                namesByHash.remove(e.getValue().hash, e.getKey());
                 logPeer(e.getKey(), "gone");
             }
             return gone;
@@ -186,6 +243,11 @@
         return others.isPresent() ? OptionalInt.of(others.getAsInt() + 1) : others;
     }
 
+    /** Returns the number of peers. */
+    public int size() {
+        return peers.size();
+    }
+
     /** Returns the names of the peers. */
     public Set<String> hostNames() {
         return Set.copyOf(peers.keySet());
@@ -235,6 +297,22 @@
         return Optional.ofNullable(peers.get(host)).map(p -> p.address);
     }
 
+    /** Returns the addresses of the peers that were heard recently and whose loads are not part of the sums. */
+    Set<HostAddress> heardOutside(FleetSum fleet) {
+        Set<HostAddress> outside = new HashSet<>();
+        for (Peer p : peers.values()) {
+            if (p.reporting && !fleet.includes(p.hash)) {
+                outside.add(p.address);
+            }
+        }
+        return outside;
+    }
+
+    /** Returns the address of the peer whose name has a short hash. */
+    Optional<HostAddress> addressOfHash(int host) {
+        return Optional.ofNullable(namesByHash.get(host)).flatMap(this::addressOf);
+    }
+
     /** Returns whether the list of hosts was read. */
     public boolean isListed() {
         return fleetSize().isPresent();
@@ -268,18 +346,27 @@
             failureScoreSum += use.failureScore();
         }
 
+        void add(EndpointSum sum) {
+            inFlight += sum.inFlight();
+            unreadTokens += sum.unreadTokens();
+            failureScoreSum += sum.failureScore();
+        }
+
         PeerLoad toPeerLoad(int hosts, long ageMs) {
             return new PeerLoad(inFlight, unreadTokens, failureScoreSum / hosts, ageMs);
         }
     }
 
     private static final class Peer {
+        private final int hash;
         private HostAddress address;
         private HostReport report;
         private long lastReportNanos;
         private boolean reporting;
+        private boolean inSums;
 
-        Peer(HostAddress address, long nowNanos) {
+        Peer(int hash, HostAddress address, long nowNanos) {
+            this.hash = hash;
             this.address = address;
             this.lastReportNanos = nowNanos;
         }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -2,32 +2,25 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.peers.HostReport;
-import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
-import org.dragonflygw.core.peers.ReportTargets;
+import org.dragonflygw.core.peers.ReportRounds;
+import org.dragonflygw.core.peers.RoundOfReports;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
 import org.dragonflygw.wire.codec.HostReportCodec;
 
 /**
  * Exchanges reports with the other hosts over UDP. Each round sends to a bounded number of hosts in turn, so that the
- * cost per host does not grow with the fleet.
+ * cost per host does not grow with the fleet. In large fleets, loads and prompt prefixes travel as sums instead.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A task of the event loop is lost only when the loop shuts down.
 public final class PeerReports {
-    /** Interval between rounds in milliseconds: shorter than most requests, so that peers see a load while it lasts. */
-    private static final long ROUND_INTERVAL_MS = 200;
-
-    /** Number of hosts that one round sends to. */
-    private static final int FAN_OUT = 8;
-
     /**
      * Time since the last round, in nanoseconds, above which received news are ignored: this process was paused, and
      * queued datagrams may be older than they state.
@@ -36,13 +29,13 @@
 
     private final PeerSocket socket;
     private final PeerTable peers;
-    private final HostReportFactory reports;
+    private final ReportRounds rounds;
+    private final LoadExchange loads;
     private final EventLog log;
     private final Consumer<HostReport> crashListener;
     private final Supplier<StoreNews> storeNews;
     private final Consumer<StoreNews> storeNewsListener;
     private final HostReportCodec codec = new HostReportCodec();
-    private final ReportTargets targets = new ReportTargets(FAN_OUT, new SplittableRandom());
     private long lastRoundNanos;
 
     /**
@@ -55,14 +48,16 @@
     public PeerReports(
             PeerSocket socket,
             PeerTable peers,
-            HostReportFactory reports,
+            ReportRounds rounds,
+            LoadExchange loads,
             EventLog log,
             Consumer<HostReport> crashListener,
             Supplier<StoreNews> storeNews,
             Consumer<StoreNews> storeNewsListener) {
         this.socket = socket;
         this.peers = peers;
-        this.reports = reports;
+        this.rounds = rounds;
+        this.loads = loads;
         this.log = log;
         this.crashListener = crashListener;
         this.storeNews = storeNews;
@@ -77,20 +72,21 @@
     public void listen(HostAddress address, PeerSocket.Handler messages) {
         socket.listen(address, this::onReport, messages);
         socket.loop()
-                .scheduleWithFixedDelay(this::sendRound, ROUND_INTERVAL_MS, ROUND_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                .scheduleWithFixedDelay(
+                        this::sendRound, ReportRounds.INTERVAL_MS, ReportRounds.INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private void sendRound() {
         lastRoundNanos = System.nanoTime();
-        peers.refreshPeerLoads();
-        List<HostAddress> addresses = peers.addresses();
-        send(reports.next(targets.rounds(addresses.size()), storeNews.get()), targets.next(addresses));
+        RoundOfReports round = rounds.next(storeNews.get());
+        round.reports().forEach(r -> send(r.report(), r.targets()));
+        loads.send(round.loads());
     }
 
     /** Sends a short report to the given hosts at once, after a read of the store. */
     public void reportNow(List<HostAddress> targets) {
         if (socket.isOpen() && !targets.isEmpty()) {
-            send(reports.nextWithoutHoldings(storeNews.get()), targets);
+            send(rounds.shortReport(storeNews.get()), targets);
         }
     }
 
