Limit cold endpoints fleet-wide by the owners of limits

A cold endpoint now needs a permit of the owners of its limit, at the lower of warmup_per_s and the limit that it names. The cold time comes from the entry, from the start of an endpoint that appears after the first list, from the header Dragonflygw-Warmup-Ms and from other hosts; permits, reports and store news carry it. Permits are void after 250 ms, late replies are none, and an owner that is silent is not asked for any endpoint for half a second. Named limits keep their shares and bursts.

--- a/core/src/main/java/org/dragonflygw/core/catalog/CatalogHolder.java
+++ b/core/src/main/java/org/dragonflygw/core/catalog/CatalogHolder.java
@@ -5,6 +5,12 @@
 /** Holds the current catalog of this process. The version never decreases. Not thread-safe. */
 public final class CatalogHolder {
     private Optional<Catalog> current = Optional.empty();
+    private Runnable onReplaced = () -> {};
+
+    /** Sets what is run after each replacement of the catalog. */
+    public void onReplaced(Runnable listener) {
+        onReplaced = listener;
+    }
 
     /** Returns the current catalog, or empty until the first one is read. */
     public Optional<Catalog> current() {
@@ -22,6 +28,7 @@
             return false;
         }
         current = Optional.of(next);
+        onReplaced.run();
         return true;
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/discovery/EndpointRegistry.java
+++ b/core/src/main/java/org/dragonflygw/core/discovery/EndpointRegistry.java
@@ -82,13 +82,13 @@
      * period after a store outage.
      */
     public void onListing(Collection<DiscoveredEndpoint> listing, long nowNanos) {
-        loaded = true;
         List<String> missing = new ArrayList<>(entries.keySet());
         for (DiscoveredEndpoint e : listing) {
             missing.remove(e.id());
             onUpdated(e);
         }
         missing.forEach(id -> onRemoved(id, nowNanos));
+        loaded = true;
     }
 
     /** Applies a new or changed entry; returns whether the change affects routing. */
@@ -98,7 +98,10 @@
         if (before != null && !before.sameIncarnation(e)) {
             listener.onRemoved(before);
         }
-        boolean changed = before == null || before.draining() != e.draining() || !before.sameIncarnation(e);
+        boolean changed = before == null
+                || before.draining() != e.draining()
+                || !before.sameIncarnation(e)
+                || isColdAgain(before, e);
         if (changed) {
             logChange(e, e.draining() ? "draining" : "ready");
         }
@@ -106,6 +109,11 @@
         return changed;
     }
 
+    /** Returns whether the warm-up of an endpoint began again, or has not gone on. */
+    private static boolean isColdAgain(DiscoveredEndpoint before, DiscoveredEndpoint e) {
+        return e.warmupLeftMs() > 0 && e.warmupLeftMs() >= before.warmupLeftMs();
+    }
+
     /**
      * Removes an entry that was removed from the store, or keeps the entry for the grace period after a store outage.
      *
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
@@ -20,9 +20,27 @@
     private final EventLog log;
     private final MonotonicClock clock;
     private final RateLog rateLog;
+    private final ColdListener coldListener;
 
+    /** Receives what endpoints say of being cold. */
+    @FunctionalInterface
+    public interface ColdListener {
+        /**
+         * Called for each response that says so.
+         *
+         * @param leftMs remaining time in milliseconds; negative if it cannot be read
+         */
+        void onResponse(DiscoveredEndpoint endpoint, long leftMs);
+    }
+
+    /** Creates notices of endpoints that are never cold. */
     public EndpointNotices(EndpointLoads loads, EventLog log, MonotonicClock clock) {
+        this(loads, (endpoint, leftMs) -> {}, log, clock);
+    }
+
+    public EndpointNotices(EndpointLoads loads, ColdListener coldListener, EventLog log, MonotonicClock clock) {
         this.loads = loads;
+        this.coldListener = coldListener;
         this.log = log;
         this.clock = clock;
         this.rateLog = new RateLog(loads.rates(), log);
@@ -54,6 +72,9 @@
                     .with("quietMs", notice.quietMs())
                     .end();
         }
+        if (notice.coldLeftMs() != 0) {
+            coldListener.onResponse(endpoint, notice.coldLeftMs());
+        }
         rateLog.accept(
                 loads.rates().of(endpoint.id(), endpoint.startedMs()),
                 new RateStatement(notice.rate(), sentNanos, now),
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -18,6 +18,15 @@
     /** Endpoints with a limit that may deny a permit before only the others are considered. */
     private static final int MAX_PERMIT_DENIALS = 3;
 
+    /**
+     * Cold endpoints that may deny a permit before the request is refused, if there are no others. Where a whole service is
+     * cold, three tries leave up to a tenth of the requests without one of the permits that are left.
+     */
+    private static final int MAX_COLD_DENIALS = 12;
+
+    /** Time after a permit was given within which the request must be sent, in nanoseconds. */
+    private static final long MAX_PERMIT_AGE_NANOS = 250_000_000L;
+
     private final ExchangeRequest request;
     private final ExchangeContext context;
     private final CrashObserver crashes;
@@ -31,6 +40,8 @@
     /** Whether the endpoint found last names a limit and gave a permit. */
     private boolean permitted;
 
+    private long permittedNanos;
+
     private int permitDenials;
     private boolean cancelled;
 
@@ -94,7 +105,7 @@
             listener.onNotFound(blocked.get(), 0);
             return;
         }
-        Choice choice = context.chooser().choose(choiceRequest(now), now);
+        Choice choice = choose(now);
         if (choice.endpoint().isEmpty()) {
             listener.onNotFound(RejectReason.of(choice.reason()), choice.expectedMs());
             return;
@@ -108,14 +119,23 @@
         listener.onFound(choice);
     }
 
-    private ChoiceRequest choiceRequest(long now) {
+    private Choice choose(long now) {
+        Choice choice = context.chooser().choose(choiceRequest(permitDenials < MAX_PERMIT_DENIALS, now), now);
+        if (choice.endpoint().isPresent() || permitDenials < MAX_PERMIT_DENIALS || permitDenials >= MAX_COLD_DENIALS) {
+            return choice;
+        }
+        Choice limited = context.chooser().choose(choiceRequest(true, now), now);
+        return limited.endpoint().filter(e -> e.rate().isCold()).isPresent() ? limited : choice;
+    }
+
+    private ChoiceRequest choiceRequest(boolean limitedEndpoints, long now) {
         return new ChoiceRequest(
                 request.service(),
                 request.prompt(),
                 request.route().objectiveMs(),
                 Math.max(0, (request.expiryNanos() - now) / NANOS_PER_MS),
                 attempts.failedEndpoints(),
-                permitDenials < MAX_PERMIT_DENIALS,
+                limitedEndpoints,
                 origin);
     }
 
@@ -131,6 +151,7 @@
             return;
         }
         permitted = true;
+        permittedNanos = context.clock().nanos();
         listener.onFound(choice);
     }
 
@@ -147,10 +168,14 @@
     /** Whether the request may still be sent to the endpoint that was found. */
     boolean mayStillSend(EndpointLoadState endpoint) {
         return acceptsRequests(endpoint)
-                && (permitted || !endpoint.rate().isLimited())
+                && (hasPermit() || !endpoint.rate().isLimited())
                 && (origin.isEmpty() || isCurrent(endpoint));
     }
 
+    private boolean hasPermit() {
+        return permitted && context.clock().nanos() - permittedNanos <= MAX_PERMIT_AGE_NANOS;
+    }
+
     private boolean acceptsRequests(EndpointLoadState endpoint) {
         long now = context.clock().nanos();
         return crashes.blockNanos(now) == 0 && !endpoint.isLeaving() && endpoint.quietNanos(now) == 0;
--- a/core/src/main/java/org/dragonflygw/core/ratelimit/EndpointRates.java
+++ b/core/src/main/java/org/dragonflygw/core/ratelimit/EndpointRates.java
@@ -1,6 +1,8 @@
 package org.dragonflygw.core.ratelimit;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,7 +38,9 @@
 
     /** Applies what another host told of an instance; returns whether the limit changed. */
     public boolean accept(RateReport report, long nowNanos) {
-        return of(report.endpoint(), report.startedMs()).accept(report.statement(nowNanos), nowNanos);
+        EndpointRate rate = of(report.endpoint(), report.startedMs());
+        rate.onColdTold(report.coldLeftMs(), report.coldPerSecond(), nowNanos);
+        return rate.accept(report.statement(nowNanos), nowNanos);
     }
 
     /** Returns what the next report to other hosts says about limits; most when they have just changed. */
@@ -44,22 +48,41 @@
         List<RateReport> reports = new ArrayList<>();
         List<EndpointRate> others = new ArrayList<>();
         for (EndpointRate rate : byInstance.values()) {
-            boolean changed = rate.statement().isPresent() && nowNanos - rate.changedNanos() < REPORT_CHANGED_NANOS;
-            if (changed && reports.size() < MAX_CHANGED_PER_REPORT) {
-                reports.add(RateReport.of(rate, rate.statement().orElseThrow(), nowNanos));
-            } else if (rate.isLimited()) {
+            if (isChanged(rate, nowNanos) && reports.size() < MAX_CHANGED_PER_REPORT) {
+                reports.add(RateReport.of(rate, nowNanos));
+            } else if (rate.namesLimit() || isColdUnlisted(rate)) {
                 others.add(rate);
             }
         }
         for (int i = 0; i < Math.min(MAX_OTHERS_PER_REPORT, others.size()); i++) {
             EndpointRate rate = others.get(Math.floorMod(nextOther++, others.size()));
-            reports.add(RateReport.of(rate, rate.statement().orElseThrow(), nowNanos));
+            reports.add(RateReport.of(rate, nowNanos));
         }
         return reports;
     }
 
+    private static boolean isChanged(EndpointRate rate, long nowNanos) {
+        boolean limitChanged = rate.statement().isPresent() && nowNanos - rate.changedNanos() < REPORT_CHANGED_NANOS;
+        return limitChanged || (isColdUnlisted(rate) && nowNanos - rate.coldSinceNanos() < REPORT_CHANGED_NANOS);
+    }
+
+    /** Returns whether an instance is cold and its entry does not say so, which all hosts read. */
+    private static boolean isColdUnlisted(EndpointRate rate) {
+        return rate.cold().filter(c -> c.source() != ColdSource.ENTRY).isPresent();
+    }
+
+    /** Returns all remembered rates. */
+    public Collection<EndpointRate> all() {
+        return Collections.unmodifiableCollection(byInstance.values());
+    }
+
+    /** Returns the number of cold instances. */
+    public long coldCount() {
+        return byInstance.values().stream().filter(EndpointRate::isCold).count();
+    }
+
     /** Returns the number of instances that name a limit. */
     public long limitedCount() {
-        return byInstance.values().stream().filter(EndpointRate::isLimited).count();
+        return byInstance.values().stream().filter(EndpointRate::namesLimit).count();
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/ratelimit/PermitIssuer.java
+++ b/core/src/main/java/org/dragonflygw/core/ratelimit/PermitIssuer.java
@@ -20,9 +20,18 @@
     /** Time over which unused permits of a share are kept, in seconds. */
     private static final double BURST_S = 0.25;
 
+    /**
+     * Unused permits of a cold endpoint that are kept over all owners. The platform tolerates 5 requests above the rate in
+     * one second; the rest is for permits that are used late and for owners that change.
+     */
+    private static final double COLD_BURST = 3.6;
+
     /** Wait that is told to a host which takes this one for an owner, in milliseconds. */
     private static final long NOT_OWNER_WAIT_MS = 500;
 
+    /** Time after its start in which a process may have a predecessor whose permits are still being used, in nanoseconds. */
+    private static final long MIN_RUNNING_NANOS = 3_000_000_000L;
+
     private static final long MAX_WAIT_MS = 60_000;
     private static final int MAX_SHARES = 2_048;
 
@@ -31,6 +40,7 @@
     private final PermitOwners owners;
     private final MonotonicClock clock;
     private final Map<EndpointRate, TokenBucket> shares = new LinkedHashMap<>();
+    private final long startNanos;
     private long granted;
     private long denied;
 
@@ -44,6 +54,7 @@
         this.rates = rates;
         this.owners = owners;
         this.clock = clock;
+        this.startNanos = clock.nanos();
     }
 
     /** Decides on the request of another host or of this one. */
@@ -57,9 +68,7 @@
         } else {
             denied++;
         }
-        RateReport known =
-                rate.statement().map(s -> RateReport.of(rate, s, now)).orElse(request.rate());
-        return new PermitReply(waitMs == 0, waitMs, known);
+        return new PermitReply(waitMs == 0, waitMs, RateReport.of(rate, now));
     }
 
     /** Takes a permit and returns 0, or returns the time until the next one, in milliseconds. */
@@ -73,10 +82,11 @@
             shares.remove(rate);
             return NOT_OWNER_WAIT_MS;
         }
-        double perSecond = Math.max(MIN_REQUESTS_PER_SECOND, rate.requestsPerSecond()) * owners.share(all);
-        double capacity = 1 + perSecond * BURST_S;
+        double part = rate.isCold() ? owners.coldShare(all) : owners.share(all);
+        double perSecond = Math.max(MIN_REQUESTS_PER_SECOND, rate.requestsPerSecond()) * part;
+        double capacity = rate.isCold() ? Math.max(1, COLD_BURST * part) : 1 + perSecond * BURST_S;
         Instant now = Instant.ofEpochSecond(0, clock.nanos());
-        TokenBucket share = shares.computeIfAbsent(rate, r -> emptyBucket(perSecond, now));
+        TokenBucket share = shares.computeIfAbsent(rate, r -> newBucket(rate, perSecond, now));
         if (shares.size() > MAX_SHARES) {
             shares.remove(shares.keySet().iterator().next());
         }
@@ -84,9 +94,15 @@
         return share.take(1, now) == 1 ? 0 : Math.max(1, Math.min(MAX_WAIT_MS, share.millisToNext(now)));
     }
 
-    private static TokenBucket emptyBucket(double perSecond, Instant now) {
+    /**
+     * Returns an empty bucket, or one with a single permit for an endpoint that turned cold while this process was running:
+     * nobody has given out permits of this cold period for it.
+     */
+    private TokenBucket newBucket(EndpointRate rate, double perSecond, Instant now) {
         TokenBucket bucket = new TokenBucket(perSecond, 1, now);
-        bucket.take(1, now);
+        if (!rate.isCold() || rate.coldSinceNanos() - startNanos < MIN_RUNNING_NANOS) {
+            bucket.take(1, now);
+        }
         return bucket;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/ratelimit/PermitOwners.java
+++ b/core/src/main/java/org/dragonflygw/core/ratelimit/PermitOwners.java
@@ -56,4 +56,13 @@
         long heard = owners.stream().filter(this::isReachable).count();
         return 1.0 / Math.max(Math.min(MIN_DIVISOR, owners.size()), heard);
     }
+
+    /**
+     * Returns the share of a cold endpoint's limit that each owner gives out, from 0 to 1. An owner that hears none of the
+     * others does not take over their shares, as it may be the one that is cut off.
+     */
+    double coldShare(List<String> owners) {
+        long heard = owners.stream().filter(this::isReachable).count();
+        return heard <= 1 ? 1.0 / owners.size() : share(owners);
+    }
 }
--- a/core/src/main/java/org/dragonflygw/core/ratelimit/RateLog.java
+++ b/core/src/main/java/org/dragonflygw/core/ratelimit/RateLog.java
@@ -22,7 +22,7 @@
     /** Applies what another host told. */
     public void accept(RateReport report, String peer, long nowNanos) {
         EndpointRate rate = rates.of(report.endpoint(), report.startedMs());
-        double before = rate.requestsPerSecond();
+        double before = rate.namedPerSecond();
         if (rates.accept(report, nowNanos)) {
             logChange(rate, before, "told by a peer", "peer", peer, report.sentAgeMs());
         }
@@ -42,7 +42,7 @@
                     .end();
             return;
         }
-        double before = rate.requestsPerSecond();
+        double before = rate.namedPerSecond();
         if (rate.accept(statement, statement.heardNanos())) {
             long ageMs = (statement.heardNanos() - statement.sentNanos()) / NANOS_PER_MS;
             logChange(rate, before, "by its own response", "request", request, ageMs);
@@ -53,10 +53,10 @@
             EndpointRate rate, double before, String how, String sourceField, String source, long sentAgeMs) {
         LogLine line = log.line(LogTopic.ENDPOINT)
                 .with("endpoint", rate.endpoint())
-                .with("outcome", (rate.isLimited() ? "limit " : "limit ended ") + how)
+                .with("outcome", (rate.namesLimit() ? "limit " : "limit ended ") + how)
                 .with(sourceField, source)
                 .with("sentAgeMs", sentAgeMs);
-        withLimit(line, "limitHundredths", rate.requestsPerSecond());
+        withLimit(line, "limitHundredths", rate.namedPerSecond());
         withLimit(line, "beforeHundredths", before);
         line.end();
     }
--- a/core/src/main/java/org/dragonflygw/core/ratelimit/SharedPermits.java
+++ b/core/src/main/java/org/dragonflygw/core/ratelimit/SharedPermits.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -21,6 +23,12 @@
     /** Time for which an owner that did not reply, or that was not heard, is not asked again, in nanoseconds. */
     private static final long SILENT_WAIT_NANOS = 500_000_000L;
 
+    /** Unanswered questions in a row after which an owner is not asked for any endpoint for {@link #SILENT_WAIT_NANOS}. */
+    private static final int MIN_UNANSWERED = 2;
+
+    /** Time after a question for which its reply counts, in nanoseconds; longer than the time for which it is awaited. */
+    private static final long MAX_REPLY_NANOS = 200_000_000L;
+
     private static final long NANOS_PER_MS = 1_000_000;
 
     private final String self;
@@ -30,6 +38,8 @@
     private final PermitTransport transport;
     private final RandomGenerator random;
     private final MonotonicClock clock;
+    private final Map<String, Integer> unansweredInARow = new HashMap<>();
+    private final Map<String, Long> silentUntilNanos = new HashMap<>();
     private long unanswered;
 
     /**
@@ -68,6 +78,16 @@
         return unanswered;
     }
 
+    /** Returns whether an owner did not reply to several questions in a row, a moment ago. */
+    private boolean isSilent(String owner, long nowNanos) {
+        return unansweredInARow.getOrDefault(owner, 0) >= MIN_UNANSWERED && nowNanos < silentUntilNanos.get(owner);
+    }
+
+    /** Returns a reply unless it is read long after the question: this process stood still, and the permit is old. */
+    private Optional<PermitReply> inTime(Optional<PermitReply> reply, long askedNanos) {
+        return clock.nanos() - askedNanos <= MAX_REPLY_NANOS ? reply : Optional.empty();
+    }
+
     /** The search for one permit. */
     private final class Acquisition {
         private final EndpointRate rate;
@@ -96,16 +116,15 @@
         }
 
         void next() {
-            Optional<RateStatement> known = rate.statement();
-            if (known.isEmpty() || !rate.isLimited()) {
+            if (!rate.isLimited()) {
                 end(true);
                 return;
             }
             long now = clock.nanos();
-            PermitRequest request = new PermitRequest(RateReport.of(rate, known.get(), now));
+            PermitRequest request = new PermitRequest(RateReport.of(rate, now));
             while (candidates.hasNext()) {
                 String owner = candidates.next();
-                if (rate.ownerHasPermitFrom(owner) > now || !owners.isReachable(owner)) {
+                if (rate.ownerHasPermitFrom(owner) > now || !owners.isReachable(owner) || isSilent(owner, now)) {
                     continue;
                 }
                 if (owner.equals(self)) {
@@ -113,7 +132,7 @@
                     return;
                 }
                 if (asked++ < MAX_ASKED) {
-                    transport.ask(owner, request, reply -> onReply(owner, reply));
+                    transport.ask(owner, request, reply -> onReply(owner, inTime(reply, now)));
                     return;
                 }
             }
@@ -125,10 +144,13 @@
             long now = clock.nanos();
             if (reply.isEmpty()) {
                 unanswered++;
+                unansweredInARow.merge(owner, 1, Integer::sum);
+                silentUntilNanos.put(owner, now + SILENT_WAIT_NANOS);
                 rate.ownerHasNoneUntil(owner, now + SILENT_WAIT_NANOS);
                 next();
                 return;
             }
+            unansweredInARow.remove(owner);
             rates.accept(reply.get().rate(), now);
             if (reply.get().granted()) {
                 end(true);
--- a/core/src/test/java/org/dragonflygw/core/discovery/EndpointRegistryTest.java
+++ b/core/src/test/java/org/dragonflygw/core/discovery/EndpointRegistryTest.java
@@ -31,6 +31,21 @@
         return new DiscoveredEndpoint(id, "s", "10.0.0.1", 80, "a", 4, false, 0, startedMs, "v1");
     }
 
+    /** Guards against hosts that do not read the store and never hear that an endpoint has become cold again. */
+    @Test
+    void anEntryWhoseWarmupBeginsAgainIsAChange() {
+        assertThat(registry.onUpdated(cold(5_000))).isTrue();
+        assertThat(registry.onUpdated(cold(3_800))).isFalse();
+        assertThat(registry.onUpdated(cold(0))).isFalse();
+        assertThat(registry.onUpdated(cold(0))).isFalse();
+        assertThat(registry.onUpdated(cold(5_000))).isTrue();
+        assertThat(registry.onUpdated(cold(5_000))).isTrue();
+    }
+
+    private static DiscoveredEndpoint cold(long leftMs) {
+        return new DiscoveredEndpoint("e1", "s", "10.0.0.1", 80, "a", 4, false, leftMs, 1, "v1");
+    }
+
     @Test
     void removedEntryIsDroppedImmediatelyWithoutOutage() {
         read(1);
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
@@ -12,6 +12,8 @@
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.ratelimit.ColdPeriod;
+import org.dragonflygw.core.ratelimit.ColdSource;
 import org.dragonflygw.core.ratelimit.PermitDecision;
 import org.dragonflygw.core.ratelimit.RateNotice;
 import org.dragonflygw.core.ratelimit.RateStatement;
@@ -80,6 +82,37 @@
             assertThat(f.rejections.get(0).retryAfterMs()).isAtLeast(100);
         }
 
+        /** Guards against a whole service of cold endpoints that refuses requests while permits are left. */
+        @Test
+        void coldEndpointsAreAskedOneAfterTheOther() {
+            for (int i = 0; i < 5; i++) {
+                f.loads.onUpdated(endpoint("cold-" + i, "v1"));
+            }
+            limitAll();
+            long now = f.clock.nanos();
+            f.loads
+                    .all()
+                    .forEach(e -> e.rate().extendCold(new ColdPeriod(now + 5_000_000_000L, 3, ColdSource.ENTRY), now));
+            f.start(PLAIN);
+            for (int i = 0; i < 4; i++) {
+                decide(false);
+            }
+            decide(true);
+            assertThat(f.sent).hasSize(1);
+        }
+
+        /** Guards against a permit that is used seconds later, when its connection is open at last. */
+        @Test
+        void aPermitIsVoidAfterAMoment() {
+            limitAll();
+            Exchange x = f.start(PLAIN);
+            decide(true);
+            f.clock.advanceMs(200);
+            assertThat(x.mayStillSend()).isTrue();
+            f.clock.advanceMs(100);
+            assertThat(x.mayStillSend()).isFalse();
+        }
+
         /** Guards against a permit that is used after the endpoint said that it leaves. */
         @Test
         void aPermitOfAnEndpointThatHasSaidSinceThatItLeavesIsNotUsed() {
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -200,6 +200,18 @@
             CrashingParts crashingParts,
             EndpointProbe probe,
             ManualMonotonicClock clock) {
+        return context(loads, (e, leftMs) -> {}, permits, origins, crashes, crashingParts, probe, clock);
+    }
+
+    static ExchangeContext context(
+            EndpointLoads loads,
+            EndpointNotices.ColdListener coldListener,
+            EndpointPermits permits,
+            StreamOrigins origins,
+            CrashSuspects crashes,
+            CrashingParts crashingParts,
+            EndpointProbe probe,
+            ManualMonotonicClock clock) {
         FleetRetryShare retries = new FleetRetryShare(
                 () -> new RetryBounds(1, 1_000, WINDOW_NANOS),
                 () -> OptionalInt.of(1),
@@ -210,7 +222,7 @@
                 loads,
                 permits,
                 origins,
-                new EndpointNotices(loads, new NoOpEventLog(), clock),
+                new EndpointNotices(loads, coldListener, new NoOpEventLog(), clock),
                 retries,
                 crashes,
                 crashingParts,
--- a/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
@@ -1,15 +1,19 @@
 package org.dragonflygw.core.exchange;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import org.dragonflygw.core.catalog.CallerLimits;
+import org.dragonflygw.core.catalog.Catalog;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.dispatch.PromptPart;
+import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.HostRanking;
 import org.dragonflygw.core.ratelimit.PermitIssuer;
 import org.dragonflygw.core.ratelimit.PermitOwners;
@@ -17,6 +21,7 @@
 import org.dragonflygw.core.ratelimit.PermitRequest;
 import org.dragonflygw.core.ratelimit.RateNotice;
 import org.dragonflygw.core.ratelimit.SharedPermits;
+import org.dragonflygw.core.warmup.WarmupTracker;
 
 /**
  * Hosts on virtual time in front of simulated engines that name limits in their responses. Callers come at random times,
@@ -29,38 +34,51 @@
     /** Length of the windows in which arrivals are counted, in milliseconds. */
     static final int WINDOW_MS = 4_000;
 
-    private static final CatalogService SERVICE = new CatalogService("app", "/", 100, 64, 300_000, 0);
+    /** Time for which an engine is cold, in milliseconds. */
+    static final long WARMUP_MS = 10_000;
+
+    /** Requests per second that a cold engine tolerates. */
+    static final double WARMUP_PER_SECOND = 4;
+
+    private static final CatalogService SERVICE = service(WARMUP_PER_SECOND);
+    private static final long WALL_CLOCK_START_MS = 1_788_000_000_000L;
+    private static final int MANY_SLOTS = 64;
+    private static final int HEARTBEAT_MS = 1_200;
     private static final int REPLY_TIMEOUT_MS = 50;
     private static final int HEAD_MS = 40;
     private static final int BODY_PAUSE_MS = 50;
     private static final int WORK_MS = 1_200;
     private static final int DEADLINE_MS = 15_000;
     private static final int SUBJECTS = 40;
-    private static final double MEAN_WEIGHT = 0.8;
 
+    private final int slots;
+    private Catalog catalog = catalog(SERVICE);
     private final SimulatedNetwork network;
     private final List<Engine> engines = new ArrayList<>();
-    private final List<Arrival> arrivals = new ArrayList<>();
-    private final List<Double> hostWeights = new ArrayList<>();
+    private final EngineArrivals arrivals = new EngineArrivals();
+    private final RandomCallers callers;
     private int messages;
     private long nextFingerprint = 1;
     private int completed;
     private final List<Refusal> refusals = new ArrayList<>();
 
-    /** One request that reached an engine. */
-    record Arrival(int engine, String host, long atMs) {}
-
     /** One request that a host refused, with the time since its arrival. */
     record Refusal(Rejection rejection, long afterMs) {}
 
     LimitedEndpointFleet(int hostCount, int engineCount, long seed) {
+        this(hostCount, engineCount, MANY_SLOTS, seed);
+    }
+
+    LimitedEndpointFleet(int hostCount, int engineCount, int slots, long seed) {
+        this.slots = slots;
         network = new SimulatedNetwork(seed);
+        callers = new RandomCallers(network);
         for (int i = 0; i < engineCount; i++) {
-            engines.add(new Engine(i));
+            engines.add(new Engine(i, 1));
         }
         for (int i = 0; i < hostCount; i++) {
             network.hosts().add(new Host("h" + i));
-            hostWeights.add(MEAN_WEIGHT - 0.5 + network.random.nextDouble());
+            callers.addUneven();
         }
         network.hosts().forEach(SimulatedHost::learnPeers);
     }
@@ -71,6 +89,20 @@
         return this;
     }
 
+    private static CatalogService service(double warmupPerSecond) {
+        return new CatalogService("app", "/", 100, 64, 300_000, 0, WARMUP_MS, warmupPerSecond);
+    }
+
+    private static Catalog catalog(CatalogService service) {
+        return new Catalog(1, CallerLimits.DEFAULT, List.of(), List.of(service), Optional.empty());
+    }
+
+    /** Sets the requests per second that cold engines tolerate. */
+    LimitedEndpointFleet tolerated(double perSecond) {
+        catalog = catalog(service(perSecond));
+        return this;
+    }
+
     LimitedEndpointFleet messageLoss(double ratio) {
         network.messageLoss(ratio);
         return this;
@@ -78,34 +110,10 @@
 
     /** Runs with callers that come at a mean rate. */
     void run(long millis, double requestsPerSecond) {
-        scheduleCallers(nowMs() + millis, requestsPerSecond);
+        callers.schedule(millis, requestsPerSecond, n -> host(n).receive());
         network.run(millis);
     }
 
-    private void scheduleCallers(long until, double requestsPerSecond) {
-        double at = nowMs();
-        while (true) {
-            at += -Math.log(1 - network.random.nextDouble()) * 1_000 / requestsPerSecond;
-            if (at >= until) {
-                return;
-            }
-            int host = drawHost();
-            network.after((long) at - nowMs(), () -> host(host).receive());
-        }
-    }
-
-    private int drawHost() {
-        double sum = hostWeights.stream().mapToDouble(w -> w).sum();
-        double draw = network.random.nextDouble() * sum;
-        for (int i = 0; i < hostWeights.size(); i++) {
-            draw -= hostWeights.get(i);
-            if (draw <= 0) {
-                return i;
-            }
-        }
-        return 0;
-    }
-
     private Host host(int number) {
         return (Host) network.hosts().get(number);
     }
@@ -140,7 +148,7 @@
     void add() {
         Host host = new Host("h" + network.hosts().size());
         network.hosts().add(host);
-        hostWeights.add(MEAN_WEIGHT);
+        callers.addMean();
         host.learnPeers();
     }
 
@@ -157,45 +165,96 @@
     /** Stops all messages of a host and to it, for good. */
     void lose(int host) {
         host(host).alive = false;
-        hostWeights.set(host, 0.0);
+        callers.remove(host);
     }
 
     /** Returns how many requests reached an engine in a period. */
     long arrivals(int engine, long fromMs, long untilMs) {
-        return arrivals.stream()
-                .filter(a -> a.engine == engine && a.atMs >= fromMs && a.atMs < untilMs)
-                .count();
+        return arrivals.count(engine, fromMs, untilMs);
     }
 
     /** Returns the most requests that reached an engine in any window from a time on, from all hosts. */
     int mostInWindow(int engine, long fromMs) {
-        List<Long> times = arrivals.stream()
-                .filter(a -> a.engine == engine && a.atMs >= fromMs)
-                .map(Arrival::atMs)
-                .toList();
-        int most = 0;
-        int first = 0;
-        for (int last = 0; last < times.size(); last++) {
-            while (times.get(last) - times.get(first) >= WINDOW_MS) {
-                first++;
-            }
-            most = Math.max(most, last - first + 1);
+        return mostInWindow(engine, WINDOW_MS, fromMs, nowMs());
+    }
+
+    /** Returns the most requests that reached an engine in any window of a length within a period, from all hosts. */
+    int mostInWindow(int engine, long windowMs, long fromMs, long untilMs) {
+        return arrivals.mostInWindow(engine, windowMs, fromMs, untilMs);
+    }
+
+    /**
+     * Starts engines that are cold.
+     *
+     * @param inEntry whether their entries say so
+     * @param lateMs time within which each host reads an entry
+     * @return number of the first one
+     */
+    int startCold(int count, boolean inEntry, long lateMs) {
+        int first = engines.size();
+        for (int i = 0; i < count; i++) {
+            Engine e = new Engine(engines.size(), WALL_CLOCK_START_MS + nowMs());
+            engines.add(e);
+            e.becomeCold(inEntry, lateMs);
         }
-        return most;
+        return first;
+    }
+
+    /** Makes all running engines cold at once. */
+    void makeAllCold(long lateMs) {
+        engines.forEach(e -> e.becomeCold(true, lateMs));
+    }
+
+    /** Makes a running engine cold. Its responses say so if it is not in its entry. */
+    void makeCold(int engine, boolean inEntry, long lateMs) {
+        engines.get(engine).responsesSayCold = !inEntry;
+        engines.get(engine).becomeCold(inEntry, lateMs);
+    }
+
+    /** Returns the number of engines that a host takes for cold. */
+    long coldCount(int host) {
+        return host(host).loads.rates().coldCount();
     }
 
     private final class Engine {
         private final int number;
-        private final DiscoveredEndpoint entry;
+        private final long startedMs;
         private LongFunction<RateNotice> noticeAt = t -> RateNotice.UNLIMITED;
+        private long coldUntilMs;
+        private boolean inEntry;
+        private boolean responsesSayCold;
 
-        Engine(int number) {
+        Engine(int number, long startedMs) {
             this.number = number;
-            this.entry = new DiscoveredEndpoint("i-" + number, "app", "10.0.0.1", 80, "a", 64, false, 0, 1, "v1");
+            this.startedMs = startedMs;
+        }
+
+        DiscoveredEndpoint entry() {
+            long left = inEntry ? Math.max(0, coldUntilMs - nowMs()) : 0;
+            return new DiscoveredEndpoint(
+                    "i-" + number, "app", "10.0.0.1", 80, "a", slots, false, left, startedMs, "v1");
+        }
+
+        void becomeCold(boolean saysSo, long lateMs) {
+            coldUntilMs = nowMs() + WARMUP_MS;
+            inEntry = saysSo;
+            publish(lateMs);
+        }
+
+        /** Writes the entry now and with each heartbeat, until it is warm; each host reads it a little later. */
+        private void publish(long lateMs) {
+            DiscoveredEndpoint written = entry();
+            for (int i = 0; i < network.hosts().size(); i++) {
+                Host host = host(i);
+                network.after(network.random.nextLong(lateMs + 1), () -> host.read(written));
+            }
+            if (inEntry && written.warmupLeftMs() > 0) {
+                network.after(HEARTBEAT_MS, () -> publish(lateMs));
+            }
         }
 
         void receive(Call call) {
-            arrivals.add(new Arrival(number, call.host.name, nowMs()));
+            arrivals.add(number, nowMs());
             int attempt = call.attempt;
             network.after(HEAD_MS, () -> call.head(attempt, head()));
             for (int ms = HEAD_MS; ms < WORK_MS; ms += BODY_PAUSE_MS) {
@@ -205,7 +264,8 @@
         }
 
         private ResponseHead head() {
-            EndpointNotice notice = new EndpointNotice(false, 0, noticeAt.apply(nowMs()));
+            EndpointNotice notice = new EndpointNotice(
+                    false, 0, noticeAt.apply(nowMs()), responsesSayCold ? Math.max(0, coldUntilMs - nowMs()) : 0);
             return new ResponseHead(200, true, false, false, -1, false, Optional.empty(), notice, List.of());
         }
     }
@@ -213,10 +273,20 @@
     private final class Host extends SimulatedHost {
         private final ExchangeContext context;
         private final PermitIssuer issuer;
+        private final WarmupTracker warmups;
+        private boolean listed;
 
         Host(String name) {
             super(name, network);
-            engines.forEach(e -> loads.onUpdated(e.entry));
+            this.warmups = new WarmupTracker(
+                    loads.rates(),
+                    () -> Optional.of(catalog),
+                    () -> listed,
+                    network.clock,
+                    () -> Instant.ofEpochMilli(WALL_CLOCK_START_MS + nowMs()),
+                    new NoOpEventLog());
+            engines.forEach(e -> read(e.entry()));
+            listed = true;
             PermitOwners owners = new PermitOwners(
                     name, new HostRanking(name, peers::rankedHosts, network.clock), peers::isListed, peers::mayBeUp);
             this.issuer = new PermitIssuer(name, loads.rates(), owners, network.clock);
@@ -224,6 +294,7 @@
                     name, loads.rates(), owners, issuer, this::ask, network.random.split(), network.clock);
             this.context = ExchangeFixture.context(
                     loads,
+                    warmups::onResponse,
                     permits,
                     ExchangeFixture.lonelyOrigins(network.clock),
                     crashes,
@@ -232,6 +303,19 @@
                     network.clock);
         }
 
+        void read(DiscoveredEndpoint entry) {
+            if (alive) {
+                loads.onUpdated(entry);
+                warmups.onUpdated(entry);
+            }
+        }
+
+        @Override
+        void report() {
+            warmups.refresh();
+            super.report();
+        }
+
         /** Asks another host for a permit; either message may be lost. */
         private void ask(String host, PermitRequest request, Consumer<Optional<PermitReply>> listener) {
             messages++;
--- a/core/src/test/java/org/dragonflygw/core/ratelimit/SharedPermitsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/ratelimit/SharedPermitsTest.java
@@ -50,7 +50,7 @@
     }
 
     private void reply(boolean granted, long waitMs) {
-        RateReport known = RateReport.of(rate, rate.statement().orElseThrow(), clock.nanos());
+        RateReport known = RateReport.of(rate, clock.nanos());
         waiting.remove(0).accept(Optional.of(new PermitReply(granted, waitMs, known)));
     }
 
@@ -117,6 +117,27 @@
             assertThat(asked).hasSize(2);
         }
 
+        /** Guards against requests that wait for the same silent owners at one endpoint after the other. */
+        @Test
+        void isNoOwnerThatLeftTwoQuestionsUnanswered() {
+            name(3);
+            ownNothing();
+            List<String> all = owners.of(rate);
+            silent.addAll(all.subList(1, all.size()));
+            acquire();
+            waiting.remove(0).accept(Optional.empty());
+            clock.advanceMs(600);
+            acquire();
+            waiting.remove(0).accept(Optional.empty());
+            clock.advanceMs(300);
+            rate.ownerHasNoneUntil(all.get(0), clock.nanos());
+            acquire();
+            assertThat(asked).hasSize(2);
+            clock.advanceMs(300);
+            acquire();
+            assertThat(asked).hasSize(3);
+        }
+
         @Test
         void isNobodyBeforeTheListOfHostsWasRead() {
             name(3);
@@ -142,11 +163,24 @@
             assertThat(rate.isLimited()).isFalse();
         }
 
+        /** Guards against a permit that is used late because the process stood still after the question. */
+        @Test
+        void thatAreReadLateAreNoPermits() {
+            name(3);
+            ownNothing();
+            acquire();
+            clock.advanceMs(1_000);
+            reply(true, 0);
+            reply(true, 0);
+            assertThat(permits.unansweredCount()).isEqualTo(1);
+            assertThat(decision().granted()).isTrue();
+        }
+
         @Test
         void ofAHostThatIsNoOwnerDeny() {
             name(3);
             ownNothing();
-            RateReport known = RateReport.of(rate, rate.statement().orElseThrow(), clock.nanos());
+            RateReport known = RateReport.of(rate, clock.nanos());
             assertThat(issuer.issue(new PermitRequest(known)).granted()).isFalse();
         }
 
@@ -163,6 +197,59 @@
         }
     }
 
+    @Nested
+    final class OfColdEndpoints {
+        private void makeCold() {
+            long until = clock.nanos() + 20_000_000_000L;
+            rate.extendCold(new ColdPeriod(until, 3, ColdSource.ENTRY), clock.nanos());
+        }
+
+        private int takeAll() {
+            int taken = 0;
+            while (issuer.issue(new PermitRequest(RateReport.of(rate, clock.nanos())))
+                    .granted()) {
+                taken++;
+            }
+            return taken;
+        }
+
+        /** Guards against an owner that gives out again what the process before it gave out. */
+        @Test
+        void aProcessThatHasJustStartedHasNone() {
+            hosts.clear();
+            makeCold();
+            assertThat(takeAll()).isEqualTo(0);
+        }
+
+        /** Guards against requests that are refused although nobody has sent anything to a cold endpoint yet. */
+        @Test
+        void aRunningProcessHasOneAtOnce() {
+            hosts.clear();
+            clock.advanceMs(5_000);
+            makeCold();
+            assertThat(takeAll()).isEqualTo(1);
+        }
+
+        @Test
+        void unusedOnesAreKeptUpToTheBurst() {
+            hosts.clear();
+            makeCold();
+            takeAll();
+            clock.advanceMs(10_000);
+            assertThat(takeAll()).isEqualTo(3);
+        }
+
+        /** Guards against an owner that has not read the entry and gives out permits without a limit. */
+        @Test
+        void anOwnerLearnsOfThemFromTheQuestion() {
+            hosts.clear();
+            RateReport told = new RateReport("new", 1, RateNotice.UNREADABLE, 0, 0, 5_000, 3);
+            PermitReply reply = issuer.issue(new PermitRequest(told));
+            assertThat(reply.granted()).isFalse();
+            assertThat(reply.rate().coldLeftMs()).isEqualTo(5_000);
+        }
+    }
+
     @Nested
     final class Shares {
         private double share() {
@@ -185,6 +272,16 @@
             assertThat(share()).isWithin(1e-9).of(1 / 2.0);
         }
 
+        /** Guards against sides of a cut that each take over the shares of the other. */
+        @Test
+        void ofAColdEndpointAreAThirdForAnOwnerThatHearsNobody() {
+            ownNothing();
+            silent.addAll(hosts);
+            assertThat(owners.coldShare(owners.of(rate))).isWithin(1e-9).of(1 / 3.0);
+            silent.removeAll(owners.of(rate).subList(0, 2));
+            assertThat(owners.coldShare(owners.of(rate))).isWithin(1e-9).of(1 / 2.0);
+        }
+
         @Test
         void ofASingleHostAreTheWhole() {
             hosts.clear();
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -47,6 +47,7 @@
 import org.dragonflygw.core.settings.HostBounds;
 import org.dragonflygw.core.settings.HostIdentity;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.core.warmup.WarmupTracker;
 import org.dragonflygw.edge.front.FrontContext;
 import org.dragonflygw.edge.front.FrontServer;
 import org.dragonflygw.edge.front.FrontState;
@@ -76,6 +77,9 @@
     /** Interval in milliseconds at which held requests are checked while the process starts. */
     private static final long HOLD_CHECK_MS = 10;
 
+    /** Interval in milliseconds at which cold endpoints are checked for the end of their warm-up. */
+    private static final long WARMUP_CHECK_MS = 200;
+
     private final SettingsHolder settings;
     private final HostIdentity identity;
     private final ChoicePolicy policy;
@@ -91,6 +95,7 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointNotices notices;
     private final EndpointRegistry registry;
+    private final WarmupTracker warmups;
     private final FleetRetryShare retries;
     private final CrashSuspects crashes;
     private final CrashingParts crashingParts;
@@ -114,10 +119,13 @@
         this.log = log;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.metrics = new EdgeMetrics(new MetricRegistry());
-        this.notices = new EndpointNotices(loads, log, System::nanoTime);
-        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics);
         this.contact = new StoreContact(this::maxKeyAgeNanos, System::nanoTime, InstantSource.system());
         this.registry = new EndpointRegistry(new EndpointUpdates(), this::heartbeatNanos, log);
+        this.warmups = new WarmupTracker(
+                loads.rates(), catalogs::current, registry::loaded, System::nanoTime, InstantSource.system(), log);
+        catalogs.onReplaced(warmups::refresh);
+        this.notices = new EndpointNotices(loads, warmups::onResponse, log, System::nanoTime);
+        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics);
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
@@ -175,6 +183,7 @@
         metrics.registerGauge("crashing_parts", crashingParts::count);
         metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
         metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
+        metrics.registerGauge("endpoints_cold", loads.rates()::coldCount);
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
         metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
@@ -184,6 +193,7 @@
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
         startStoreAndPeers();
+        scheduleWithFixedDelay(WARMUP_CHECK_MS, warmups::refresh);
         listener = new FrontServer(group, frontParts()).listen(identity.callers());
         releaseHeldRequests();
         logStart();
@@ -340,12 +350,14 @@
         @Override
         public void onUpdated(DiscoveredEndpoint endpoint) {
             loads.onUpdated(endpoint);
+            warmups.onUpdated(endpoint);
             versions.onUpdated(endpoint);
         }
 
         @Override
         public void onRemoved(DiscoveredEndpoint endpoint) {
             loads.onRemoved(endpoint);
+            warmups.onRemoved(endpoint);
             versions.onRemoved(endpoint);
             pool.removeEndpoint(endpoint);
             if (!endpoint.draining()) {
--- a/wire/src/main/java/org/dragonflygw/wire/codec/CatalogUpdateCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/CatalogUpdateCodec.java
@@ -71,8 +71,9 @@
     }
 
     private static ServiceMessage encode(CatalogService s) {
-        return new ServiceMessage(
+        ServiceMessage m = new ServiceMessage(
                 s.name(), s.healthPath(), s.maxConnections(), s.slots(), s.cacheTokens(), s.bytesPerToken());
+        return s.limitsColdEndpoints() ? m.setWarmupMillis(s.warmupMs()).setWarmupPerSecond(s.warmupPerSecond()) : m;
     }
 
     static CatalogUpdate decode(CatalogUpdateMessage m) {
@@ -124,6 +125,8 @@
                 m.getMaxConnections(),
                 m.getSlots(),
                 m.getCacheTokens(),
-                m.getBytesPerToken());
+                m.getBytesPerToken(),
+                m.isSetWarmupMillis() ? m.getWarmupMillis() : 0,
+                m.isSetWarmupPerSecond() ? m.getWarmupPerSecond() : 0);
     }
 }
--- a/wire/src/main/java/org/dragonflygw/wire/codec/RateReportCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/RateReportCodec.java
@@ -11,11 +11,32 @@
     static EndpointRateMessage encode(RateReport report) {
         EndpointRateMessage m =
                 new EndpointRateMessage(report.endpoint(), report.startedMs(), report.sentAgeMs(), report.heardAgeMs());
-        return report.notice().isLimited() ? m.setLimit(report.notice().requestsPerSecond()) : m;
+        if (report.notice().isLimited()) {
+            m.setLimit(report.notice().requestsPerSecond());
+        }
+        if (report.notice().kind() == RateNotice.Kind.UNREADABLE) {
+            m.setUnknown(true);
+        }
+        return report.coldLeftMs() > 0
+                ? m.setColdLeftMillis(report.coldLeftMs()).setColdPerSecond(report.coldPerSecond())
+                : m;
     }
 
     static RateReport decode(EndpointRateMessage m) {
-        RateNotice notice = m.isSetLimit() ? RateNotice.limited(m.getLimit()) : RateNotice.UNLIMITED;
-        return new RateReport(m.getId(), m.getStartedMillis(), notice, m.getSentAgeMillis(), m.getHeardAgeMillis());
+        return new RateReport(
+                m.getId(),
+                m.getStartedMillis(),
+                notice(m),
+                m.getSentAgeMillis(),
+                m.getHeardAgeMillis(),
+                m.isSetColdLeftMillis() ? m.getColdLeftMillis() : 0,
+                m.isSetColdPerSecond() ? m.getColdPerSecond() : 0);
+    }
+
+    private static RateNotice notice(EndpointRateMessage m) {
+        if (m.isSetUnknown() && m.isUnknown()) {
+            return RateNotice.UNREADABLE;
+        }
+        return m.isSetLimit() ? RateNotice.limited(m.getLimit()) : RateNotice.UNLIMITED;
     }
 }
--- a/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
+++ b/wire/src/main/java/org/dragonflygw/wire/codec/StoreNewsCodec.java
@@ -35,6 +35,7 @@
 
     private static EndpointChangeMessage encode(EndpointChange change) {
         EndpointChangeMessage m = new EndpointChangeMessage(change.id(), change.version());
+        change.entry().filter(e -> e.warmupLeftMs() > 0).ifPresent(e -> m.setWarmupLeftMillis(e.warmupLeftMs()));
         change.entry()
                 .ifPresent(e -> m.setServiceName(e.service())
                         .setIp(e.host())
@@ -77,7 +78,7 @@
                 m.getZone(),
                 m.getSlots(),
                 m.isDraining(),
-                0,
+                m.isSetWarmupLeftMillis() ? m.getWarmupLeftMillis() : 0,
                 m.getStartedMillis(),
                 m.isSetSoftwareVersion() ? m.getSoftwareVersion() : "");
         return new EndpointChange(m.getId(), Optional.of(e), m.getVersion());
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -35,6 +35,8 @@
   8: optional bool draining
   9: optional i64 startedMillis
   10: optional string softwareVersion
+  /** Remaining time of the endpoint's warm-up. */
+  11: optional i64 warmupLeftMillis
 }
 
 /** A service that receives a weighted share of a route's requests. */
@@ -69,6 +71,9 @@
   4: required i32 slots
   5: required i64 cacheTokens
   6: required i64 bytesPerToken
+  7: optional i64 warmupMillis
+  /** Requests per second that a cold endpoint tolerates. */
+  8: optional double warmupPerSecond
 }
 
 /** The team that an API key belongs to. */
@@ -168,6 +173,12 @@
   4: required i64 sentAgeMillis
   /** Time since that response was heard. */
   5: required i64 heardAgeMillis
+  /** Set if no response of the instance is known; the limit and the ages then say nothing. */
+  6: optional bool unknown
+  /** Time for which the instance is still cold; not set if it is warm. */
+  7: optional i64 coldLeftMillis
+  /** Requests per second that the instance tolerates until then. */
+  8: optional double coldPerSecond
 }
 
 /** Reply of a host that gives out the limit of an endpoint. */
--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -73,7 +73,9 @@
                 true,
                 List.of(route),
                 List.of("gone"),
-                List.of(new CatalogService("s", "/h", 1, 2, 3, 4)),
+                List.of(
+                        new CatalogService("s", "/h", 1, 2, 3, 4),
+                        new CatalogService("cold", "/h", 1, 2, 3, 4, 20_000, 2.5)),
                 List.of("t"),
                 Map.of("k1", new CatalogTeam("a", OptionalInt.of(2)), "k2", new CatalogTeam("b", OptionalInt.empty())),
                 List.of("k3"));
@@ -107,7 +109,8 @@
                 List.of(new LeavingEndpoint("i-3", 17, 250)),
                 List.of(
                         new RateReport("i-4", 18, RateNotice.limited(2.5), 400, 300),
-                        new RateReport("i-5", 19, RateNotice.UNLIMITED, 40, 30)),
+                        new RateReport("i-5", 19, RateNotice.UNLIMITED, 40, 30),
+                        new RateReport("i-6", 20, RateNotice.UNREADABLE, 60, 50, 7_000, 2.5)),
                 news);
     }
 
