Test of cold endpoints while the network is cut in two and hosts restart on one side

Processes that start on one side of a cut rank only the hosts they hear, and may take the place of owners on the other side.

--- a/core/src/test/java/org/dragonflygw/core/exchange/ColdEndpointTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ColdEndpointTest.java
@@ -111,6 +111,9 @@
     final class WhileHostsFail {
         private static final int STEP_MS = 500;
 
+        /** Time after which a restarted host no longer ranks those that it has not heard, in milliseconds. */
+        private static final int REPLACED_AFTER_MS = 10_000;
+
         /** Guards against restarted owners that give out again what they gave out before, and hosts that know nothing. */
         @ParameterizedTest
         @CsvSource({"6, 13, 11, true", "6, 13, 12, false", "65, 98, 13, true", "65, 98, 14, false", "128, 98, 15, true"
@@ -166,6 +169,25 @@
             assertKept(fleet, first, COLD, start, start + WARMUP_MS);
         }
 
+        /** Guards against processes that start on one side of a cut and take the place of owners on the other side. */
+        @ParameterizedTest
+        @CsvSource({"6, 13, 61, 3, 2", "9, 13, 62, 4, 3", "65, 98, 63, 30, 10", "65, 98, 64, 30, 65"})
+        void hostsThatRestartWhileTheNetworkIsCutInTwoKeepTheLimit(
+                int hosts, int engines, long seed, int onOneSide, int restarted) {
+            LimitedEndpointFleet fleet = started(hosts, engines, seed);
+            fleet.cutInTwo(onOneSide);
+            for (int i = 0; i < restarted; i++) {
+                fleet.restart(i);
+            }
+            fleet.run(REPLACED_AFTER_MS, load(engines) / 10);
+            long start = fleet.nowMs();
+            int first = fleet.startCold(COLD, true, LATE_MS);
+            fleet.run(WARMUP_MS / 2, load(engines));
+            fleet.cutInTwo(0);
+            fleet.run(WARMUP_MS / 2, load(engines));
+            assertKept(fleet, first, COLD, start, start + WARMUP_MS);
+        }
+
         @ParameterizedTest
         @ValueSource(longs = {28, 29})
         void lostMessagesKeepTheLimit(long seed) {
--- a/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
@@ -140,6 +140,7 @@
         Host old = host(host);
         old.alive = false;
         Host fresh = new Host(old.name);
+        fresh.side = old.side;
         network.hosts().set(host, fresh);
         fresh.learnPeers();
     }
@@ -162,6 +163,13 @@
         host(host).cutOff = cut;
     }
 
+    /** Cuts the network in two, with the given number of hosts on one side; ends the cut with none. */
+    void cutInTwo(int onOneSide) {
+        for (int i = 0; i < network.hosts().size(); i++) {
+            host(i).side = i < onOneSide ? 1 : 0;
+        }
+    }
+
     /** Stops all messages of a host and to it, for good. */
     void lose(int host) {
         host(host).alive = false;
--- a/core/src/test/java/org/dragonflygw/core/exchange/SimulatedHost.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/SimulatedHost.java
@@ -25,6 +25,9 @@
     boolean alive = true;
     boolean cutOff;
 
+    /** Side of a cut through the network on which the host is. */
+    int side;
+
     private final SimulatedNetwork network;
     private final HostReportFactory reports;
     private final ReportTargets targets;
@@ -45,7 +48,7 @@
     }
 
     boolean reaches(SimulatedHost other) {
-        return alive && other.alive && !cutOff && !other.cutOff;
+        return alive && other.alive && !cutOff && !other.cutOff && side == other.side;
     }
 
     void report() {
