End a planned stop in time whatever the event loop and the log wait for, and answer what is left

Cause: the stop's timer fired 0.3 s before the kill, so a process with a longer stream ended later than that; the thread that ends the process wrote the last log lines and waited for ever if nobody read them; it waited for the event loop up to the kill. Requests that were read and had no response yet were cut, and a connection with a part of a request's head was closed as idle. The signal's handler was installed after the port was opened.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -409,6 +409,31 @@
         end("caller left", 0);
     }
 
+    /** Called when the process exits: the request is refused if it was not sent, and fails otherwise. */
+    public void onStopping() {
+        if (phase == Phase.ENDED) {
+            return;
+        }
+        long now = now();
+        if (phase != Phase.CHOOSING) {
+            logFailure("process exits", 0, now);
+            crashes.onCallerLeft(now);
+            endAttempt();
+            out.cancelAttempt();
+            mayHaveRun = true;
+        }
+        refuseOrFail(RejectReason.STOPPING, 0);
+    }
+
+    /** Returns what the request waits for, for the log. */
+    public String waitingFor() {
+        return switch (phase) {
+            case CHOOSING -> "endpoint";
+            case SENT -> "response";
+            default -> "end of response";
+        };
+    }
+
     private void scheduleTimer() {
         long wakeNanos = request.expiryNanos();
         if (mayReplaceIfSilent(now())) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/RejectReason.java
@@ -36,6 +36,8 @@
     NO_ENDPOINT_OF_VERSION(503),
     /** The request bodies that this host holds in memory exceed its limit. */
     OVERLOADED(503),
+    /** This process exits before the request could be sent. */
+    STOPPING(503),
     /** An endpoint failed after the request was sent; it may have run. */
     ENDPOINT_FAILED(502),
     /** The deadline passed after the request was sent; it may have run. */
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -17,6 +17,7 @@
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.edge.log.JsonLog;
+import org.dragonflygw.edge.stop.StopLimit;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 
 /** Entry point of the router process of one host. Reads the settings file and starts an {@link EdgeNode}. */
@@ -72,8 +73,8 @@
         SettingsHolder holder = new SettingsHolder(settings);
         SettingsReloader reloader = new SettingsReloader(path, bytes, decoder, holder, log);
         EdgeNode node = new EdgeNode(holder, options.valueOf(policy), log);
+        Signals.onTerminate(() -> stop(node, log)); // Before the first request, which the default action would cut.
         node.start(options.valueOf(metricsPort));
-        Signals.onTerminate(() -> stop(node, log));
         Signals.onHangUp(reloader::onSignal);
         node.scheduleWithFixedDelay(SETTINGS_CHECK_MS, reloader::reloadIfChanged);
     }
@@ -85,7 +86,9 @@
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     }
 
+    /** Ends the process, whatever the event loop and the log wait for. */
     private static void stop(EdgeNode node, JsonLog log) {
+        StopLimit.start(node.graceMs(), () -> Runtime.getRuntime().halt(0));
         try {
             node.stop();
         } catch (InterruptedException e) {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -104,7 +104,7 @@
     private final SoftwareVersions versions;
     private final StreamOrigins origins;
     private PeerReports reports;
-    private Channel listener;
+    private volatile Channel listener;
     private volatile boolean lastLoggedReady;
 
     /** Creates a node; {@link #start} starts it. */
@@ -326,8 +326,16 @@
         return now;
     }
 
-    /** Runs a {@link GracefulStop}; returns when the process may exit. */
+    /** Returns the time between the signal to stop and the kill, in milliseconds. */
+    public long graceMs() {
+        return settings.bounds().graceMs();
+    }
+
+    /** Runs a {@link GracefulStop}; returns when the process may exit, at once if no caller can have connected. */
     public void stop() throws InterruptedException {
+        if (listener == null) {
+            return;
+        }
         new GracefulStop(group.next(), frontState, log, settings.bounds().graceMs(), this::closePort).run();
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -149,6 +149,20 @@
         reject(new Rejection(reason, retryAfterMs));
     }
 
+    /** Ends the request because the process exits: with a response if none has begun. */
+    void endBeforeExit() {
+        if (exchange == null) {
+            rejectUnrouted(RejectReason.STOPPING);
+        } else {
+            exchange.onStopping();
+        }
+    }
+
+    /** Returns what the request waits for, for the log. */
+    String waitingFor() {
+        return exchange == null ? "start" : exchange.waitingFor();
+    }
+
     /** Releases the body without sending a response. */
     void discard() {
         release();
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -47,8 +46,16 @@
     private final FrontContext front;
     private final Deque<HttpObject> queued = new ArrayDeque<>();
 
+    /** Delay in milliseconds after which a caller may come back; the balancer sends it to another host. */
+    private static final long RETRY_ELSEWHERE_MS = 50;
+
     private ChannelHandlerContext context;
     private Call call;
+
+    /** Whether bytes were read that are no message yet, so that a request has begun. */
+    private boolean partRead;
+
+    private boolean messageRead;
     private boolean reading;
     private boolean closing;
     private long lastActiveNanos;
@@ -66,8 +73,29 @@
         scheduleIdleCheck();
     }
 
-    Optional<Channel> channel() {
-        return Optional.ofNullable(context).map(ChannelHandlerContext::channel);
+    /** Ends this connection because the process exits. */
+    void endBeforeExit() {
+        if (context == null) {
+            return;
+        }
+        if (call != null && !reading) {
+            call.endBeforeExit();
+        } else if (call != null) {
+            discardCall();
+            rejectAndClose(new Rejection(RejectReason.STOPPING, RETRY_ELSEWHERE_MS));
+        } else if (partRead && !closing) {
+            rejectAndClose(new Rejection(RejectReason.STOPPING, RETRY_ELSEWHERE_MS));
+        } else if (!closing) {
+            context.close();
+        }
+    }
+
+    /** Returns what an open request waits for; nothing if none is open. */
+    Optional<String> waitingFor() {
+        if (call == null) {
+            return partRead ? Optional.of("head") : Optional.empty();
+        }
+        return Optional.of(reading ? "body" : call.waitingFor());
     }
 
     ChannelHandlerContext context() {
@@ -98,7 +126,7 @@
 
     /** Closes the connection if no request is open on it, after pending bytes are written. */
     void closeIfIdle() {
-        if (call == null && !closing && queued.isEmpty() && context != null) {
+        if (call == null && !partRead && !closing && queued.isEmpty() && context != null) {
             closing = true;
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
@@ -107,6 +135,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastActiveNanos = System.nanoTime();
+        messageRead = true;
         if (closing || !(message instanceof HttpObject part)) {
             ReferenceCountUtil.release(message);
             return;
@@ -124,6 +153,13 @@
         onMessage(part);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        partRead = !messageRead;
+        messageRead = false;
+        ctx.fireChannelReadComplete();
+    }
+
     private void onMessage(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontState.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontState.java
@@ -1,9 +1,10 @@
 package org.dragonflygw.edge.front;
 
-import io.netty.channel.Channel;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * Tracks the open connections and calls of callers, the memory reserved for request bodies, and whether this process is
@@ -50,9 +51,16 @@
         List.copyOf(connections).forEach(FrontHandler::closeIfIdle);
     }
 
-    /** Closes all connections. */
-    public void closeAll() {
-        List.copyOf(connections).forEach(c -> c.channel().ifPresent(Channel::close));
+    /** Ends all connections; requests whose response has not begun are answered before. */
+    public void endAll() {
+        List.copyOf(connections).forEach(FrontHandler::endBeforeExit);
+    }
+
+    /** Returns what the open requests wait for, with the number of requests, for the log. */
+    public String waitingFor() {
+        Map<String, Integer> counts = new TreeMap<>();
+        connections.forEach(c -> c.waitingFor().ifPresent(w -> counts.merge(w, 1, Integer::sum)));
+        return counts.toString();
     }
 
     void onConnection(FrontHandler handler) {
--- a/edge/src/main/java/org/dragonflygw/edge/log/JsonLog.java
+++ b/edge/src/main/java/org/dragonflygw/edge/log/JsonLog.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogLine;
@@ -23,6 +24,9 @@
     /** Interval between writes in milliseconds; fewer, larger writes cost less. */
     private static final long WRITE_INTERVAL_MS = 100;
 
+    /** Longest time in milliseconds for which the end of the process waits until the last lines are written. */
+    private static final long CLOSE_MS = 250;
+
     private static final int THREAD_STACK_BYTES = 131_072;
 
     private final JsonFactory factory = new JsonFactory();
@@ -75,7 +79,7 @@
         try {
             while (!closed) {
                 awaitLine();
-                Thread.sleep(WRITE_INTERVAL_MS);
+                awaitMoreLines();
                 flush();
                 long total = dropped.get();
                 if (total > reported) {
@@ -83,6 +87,7 @@
                     reported = total;
                 }
             }
+            flush();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -97,6 +102,16 @@
         }
     }
 
+    private void awaitMoreLines() throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WRITE_INTERVAL_MS);
+        synchronized (lock) {
+            for (long leftMs = WRITE_INTERVAL_MS; leftMs > 0 && !closed; ) {
+                lock.wait(leftMs);
+                leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+            }
+        }
+    }
+
     private void flush() {
         byte[] bytes;
         synchronized (lock) {
@@ -114,14 +129,21 @@
         }
     }
 
-    /** Stops the writer thread and writes the buffered lines. Called when the process ends. */
+    /**
+     * Stops the writer thread, which first writes the buffered lines. Called when the process ends; returns also if the
+     * output does not take the lines.
+     */
     @Override
     public void close() {
-        closed = true;
         synchronized (lock) {
+            closed = true;
             lock.notifyAll();
         }
-        flush();
+        try {
+            writer.join(CLOSE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private final class Line implements LogLine {
--- a/edge/src/main/java/org/dragonflygw/edge/stop/GracefulStop.java
+++ b/edge/src/main/java/org/dragonflygw/edge/stop/GracefulStop.java
@@ -21,8 +21,17 @@
      */
     private static final long BALANCER_LAG_MS = 2_900;
 
-    /** Time in milliseconds before the kill at which the process ends by itself. */
-    private static final long END_MARGIN_MS = 300;
+    /**
+     * Time in milliseconds before the kill at which what is still open is ended. The last responses and log lines are
+     * written then, on a host that may have a quarter of a core, of which a burst uses up the quota.
+     */
+    private static final long END_MARGIN_MS = 900;
+
+    /** Time in milliseconds before the kill at which the process ends even if its event loop does not get to it. */
+    private static final long LOOP_MARGIN_MS = 700;
+
+    /** Longest time in milliseconds for writing the last responses. */
+    private static final long WRITE_MS = 150;
 
     private static final long CHECK_MS = 50;
 
@@ -61,7 +70,9 @@
                     .end();
             check();
         });
-        done.await(graceMs, TimeUnit.MILLISECONDS);
+        if (!done.await(graceMs - LOOP_MARGIN_MS, TimeUnit.MILLISECONDS)) {
+            log.line(LogTopic.STOP).with("outcome", "event loop late").end();
+        }
     }
 
     private void check() {
@@ -77,15 +88,25 @@
             portClosed = true;
             closePort.run();
         } else if (graceOver || allAnswered) {
-            log.line(LogTopic.STOP)
-                    .with("outcome", graceOver ? "time over" : "all answered")
-                    .with("openRequests", frontState.openCalls())
-                    .with("elapsedMs", elapsedMs)
-                    .end();
-            frontState.closeAll();
-            done.countDown();
+            end(graceOver ? "time over" : "all answered", elapsedMs);
             return;
         }
         loop.schedule(this::check, CHECK_MS, TimeUnit.MILLISECONDS);
     }
+
+    private void end(String outcome, long elapsedMs) {
+        log.line(LogTopic.STOP)
+                .with("outcome", outcome)
+                .with("openRequests", frontState.openCalls())
+                .with("unwritten", frontState.unwrittenResponses())
+                .with("waitingFor", frontState.waitingFor())
+                .with("elapsedMs", elapsedMs)
+                .end();
+        frontState.endAll();
+        if (frontState.unwrittenResponses() == 0) {
+            done.countDown();
+        } else {
+            loop.schedule(done::countDown, WRITE_MS, TimeUnit.MILLISECONDS);
+        }
+    }
 }
