Read JSON without ObjectMapper in the edge

ObjectMapper's static initializers create date formats, which load the names of all locales, and some 300 classes of data binding at each start; the edge needs trees only. JsonTreeReader builds the same trees with Jackson's parser, iteratively.

Existing tests change only in how they create decoders.

--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.edge;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.HttpURLConnection;
@@ -11,6 +10,7 @@
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
@@ -54,7 +54,7 @@
         byte[] file = new EdgeSettingsFile(
                         host, "zone-a", LoopbackPorts.firstFree(EdgeSettingsFile.PORT_COUNT), storePort)
                 .content();
-        HostSettings settings = new SettingsDecoder(new ObjectMapper()).decode(file);
+        HostSettings settings = new SettingsDecoder(new JsonTreeReader()).decode(file);
         EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, log);
         node.start(LoopbackPorts.free());
         for (int i = 0; i < MAX_READY_CHECKS && !node.isReady(); i++) {
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeMain.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.edge;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.FileDescriptor;
@@ -17,6 +16,7 @@
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.edge.log.JsonLog;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 
 /** Entry point of the router process of one host. Reads the settings file and starts an {@link EdgeNode}. */
@@ -56,7 +56,7 @@
         }
         Path path = Path.of(options.valueOf(settingsFile));
         byte[] bytes = Files.readAllBytes(path);
-        SettingsDecoder decoder = new SettingsDecoder(new ObjectMapper());
+        SettingsDecoder decoder = new SettingsDecoder(new JsonTreeReader());
         HostSettings settings;
         try {
             settings = decoder.decode(bytes);
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.edge.store;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
 import org.dragonflygw.core.catalog.CatalogHolder;
@@ -21,6 +20,7 @@
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.CatalogDecoder;
 import org.dragonflygw.platform.adapter.EndpointDecoder;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 
 /**
@@ -65,14 +65,14 @@
         this.settings = settings;
         this.registry = registry;
         this.peers = peers;
-        ObjectMapper mapper = new ObjectMapper();
+        JsonTreeReader json = new JsonTreeReader();
         era = new StoreEra(log, this::onNewEra);
         readerSelection = new ReaderSelection(settings.current().identity().hostName(), peers);
-        TableFollowerFactory followers = new TableFollowerFactory(
-                group, settings, new StoreApiCodec(mapper), metrics, log, readerSelection, era);
-        configurationFeed = new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log);
+        TableFollowerFactory followers =
+                new TableFollowerFactory(group, settings, new StoreApiCodec(json), metrics, log, readerSelection, era);
+        configurationFeed = new ConfigurationFeed(new CatalogDecoder(json), catalogs, contact, log);
         configuration = followers.configuration(configurationFeed, afterRead);
-        endpoints = followers.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry, changes), afterRead);
+        endpoints = followers.endpoints(new EndpointFeed(new EndpointDecoder(json), registry, changes), afterRead);
         suspectRows = followers.suspectRows(storedSuspects);
         suspects = followers.suspects(suspectRows);
         versionRows = followers.versionRows(versions);
--- a/edge/src/test/java/org/dragonflygw/edge/SettingsReloaderTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/SettingsReloaderTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -11,6 +10,7 @@
 import java.time.InstantSource;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.edge.log.JsonLog;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,7 +26,7 @@
     @TempDir
     Path dir;
 
-    private final SettingsDecoder decoder = new SettingsDecoder(new ObjectMapper());
+    private final SettingsDecoder decoder = new SettingsDecoder(new JsonTreeReader());
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private Path file;
     private SettingsHolder holder;
--- a/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
@@ -27,6 +27,7 @@
 import org.dragonflygw.core.storenews.StoreNews;
 import org.dragonflygw.core.storenews.StoreNewsApplier;
 import org.dragonflygw.platform.adapter.CatalogDecoder;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -72,7 +73,7 @@
         private final StoreContact contact =
                 new StoreContact(() -> TimeUnit.MINUTES.toNanos(1), System::nanoTime, InstantSource.system());
         private final ConfigurationFeed feed =
-                new ConfigurationFeed(new CatalogDecoder(MAPPER), catalogs, contact, new NoOpEventLog());
+                new ConfigurationFeed(new CatalogDecoder(new JsonTreeReader()), catalogs, contact, new NoOpEventLog());
 
         private VersionedRow row(long rowVersion, long configVersion, String key) {
             ObjectNode root = MAPPER.createObjectNode();
@@ -121,10 +122,10 @@
             list(row(100, 20, "new"));
             feed.onNewEra();
             list(row(80, 18, "revoked"));
-            Catalog copy =
-                    new CatalogDecoder(MAPPER).decode(row(80, 18, "revoked").data());
-            Catalog next =
-                    new CatalogDecoder(MAPPER).decode(row(95, 21, "newest").data());
+            Catalog copy = new CatalogDecoder(new JsonTreeReader())
+                    .decode(row(80, 18, "revoked").data());
+            Catalog next = new CatalogDecoder(new JsonTreeReader())
+                    .decode(row(95, 21, "newest").data());
             feed.apply(
                     new CatalogUpdate(80, 95, CatalogChange.between(copy, next).orElseThrow()));
             assertThat(catalogs.version()).isEqualTo(20);
@@ -175,7 +176,7 @@
                     .filter(r -> r.version() == rowVersion)
                     .findFirst()
                     .orElseThrow();
-            return new CatalogDecoder(MAPPER).decode(row.data());
+            return new CatalogDecoder(new JsonTreeReader()).decode(row.data());
         }
     }
 
@@ -185,7 +186,7 @@
         private final StoreContact contact =
                 new StoreContact(() -> TimeUnit.MINUTES.toNanos(1), System::nanoTime, InstantSource.system());
         private final ConfigurationFeed feed =
-                new ConfigurationFeed(new CatalogDecoder(MAPPER), catalogs, contact, new NoOpEventLog());
+                new ConfigurationFeed(new CatalogDecoder(new JsonTreeReader()), catalogs, contact, new NoOpEventLog());
         private final StoreNewsApplier newsApplier = new StoreNewsApplier(
                 new StoreEra(new NoOpEventLog(), () -> {}),
                 new EndpointRegistry(new EndpointLoads(), () -> 1, new NoOpEventLog()),
