Archive the classes of the edge in one static archive

The dynamic archive lies on top of the JDK's, whose classes are mapped too although the edge uses a part of them, and it held the classes of the training's stand-ins. The training run now lists the loaded classes, and a static archive is made of the list without those. The JVM maps archives at a random address and writes to all their pages, so all of them count as memory.

--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -18,9 +18,8 @@
 
 /**
  * Training run for the archive of the JVM's class data sharing. Starts two routers and a loopback platform in this
- * process, sends requests through the first router and returns. The build runs it once with the JVM option that archives
- * the loaded classes; a process that starts with the archive is ready in less than half the time and shares the memory
- * of the archived classes with other processes.
+ * process, sends requests through the first router and returns. The build runs it once with the JVM option that lists the
+ * loaded classes, and makes a static archive of this list without the classes that only the training needs.
  */
 final class ArchiveTraining {
     private static final int REQUESTS = 60;
