--- a/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ArchiveTraining.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.edge;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.HttpURLConnection;
@@ -11,6 +10,7 @@
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
@@ -18,9 +18,8 @@
 
 /**
  * Training run for the archive of the JVM's class data sharing. Starts two routers and a loopback platform in this
- * process, sends requests through the first router and returns. The build runs it once with the JVM option that archives
- * the loaded classes; a process that starts with the archive is ready in less than half the time and shares the memory
- * of the archived classes with other processes.
+ * process, sends requests through the first router and returns. The build runs it once with the JVM option that lists the
+ * loaded classes, and makes a static archive of this list without the classes that only the training needs.
  */
 final class ArchiveTraining {
     private static final int REQUESTS = 60;
@@ -54,7 +53,7 @@
         byte[] file = new EdgeSettingsFile(
                         host, "zone-a", LoopbackPorts.firstFree(EdgeSettingsFile.PORT_COUNT), storePort)
                 .content();
-        HostSettings settings = new SettingsDecoder(new ObjectMapper()).decode(file);
+        HostSettings settings = new SettingsDecoder(new JsonTreeReader()).decode(file);
         EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, log);
         node.start(LoopbackPorts.free());
         for (int i = 0; i < MAX_READY_CHECKS && !node.isReady(); i++) {
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.edge.store;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
 import org.dragonflygw.core.catalog.CatalogHolder;
@@ -22,6 +21,7 @@
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.CatalogDecoder;
 import org.dragonflygw.platform.adapter.EndpointDecoder;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 
 /**
@@ -69,16 +69,16 @@
         this.registry = registry;
         this.evacuations = evacuations;
         this.peers = peers;
-        ObjectMapper mapper = new ObjectMapper();
+        JsonTreeReader json = new JsonTreeReader();
         era = new StoreEra(log, this::onNewEra);
         readerSelection = new ReaderSelection(settings.current().identity().hostName(), peers);
         TableFollowerFactory followers = new TableFollowerFactory(
-                group, settings, new StoreApiCodec(mapper), metrics, log, readerSelection, era);
-        configurationFeed = new ConfigurationFeed(new CatalogDecoder(mapper), catalogs, contact, log);
+                group, settings, new StoreApiCodec(json), metrics, log, readerSelection, era);
+        configurationFeed = new ConfigurationFeed(new CatalogDecoder(json), catalogs, contact, log);
         // Evacuations first: a host that knows a configuration may serve.
         configuration = followers.configuration(
                 new TableListeners(new EvacuationFeed(evacuations, log), configurationFeed), afterRead);
-        endpoints = followers.endpoints(new EndpointFeed(new EndpointDecoder(mapper), registry, changes), afterRead);
+        endpoints = followers.endpoints(new EndpointFeed(new EndpointDecoder(json), registry, changes), afterRead);
         suspectRows = followers.suspectRows(storedSuspects);
         suspects = followers.suspects(suspectRows);
         versionRows = followers.versionRows(versions);
