Go on reading a table after an unexpected error about its rows

An exception other than a CodedException in a listener of a table (for example about one malformed row) ended the follower: no further read was scheduled, and the host lived on the news of others. Such an error is now logged as INTERNAL_ERROR, and the whole table is read again after 1 s.

Tests: TableFollowerTest, both cases failed before (no row within 10 s) and pass.

--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -51,6 +51,8 @@
     PEER,
     /** A caller's connection was closed because of an error in this process. */
     CALLER_CONNECTION,
+    /** An unexpected error in a task of this process, which goes on; the line has the task. */
+    INTERNAL_ERROR,
     /** Log lines were dropped because the writer could not keep up. */
     LOG_DROPPED
 }
--- a/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/TableFollower.java
@@ -21,6 +21,12 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A task of the event loop is lost only when the loop shuts down.
 public final class TableFollower implements FollowedTable {
+    /**
+     * Delay in milliseconds after an unexpected error. The whole table is read again then, since it is unknown which rows
+     * were applied.
+     */
+    private static final long ERROR_DELAY_MS = 1_000;
+
     private final TableFollowerSettings settings;
     private final StoreApiCodec codec;
     private final StoreClient client;
@@ -118,7 +124,7 @@
         if (listed()) {
             long waitMs = settings.schedule().longPollMs();
             String path = codec.changesPath(settings.table(), version(), waitMs);
-            client.get(path, waitMs + settings.timeoutMs(), this::onChanges);
+            client.get(path, waitMs + settings.timeoutMs(), r -> guard(() -> onChanges(r)));
             return;
         }
         listing.clear();
@@ -126,7 +132,22 @@
     }
 
     private void readListing(String fromKey) {
-        client.get(codec.listPath(settings.table(), fromKey), settings.timeoutMs(), this::onListing);
+        client.get(codec.listPath(settings.table(), fromKey), settings.timeoutMs(), r -> guard(() -> onListing(r)));
+    }
+
+    /** Handles a response; an unexpected error, for example about one row, must not end the reads of the table. */
+    private void guard(Runnable handler) {
+        try {
+            handler.run();
+        } catch (RuntimeException e) {
+            log.line(LogTopic.INTERNAL_ERROR)
+                    .with("task", "read of table " + settings.table())
+                    .with("reason", e.toString())
+                    .end();
+            progress.requireListing();
+            reading = false;
+            scheduleCheck(ERROR_DELAY_MS);
+        }
     }
 
     private void onListing(StoreResponse response) {
