Go on with periodic tasks after an unexpected error

The event loop drops a periodic task that throws. One exception in a round of reports ended the reports of this host for good; the same held for the check of the row of suspects, the check of the settings file and the release of held requests. GuardedTask logs the error as INTERNAL_ERROR and lets the task go on.

Tests: PeerReportsTest.goOnAfterARoundThatFails failed before (no report within 10 s) and passes; goOnAfterMalformedDatagrams passed before and after.

--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -51,6 +51,7 @@
 import org.dragonflygw.edge.front.FrontContext;
 import org.dragonflygw.edge.front.FrontServer;
 import org.dragonflygw.edge.front.FrontState;
+import org.dragonflygw.edge.log.GuardedTask;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.ops.OpsServer;
 import org.dragonflygw.edge.peers.PeerMessages;
@@ -198,7 +199,7 @@
         group.next()
                 .schedule(
                         () -> {
-                            startupHold.release();
+                            new GuardedTask("release of held requests", startupHold::release, log).run();
                             if (!startupHold.isOver()) {
                                 releaseHeldRequests();
                             }
@@ -263,7 +264,8 @@
      */
     @SuppressWarnings("FutureReturnValueIgnored") // The loop ends with the process.
     public void scheduleWithFixedDelay(long periodMs, Runnable task) {
-        group.next().scheduleWithFixedDelay(task, periodMs, periodMs, TimeUnit.MILLISECONDS);
+        GuardedTask guarded = new GuardedTask("periodic task", task, log);
+        group.next().scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS);
     }
 
     private void reportToPeers() {
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -14,6 +14,7 @@
 import org.dragonflygw.core.peers.ReportTargets;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
+import org.dragonflygw.edge.log.GuardedTask;
 import org.dragonflygw.wire.codec.HostReportCodec;
 
 /**
@@ -77,7 +78,11 @@
     public void listen(HostAddress address, PeerSocket.Handler messages) {
         socket.listen(address, this::onReport, messages);
         socket.loop()
-                .scheduleWithFixedDelay(this::sendRound, ROUND_INTERVAL_MS, ROUND_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                .scheduleWithFixedDelay(
+                        new GuardedTask("reports to peers", this::sendRound, log),
+                        ROUND_INTERVAL_MS,
+                        ROUND_INTERVAL_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void sendRound() {
--- a/edge/src/main/java/org/dragonflygw/edge/store/SuspectRows.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/SuspectRows.java
@@ -11,6 +11,7 @@
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.storage.VersionedRow;
+import org.dragonflygw.edge.log.GuardedTask;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 import org.dragonflygw.wire.codec.CrashRow;
 import org.dragonflygw.wire.codec.CrashRowCodec;
@@ -54,7 +55,8 @@
 
     /** Starts to write the row of this host whenever its content changes. */
     void start(EventLoop loop) {
-        loop.scheduleWithFixedDelay(this::writeIfChanged, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        GuardedTask task = new GuardedTask("write of the row of suspects", this::writeIfChanged, log);
+        loop.scheduleWithFixedDelay(task, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Whether the rows were read completely at least once. */
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -5,16 +5,20 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.crash.CrashingParts;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
@@ -73,7 +77,7 @@
             HostAddress own,
             HostAddress other,
             EndpointLoads loads,
-            StoreNews news,
+            Supplier<StoreNews> news,
             Consumer<StoreNews> taker) {
         PeerTable peers = new PeerTable(name, loads, new NoOpEventLog(), System::nanoTime);
         peers.onHostListed("other-than-" + name, other);
@@ -91,7 +95,7 @@
                 reportFactory,
                 new NoOpEventLog(),
                 c -> {},
-                () -> news,
+                news,
                 taker);
     }
 
@@ -125,8 +129,50 @@
     void reportOfALargeFleetArrivesComplete() throws Exception {
         HostAddress a = freeAddress();
         HostAddress b = freeAddress();
-        host("b", b, a, new EndpointLoads(), StoreNews.NONE, received::add).listen(b, (content, sender) -> {});
-        host("a", a, b, busyLoads(), newsOfManyChanges(), n -> {}).listen(a, (content, sender) -> {});
+        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, received::add)
+                .listen(b, (content, sender) -> {});
+        host("a", a, b, busyLoads(), PeerReportsTest::newsOfManyChanges, n -> {})
+                .listen(a, (content, sender) -> {});
+        assertThat(received.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(newsOfManyChanges());
+    }
+
+    /** Guards against one unexpected error in a round after which this host never reports again. */
+    @Test
+    void goOnAfterARoundThatFails() throws Exception {
+        HostAddress a = freeAddress();
+        HostAddress b = freeAddress();
+        AtomicInteger rounds = new AtomicInteger();
+        Supplier<StoreNews> failingOnce = () -> {
+            if (rounds.getAndIncrement() == 0) {
+                throw new IllegalStateException("first round");
+            }
+            return newsOfManyChanges();
+        };
+        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, received::add)
+                .listen(b, (content, sender) -> {});
+        host("a", a, b, new EndpointLoads(), failingOnce, n -> {}).listen(a, (content, sender) -> {});
+        assertThat(received.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(newsOfManyChanges());
+    }
+
+    /** Guards against a datagram that ends the receiving of all others. */
+    @Test
+    void goOnAfterMalformedDatagrams() throws Exception {
+        HostAddress a = freeAddress();
+        HostAddress b = freeAddress();
+        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, received::add)
+                .listen(b, (content, sender) -> {
+                    throw new IllegalStateException("message");
+                });
+        SplittableRandom random = new SplittableRandom(1);
+        try (DatagramSocket s = new DatagramSocket()) {
+            for (int i = 0; i < 200; i++) {
+                byte[] bytes = new byte[random.nextInt(64)];
+                random.nextBytes(bytes);
+                s.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(), b.port()));
+            }
+        }
+        host("a", a, b, new EndpointLoads(), PeerReportsTest::newsOfManyChanges, n -> {})
+                .listen(a, (content, sender) -> {});
         assertThat(received.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(newsOfManyChanges());
     }
 }
