Read the list of hosts again after an unexpected error

An exception other than a CodedException while the rows of hosts were applied ended the reads for good: the next one is scheduled only at the end of a read. It is now logged as INTERNAL_ERROR, and the list is read again after 5 s.

Tests: PeerDiscoveryTest failed before (no further read within 10 s) and passes.

--- a/edge/src/main/java/org/dragonflygw/edge/store/PeerDiscovery.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/PeerDiscovery.java
@@ -25,6 +25,9 @@
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_DELAY_MS = 1_000;
 
+    /** Delay after an unexpected error, in milliseconds. The same row may cause it again. */
+    private static final long ERROR_DELAY_MS = 5_000;
+
     /** Delay between reads, in milliseconds. Repeated reads find hosts whose reports do not arrive. */
     private static final long READ_INTERVAL_MS = 60_000;
 
@@ -109,6 +112,12 @@
                     .with("reason", e.getMessage())
                     .end();
             readAgainIn(RETRY_DELAY_MS);
+        } catch (RuntimeException e) {
+            log.line(LogTopic.INTERNAL_ERROR)
+                    .with("task", "read of the list of hosts")
+                    .with("reason", e.toString())
+                    .end();
+            readAgainIn(ERROR_DELAY_MS);
         }
     }
 
