Read the software versions again after an unexpected error

As for the list of hosts: an exception other than a CodedException ended the only read, and versions were neither known nor written.

Tests: VersionRowsTest failed before (no further read within 10 s) and passes.

--- a/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
@@ -84,6 +84,13 @@
             log("unreadable page", null, e.getMessage());
             loop.schedule(() -> read(""), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
             return;
+        } catch (RuntimeException e) {
+            log.line(LogTopic.INTERNAL_ERROR)
+                    .with("task", "read of the software versions")
+                    .with("reason", e.toString())
+                    .end();
+            loop.schedule(() -> read(""), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            return;
         }
         versions.onStoreRead();
         writeChanges();
