--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -13,6 +13,7 @@
 import org.dragonflygw.core.peers.RoundOfReports;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.storenews.StoreNews;
+import org.dragonflygw.edge.log.GuardedTask;
 import org.dragonflygw.wire.codec.HostReportCodec;
 
 /**
@@ -73,7 +74,10 @@
         socket.listen(address, this::onReport, messages);
         socket.loop()
                 .scheduleWithFixedDelay(
-                        this::sendRound, ReportRounds.INTERVAL_MS, ReportRounds.INTERVAL_MS, TimeUnit.MILLISECONDS);
+                        new GuardedTask("reports to peers", this::sendRound, log),
+                        ReportRounds.INTERVAL_MS,
+                        ReportRounds.INTERVAL_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void sendRound() {
--- a/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
@@ -95,6 +95,13 @@
             log("unreadable page", null, e.getMessage());
             listener.accept(Optional.empty());
             return;
+        } catch (RuntimeException e) {
+            log.line(LogTopic.INTERNAL_ERROR)
+                    .with("task", "read of the software versions")
+                    .with("reason", e.toString())
+                    .end();
+            loop.schedule(() -> read(""), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            return;
         }
         page.rows().forEach(r -> add(r, rows));
         if (page.more() && !page.rows().isEmpty()) {
--- a/edge/src/test/java/org/dragonflygw/edge/EvacuationDataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EvacuationDataPlaneTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -11,6 +10,7 @@
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.settings.HostSettings;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.SettingsDecoder;
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackConfiguration;
@@ -89,7 +89,7 @@
         byte[] file = new EdgeSettingsFile(
                         "evacuation", "zone-a", LoopbackPorts.firstFree(EdgeSettingsFile.PORT_COUNT), platform.port())
                 .content();
-        HostSettings settings = new SettingsDecoder(new ObjectMapper()).decode(file);
+        HostSettings settings = new SettingsDecoder(new JsonTreeReader()).decode(file);
         EdgeNode node = new EdgeNode(new SettingsHolder(settings), ChoicePolicy.EXPECTED_TIME, new NoOpEventLog());
         node.start(LoopbackPorts.free());
         return settings;
