--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -51,7 +51,7 @@
     }
 
     /** Returns the hash of the endpoint's id. */
-    long idHash() {
+    public long idHash() {
         return idHash;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
@@ -176,7 +176,7 @@
         for (EndpointLoadState e : loads.all()) {
             double failures = e.ownFailureScore(now);
             if (e.inFlight() > 0 || failures >= MIN_REPORTED_FAILURE_SCORE) {
-                int endpoint = ShortHash.of(e.entry().id());
+                int endpoint = ShortHash.of(e.idHash());
                 sum.add(List.of(new EndpointSum(endpoint, e.inFlight(), e.unreadTokens(), failures)));
             }
         }
@@ -294,7 +294,7 @@
             return;
         }
         Map<Integer, EndpointLoadState> byHash = new HashMap<>();
-        loads.all().forEach(e -> byHash.put(ShortHash.of(e.entry().id()), e));
+        loads.all().forEach(e -> byHash.put(ShortHash.of(e.idHash()), e));
         for (SharedPrefix p : prefixes) {
             EndpointLoadState endpoint = byHash.get(p.endpoint());
             if (endpoint != null) {
--- a/core/src/main/java/org/dragonflygw/core/peers/LoadMessages.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/LoadMessages.java
@@ -14,7 +14,8 @@
  */
 public record LoadMessages(
         Optional<HostLoad> own, List<HostAddress> ownTargets, Optional<FleetLoad> sums, List<HostAddress> sumTargets) {
-    static final LoadMessages NONE = new LoadMessages(Optional.empty(), List.of(), Optional.empty(), List.of());
+    /** Nothing to send. */
+    public static final LoadMessages NONE = new LoadMessages(Optional.empty(), List.of(), Optional.empty(), List.of());
 
     public LoadMessages {
         ownTargets = List.copyOf(ownTargets);
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -51,6 +51,8 @@
     private final Map<Integer, String> namesByHash = new HashMap<>();
     private final RateLog rateLog;
     private final FleetMembers members = new FleetMembers();
+    private FleetSum appliedSums;
+    private boolean appliedDirect;
 
     /**
      * Creates an empty table.
@@ -181,16 +183,18 @@
                                 .add(u));
             }
         }
-        if (hosts > 0) {
+        boolean applied = fleet.isPresent() && fleet.get() == appliedSums && direct.isEmpty() && !appliedDirect;
+        if (hosts > 0 && !applied) {
+            appliedSums = fleet.orElse(null);
+            appliedDirect = !direct.isEmpty();
             applyLoads(direct, fleet, hosts, fleet.map(FleetSum::atNanos).orElse(now));
         }
     }
 
     private void applyLoads(Map<String, PeerLoadSum> direct, Optional<FleetSum> fleet, int hosts, long atNanos) {
         for (EndpointLoadState s : loads.all()) {
-            String id = s.entry().id();
-            PeerLoadSum sum = direct.get(id);
-            Optional<EndpointSum> others = fleet.flatMap(f -> f.others(ShortHash.of(id)));
+            PeerLoadSum sum = direct.get(s.entry().id());
+            Optional<EndpointSum> others = fleet.flatMap(f -> f.others(ShortHash.of(s.idHash())));
             if (others.isPresent()) {
                 sum = sum == null ? new PeerLoadSum() : sum;
                 sum.add(others.get());
@@ -296,7 +300,9 @@
 
     /** Returns the addresses of the peers. */
     public List<HostAddress> addresses() {
-        return addressesOf(peers.keySet());
+        List<HostAddress> addresses = new ArrayList<>(peers.size());
+        peers.values().forEach(p -> addresses.add(p.address));
+        return addresses;
     }
 
     /** Returns the addresses of those hosts that are known peers. */
