Send each peer one direct report in the first cycle of a process

With few direct reports, a host with a new name was known to the others only when they read the list of hosts again, up to 60 s later, and they chose other owners of limits meanwhile. Peers that were told nothing yet now get a report in the first cycle, as before sums. A host that is no relay also drops what others report to it. Test hostThatIsAddedIsKnownToAllAfterOneDirectReportEach.

--- a/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
@@ -130,6 +130,7 @@
         round++;
         if (!isLarge()) {
             act(false);
+            relay.standBy(clock.nanos());
             return LoadMessages.NONE;
         }
         if (round % roundsPerInterval() != 0) {
--- a/core/src/main/java/org/dragonflygw/core/peers/LoadRelay.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/LoadRelay.java
@@ -44,8 +44,9 @@
         return hosts.size();
     }
 
-    /** Drops prompt prefixes that another relay passes on. */
+    /** Drops prompt prefixes that another relay passes on, and hosts that do not report. */
     void standBy(long nowNanos) {
+        size(nowNanos);
         prefixes.clear(nowNanos);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/peers/ReportRounds.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportRounds.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.peers;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -31,6 +32,7 @@
     private final RandomGenerator random;
     private final ReportTargets targets;
     private final ReportUrgency urgency = new ReportUrgency();
+    private final Set<HostAddress> told = new HashSet<>();
 
     public ReportRounds(PeerTable peers, HostReportFactory reports, FleetLoads fleet, RandomGenerator random) {
         this.peers = peers;
@@ -53,7 +55,12 @@
                 fleet.nextRound(reports.holdingsOfLastRounds(MESSAGES_PER_HOLDING * fleet.roundsPerInterval()));
         peers.refreshPeerLoads(fleet.current());
         boolean urgent = urgency.isUrgent(report, rounds);
-        return new RoundOfReports(address(report, targets.next(addresses), urgent), loads);
+        List<RoundOfReports.Addressed> addressed = address(report, targets.next(addresses), urgent);
+        addressed.forEach(a -> told.addAll(a.targets()));
+        if (told.size() > 2 * addresses.size()) {
+            told.retainAll(addresses);
+        }
+        return new RoundOfReports(addressed, loads);
     }
 
     private List<RoundOfReports.Addressed> address(HostReport report, List<HostAddress> next, boolean urgent) {
@@ -65,8 +72,8 @@
         List<HostAddress> direct = next.stream().filter(outside::contains).toList();
         List<HostAddress> inSums = new ArrayList<>(next);
         inSums.removeAll(direct);
-        while (!urgent && inSums.size() > CALM_FAN_OUT) {
-            inSums.remove(random.nextInt(inSums.size()));
+        if (!urgent) {
+            keepCalm(inSums);
         }
         List<RoundOfReports.Addressed> addressed = new ArrayList<>();
         if (!direct.isEmpty()) {
@@ -78,6 +85,15 @@
         return addressed;
     }
 
+    /** Leaves few of those hosts that know this one by a report, and all others. */
+    private void keepCalm(List<HostAddress> hosts) {
+        List<HostAddress> known = new ArrayList<>(hosts);
+        known.retainAll(told);
+        while (known.size() > CALM_FAN_OUT) {
+            hosts.remove(known.remove(random.nextInt(known.size())));
+        }
+    }
+
     /**
      * Returns a short report without prompt prefixes, to be sent to many hosts as soon as the store has news; also without
      * loads if they travel as sums.
--- a/wire/src/test/java/org/dragonflygw/wire/peers/LoadSumCorrectnessTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/peers/LoadSumCorrectnessTest.java
@@ -127,6 +127,30 @@
         assertRight(fleet);
     }
 
+    /**
+     * Guards against a new host that the others know only once they read the list of hosts again, since it sends few direct
+     * reports: they would choose other owners of limits than it does.
+     */
+    @Test
+    void hostThatIsAddedIsKnownToAllAfterOneDirectReportEach() {
+        SimulatedReportFleet fleet = fleet(66);
+        SimulatedReportHost added = fleet.host(65);
+        kill(added);
+        fleet.network.hosts.forEach(h -> h.list(65, true));
+        fleet.network.run(SETTLE_MS, () -> {});
+        added.start();
+        fleet.addEngines(added);
+        added.list(65, true);
+        fleet.network.run(2_500, () -> {});
+        for (int i = 0; i < 65; i++) {
+            assertWithMessage("peers of host %s", i)
+                    .that(fleet.host(i).peers.hostNames())
+                    .contains("host-65");
+        }
+        fleet.network.run(SETTLE_MS, () -> {});
+        assertRight(fleet);
+    }
+
     /** Hosts whose lists differ choose different relays at first. */
     @Test
     void relaysThatActAtOnceDoNotAddUp() {
