--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -55,6 +55,8 @@
     private final RateLog rateLog;
     private final FleetMembers members = new FleetMembers();
     private final RankedHosts ranked = new RankedHosts();
+    private FleetSum appliedSums;
+    private boolean appliedDirect;
 
     /**
      * Creates an empty table.
@@ -191,7 +193,10 @@
                                 .add(u));
             }
         }
-        if (hosts > 0) {
+        boolean applied = fleet.isPresent() && fleet.get() == appliedSums && direct.isEmpty() && !appliedDirect;
+        if (hosts > 0 && !applied) {
+            appliedSums = fleet.orElse(null);
+            appliedDirect = !direct.isEmpty();
             long ageMs = fleet.isPresent() ? 0 : agesNanos / directReports / NANOS_PER_MS;
             applyLoads(direct, fleet, hosts, ageMs);
         }
@@ -204,9 +209,8 @@
         long atNanos = fleet.map(FleetSum::atNanos).orElseGet(clock::nanos);
         PeerLoadSum none = new PeerLoadSum();
         for (EndpointLoadState s : loads.all()) {
-            String id = s.entry().id();
-            PeerLoadSum sum = direct.get(id);
-            Optional<EndpointSum> others = fleet.flatMap(f -> f.others(ShortHash.of(id)));
+            PeerLoadSum sum = direct.get(s.entry().id());
+            Optional<EndpointSum> others = fleet.flatMap(f -> f.others(ShortHash.of(s.idHash())));
             if (others.isPresent()) {
                 sum = sum == null ? new PeerLoadSum() : sum;
                 sum.add(others.get());
@@ -320,7 +324,9 @@
 
     /** Returns the addresses of the peers. */
     public List<HostAddress> addresses() {
-        return addressesOf(peers.keySet());
+        List<HostAddress> addresses = new ArrayList<>(peers.size());
+        peers.values().forEach(p -> addresses.add(p.address));
+        return addresses;
     }
 
     /** Returns the addresses of those hosts that are known peers. */
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -72,8 +72,8 @@
         JsonTreeReader json = new JsonTreeReader();
         era = new StoreEra(log, this::onNewEra);
         readerSelection = new ReaderSelection(settings.current().identity().hostName(), peers);
-        TableFollowerFactory followers = new TableFollowerFactory(
-                group, settings, new StoreApiCodec(json), metrics, log, readerSelection, era);
+        TableFollowerFactory followers =
+                new TableFollowerFactory(group, settings, new StoreApiCodec(json), metrics, log, readerSelection, era);
         configurationFeed = new ConfigurationFeed(new CatalogDecoder(json), catalogs, contact, log);
         // Evacuations first: a host that knows a configuration may serve.
         configuration = followers.configuration(
--- a/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/VersionRows.java
@@ -62,8 +62,8 @@
     }
 
     private void check() {
-        keeper.check();
         loop.schedule(this::check, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        keeper.check();
     }
 
     /** The store came back from a copy, which may lack what was written. */
@@ -100,7 +100,7 @@
                     .with("task", "read of the software versions")
                     .with("reason", e.toString())
                     .end();
-            loop.schedule(() -> read(""), CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            listener.accept(Optional.empty());
             return;
         }
         page.rows().forEach(r -> add(r, rows));
