--- a/edge/src/test/java/org/dragonflygw/edge/log/JsonLogTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/log/JsonLogTest.java
@@ -29,6 +29,19 @@
                         + "\"request\":\"a\\\"b\",\"expectedMs\":5}\n");
     }
 
+    /** Guards against text of a store row or a message that no encoding can hold and that fails whoever logs it. */
+    @Test
+    void escapesCharactersThatCannotBeEncoded() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonLog log = new JsonLog(out, CLOCK, "host-1")) {
+            log.line(LogTopic.ENDPOINT)
+                    .with("endpoint", "a\ud83d")
+                    .with("zone", "\ude00b")
+                    .end();
+        }
+        assertThat(out.toString(StandardCharsets.UTF_8)).endsWith("\"endpoint\":\"a\\uD83D\",\"zone\":\"\\uDE00b\"}\n");
+    }
+
     @Test
     void dropsLinesInsteadOfBlockingWhenTheOutputBlocks() {
         CountDownLatch never = new CountDownLatch(1);
