--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -7,9 +7,8 @@
 import org.dragonflygw.core.resume.StreamOrigin;
 
 /**
- * Finds the endpoints that can serve a request: not leaving, not in an evacuated
- * availability zone, not excluded, not asking for quiet, not known to have used up a
- * limit and, where asked, not at capacity.
+ * Finds the endpoints that can serve a request: not leaving, not in an evacuated availability zone, not excluded, not
+ * asking for quiet, not known to have used up a limit and, where asked, not at capacity.
  */
 final class UsableEndpoints {
     /** Number of requests that may queue at a plain endpoint, as a multiple of its slots. */
