--- a/edge/src/test/java/org/dragonflygw/edge/store/PeerDiscoveryTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/PeerDiscoveryTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -21,6 +20,7 @@
 import org.dragonflygw.core.settings.RetryBounds;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 import org.junit.jupiter.api.Test;
@@ -48,7 +48,7 @@
             };
             PeerTable peers = new PeerTable("h", new EndpointLoads(), new NoOpEventLog(), failingOnce);
             StoreClient client = new StoreClient(group, settings, new EdgeMetrics(new MetricRegistry()));
-            new PeerDiscovery(client, new StoreApiCodec(new ObjectMapper()), group.next(), peers, new NoOpEventLog())
+            new PeerDiscovery(client, new StoreApiCodec(new JsonTreeReader()), group.next(), peers, new NoOpEventLog())
                     .register("h", store);
             boolean known = false;
             for (int i = 0; i < MAX_POLLS && !known; i++) {
--- a/edge/src/test/java/org/dragonflygw/edge/store/TableFollowerTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/TableFollowerTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -22,6 +21,7 @@
 import org.dragonflygw.core.storenews.LongPollSchedule;
 import org.dragonflygw.core.storenews.StoreEra;
 import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 import org.junit.jupiter.api.AfterEach;
@@ -55,7 +55,7 @@
         StoreClient client = new StoreClient(group, settings, new EdgeMetrics(new MetricRegistry()));
         new TableFollower(
                         new TableFollowerSettings(TABLE, new LongPollSchedule(0, 100), 500, 50),
-                        new StoreApiCodec(new ObjectMapper()),
+                        new StoreApiCodec(new JsonTreeReader()),
                         client,
                         group.next(),
                         new Listener(),
--- a/edge/src/test/java/org/dragonflygw/edge/store/VersionRowsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/VersionRowsTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -20,6 +19,7 @@
 import org.dragonflygw.core.settings.RetryBounds;
 import org.dragonflygw.core.settings.SettingsHolder;
 import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.platform.adapter.JsonTreeReader;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 import org.dragonflygw.wire.codec.VersionRowCodec;
@@ -53,7 +53,7 @@
                             versions,
                             () -> false,
                             client,
-                            new StoreApiCodec(new ObjectMapper()),
+                            new StoreApiCodec(new JsonTreeReader()),
                             group.next(),
                             new NoOpEventLog())
                     .start();
