Compare no records in each round of reports

Equality and hashes of records build method handles at each start of a process. The urgency of a report now looks at its lists, and prompt prefixes are told apart by a mixed hash. LoadSum*, PeerTable, HostReportFactory, ReportTargets, ReaderSelection, codec, PeerReports, DataPlane and dependency tests pass on this state.

--- a/core/src/main/java/org/dragonflygw/core/peers/PrefixRelay.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PrefixRelay.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.dragonflygw.core.routing.RoutingHash;
 
 /** The prompt prefixes that a relay passes on, each once in a while however many hosts tell it. Not thread-safe. */
 final class PrefixRelay {
@@ -19,12 +20,12 @@
     /** Time for which a prefix is not passed on again, in nanoseconds; caches of engines hold it for longer. */
     private static final long REPEAT_NANOS = 3_000_000_000L;
 
-    private final Map<Key, Long> toldNanos = new LinkedHashMap<>();
+    private final Map<Long, Long> toldNanos = new LinkedHashMap<>();
     private final Deque<SharedPrefix> waiting = new ArrayDeque<>();
 
     void add(List<SharedPrefix> prefixes, long nowNanos) {
         for (SharedPrefix p : prefixes) {
-            Key key = Key.of(p);
+            long key = key(p);
             Long told = toldNanos.get(key);
             if (told != null && nowNanos - told < REPEAT_NANOS) {
                 continue;
@@ -61,13 +62,9 @@
         }
     }
 
-    private record Key(int endpoint, long lastPart) {
-        static Key of(SharedPrefix p) {
-            return new Key(
-                    p.endpoint(),
-                    p.parts().isEmpty()
-                            ? 0
-                            : p.parts().get(p.parts().size() - 1).id());
-        }
+    private static long key(SharedPrefix p) {
+        int parts = p.parts().size();
+        return RoutingHash.mix(
+                p.endpoint(), parts == 0 ? 0 : p.parts().get(parts - 1).id());
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/peers/ReportUrgency.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/ReportUrgency.java
@@ -33,8 +33,13 @@
     }
 
     private static boolean holdsUrgent(HostReport report) {
-        return !report.crashes().equals(CrashReport.NONE)
-                || !report.parts().equals(PartReport.NONE)
+        CrashReport crashes = report.crashes();
+        PartReport parts = report.parts();
+        return !crashes.suspects().isEmpty()
+                || !crashes.losses().isEmpty()
+                || !crashes.cleared().isEmpty()
+                || !parts.suspects().isEmpty()
+                || !parts.sound().isEmpty()
                 || !report.leaving().isEmpty()
                 || !report.rates().isEmpty()
                 || !report.news().changes().isEmpty()
