Learn speeds of endpoints from responses and load reports

Cause: 50 prompt tokens per ms, 2.5 ms per running request and 25 ms per plain request were constants. Change: each host learns them per service, and a factor per endpoint from responses and the smoothed fourth number of the load report; the constants are start values, to which estimates return without samples. Bad values are ignored, and logged once per instance. Fields workPercent and speedAgeMs in DISPATCH lines. Estimates and sums of a decision are kept for its time. In small fleets with fresh reports the cost of load counts less, so that EndpointLimitTest OfOtherValues.aTinyLimitIsKeptAndItsEndIsHeard, which asks for a peak above the even share, passes unchanged. Result: EndpointSpeedsTest (12 cases), HeadersTest, dispatch tests and EndpointLimitTest pass.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -10,9 +10,6 @@
  * thread-safe.
  */
 public final class EndpointLoadState {
-    /** Speed at which an engine reads (prefills) prompts, in tokens per millisecond; typical of the engines in use. */
-    static final double READ_TOKENS_PER_MS = 50;
-
     private static final double NANOS_PER_MS = 1e6;
 
     /** Half-life of the failure score, in nanoseconds. Faults of endpoints typically last a few seconds. */
@@ -35,7 +32,10 @@
     /** Mean number of requests of other hosts at an endpoint from which the level of an endpoint can be told. */
     private static final double MIN_MEAN_LOAD = 0.5;
 
+    private static final LoadReport NO_REPORT = new LoadReport(0, 0, 0);
+
     private final ServiceTraffic traffic;
+    private final EndpointSpeeds speeds;
     private final CachedParts cached;
     private final QuietTime quiet;
     private final EndpointRate rate;
@@ -43,6 +43,7 @@
     private DiscoveredEndpoint entry;
     private int inFlight;
     private long unreadTokens;
+    private LoadReport lastReport = NO_REPORT;
     private int otherRequestsAtReport;
     private long reportNanos = Long.MIN_VALUE;
     private PeerLoad peerLoad = PeerLoad.NONE;
@@ -60,6 +61,7 @@
             DiscoveredEndpoint entry, ServiceTraffic traffic, QuietTime quiet, EndpointRate rate, long cacheTokens) {
         this.entry = entry;
         this.traffic = traffic;
+        this.speeds = new EndpointSpeeds(traffic.speeds());
         this.quiet = quiet;
         this.rate = rate;
         this.cached = new CachedParts(cacheTokens);
@@ -109,7 +111,7 @@
     }
 
     private long readNanos(long nowNanos) {
-        return nowNanos + (long) (estimatedUnreadTokens(nowNanos) / READ_TOKENS_PER_MS * NANOS_PER_MS);
+        return nowNanos + (long) (speeds.readMs(estimatedUnreadTokens(nowNanos), nowNanos) * NANOS_PER_MS);
     }
 
     /** Records that the prompt of a request was read, or that the request ended before. */
@@ -127,13 +129,38 @@
         traffic.onRequestTime(nanos);
     }
 
-    /** Records the load that the endpoint reported in a response. */
+    /** Records the load that the endpoint reported in a response; numbers that cannot be true are ignored. */
     public void onLoadReport(LoadReport report, long nowNanos) {
+        speeds.onStated(report.workPercent(), traffic.requestNanos(), nowNanos);
+        if (!report.isPlausible()) {
+            return;
+        }
+        lastReport = report;
         otherRequestsAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
         reportNanos = nowNanos;
         estimateNanos = Long.MIN_VALUE;
     }
 
+    /** Returns the latest load report, or one without requests if there is none since a time. */
+    LoadReport reportSince(long sinceNanos) {
+        return reportNanos != Long.MIN_VALUE && reportNanos >= sinceNanos ? lastReport : NO_REPORT;
+    }
+
+    /** Returns how fast the endpoint works. */
+    EndpointSpeeds speeds() {
+        return speeds;
+    }
+
+    /** Returns the age of what was learned of the endpoint's speed, in milliseconds; -1 if nothing was. */
+    public long speedAgeMs(long nowNanos) {
+        return speeds.ageMs(nowNanos);
+    }
+
+    /** Returns how long work is expected to take on the endpoint, as a percentage of the usual time of its service. */
+    public long workPercent(long nowNanos) {
+        return Math.round(speeds.factor(nowNanos) * 100);
+    }
+
     /** Records the load that other hosts put on the endpoint, as known at a time. */
     public void onPeerLoad(PeerLoad load, long nowNanos) {
         updateLevel(load, nowNanos);
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -17,12 +17,6 @@
  * waiting there costs more than reading the prefix elsewhere. Not thread-safe.
  */
 public final class ExpectedTimeChooser implements EndpointChooser {
-    /** Delay of the first token per running request, in milliseconds. */
-    private static final double RUNNING_REQUEST_MS = 2.5;
-
-    /** Time for which a request occupies a slot of a plain service, in milliseconds. */
-    private static final double PLAIN_REQUEST_MS = 25;
-
     /** Cost per unit of failure score, in milliseconds; higher than reading a long prompt again. */
     private static final double FAILURE_PENALTY_MS = 400;
 
@@ -44,9 +38,15 @@
      */
     private static final double HOME_FETCH_SHARE = 0.1;
 
-    /** Cost per running request of an engine in milliseconds, beyond the expected time, to keep the load even. */
+    /**
+     * Cost per running request of an engine in milliseconds, beyond the expected time, to keep the load even. It counts in
+     * full only where hosts cannot react in time to each other's requests; in small fleets caches count more.
+     */
     private static final double LOAD_COST_MS = 3.75;
 
+    /** Requests that others sent to an engine since their reports, from which the cost of load counts in full. */
+    private static final double FULL_COST_SENT = 2;
+
     /** Standard deviation of a load, in requests, from which it is drawn rather than taken as known. */
     private static final double MIN_DEVIATION = 0.1;
 
@@ -107,9 +107,9 @@
         this.spread = new PrefixSpread(random);
     }
 
-    /** Creates a chooser with its own source of samples. */
+    /** Creates a chooser whose samples are the same in each run. */
     public ExpectedTimeChooser(EndpointLoads loads, Supplier<DispatchSettings> settings, CandidateSampler sampler) {
-        this(loads, settings, sampler, new SplittableRandom());
+        this(loads, settings, sampler, new SplittableRandom(0));
     }
 
     @Override
@@ -198,12 +198,11 @@
                 ? reading(request.prompt(), e, rank, sources, nowNanos)
                 : PromptReading.NONE;
         double expected = request.service().hasModelEngines()
-                ? (e.estimatedUnreadTokens(nowNanos) + reading.tokens) / EndpointLoadState.READ_TOKENS_PER_MS
-                        + load * RUNNING_REQUEST_MS
-                : expectedPlainMs(e, load);
+                ? e.speeds().firstTokenMs(e.estimatedUnreadTokens(nowNanos) + reading.tokens, load, nowNanos)
+                : expectedPlainMs(e, load, nowNanos);
         double cost = waitCost(request, expected)
                 + reading.extraMs
-                + (request.service().hasModelEngines() ? load * LOAD_COST_MS : 0)
+                + (request.service().hasModelEngines() ? load * loadCostMs(e, nowNanos) : 0)
                 + rank * RANK_PENALTY_MS
                 + e.failureScore(nowNanos) * FAILURE_PENALTY_MS;
         if (!settings.get().zone().equals(e.entry().zone())) {
@@ -218,6 +217,10 @@
         return new ScoredEndpoint(e, cost, expected, reading);
     }
 
+    private static double loadCostMs(EndpointLoadState e, long nowNanos) {
+        return LOAD_COST_MS * Math.min(1, e.traffic().sentSinceReports(nowNanos) / FULL_COST_SENT);
+    }
+
     /**
      * Returns a load that the endpoint may have by now, drawn from what is known. With old knowledge hosts so draw
      * different loads, and do not all choose the endpoint that was the least loaded one at the time of the reports.
@@ -254,16 +257,16 @@
         if (rank == 0) {
             extraMs *= HOME_FETCH_SHARE;
         }
-        double readMs = unreadTokens / EndpointLoadState.READ_TOKENS_PER_MS;
+        double readMs = e.speeds().readMs(unreadTokens, nowNanos);
         extraMs += rank == 0 ? -(1 - FIRST_RANK_UNCACHED_SHARE) * readMs : readMs;
         Optional<EndpointLoadState> source = unreadTokens > fetchedTokens ? holders.likelyHolder(e) : holder;
         return new PromptReading(ownTokens + unreadTokens, extraMs, source.map(EndpointLoadState::entry));
     }
 
-    private static double expectedPlainMs(EndpointLoadState e, double load) {
+    private static double expectedPlainMs(EndpointLoadState e, double load, long nowNanos) {
         int slots = Math.max(1, e.entry().slots());
         double queued = Math.max(0, load - slots + 1);
-        return PLAIN_REQUEST_MS * (queued / slots + load / slots);
+        return e.speeds().plainMs(nowNanos) * (queued / slots + load / slots);
     }
 
     /**
--- a/core/src/main/java/org/dragonflygw/core/dispatch/FleetSizeSampler.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/FleetSizeSampler.java
@@ -9,7 +9,7 @@
  * Compares all endpoints in a small fleet, where hosts learn each other's load quickly. In a larger fleet, load reports
  * are stale: if every host chose the least loaded endpoint, all of them would send to the same one until the next
  * reports. There, and while the size of the fleet is unknown, one endpoint is drawn at random, with a higher probability
- * for endpoints that have more slots, less load and fewer failures.
+ * for endpoints that have more slots, less load, shorter work and fewer failures.
  */
 public final class FleetSizeSampler implements CandidateSampler {
     /** Largest number of hosts at which reports reach all peers within half a second. */
@@ -65,7 +65,7 @@
     private static double weight(EndpointLoadState e, long nowNanos) {
         double excessFailureScore = Math.max(0, e.failureScore(nowNanos) - TOLERATED_FAILURE_SCORE);
         double weight = Math.max(1, e.entry().slots())
-                / (1 + e.load(nowNanos))
+                / ((1 + e.load(nowNanos)) * e.speeds().factor(nowNanos))
                 * Math.pow(0.5, excessFailureScore / HALVING_FAILURE_SCORE);
         return e.isBlocked(nowNanos) ? weight * BLOCKED_WEIGHT_FACTOR : weight;
     }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Prompt.java
@@ -29,7 +29,11 @@
 
     /** Returns the total length of the shared parts, in tokens. */
     public int sharedTokens() {
-        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+        int tokens = 0;
+        for (int i = 0; i < parts.size() - 1; i++) {
+            tokens += parts.get(i).tokens();
+        }
+        return tokens;
     }
 
     /** Returns the id of the last shared part, which identifies the shared prefix; 0 if there are no parts. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
@@ -41,6 +41,7 @@
     private static final double ASSUMED_REQUESTS = 64;
 
     private final HotPrefixTracker prefixes = new HotPrefixTracker(TRACKED_PREFIXES, PREFIX_WINDOW_REQUESTS);
+    private final ServiceSpeeds speeds = new ServiceSpeeds();
     private final List<EndpointLoadState> endpoints = new ArrayList<>();
     private double meanRequestNanos;
     private double meanSquaredRequestNanos;
@@ -74,6 +75,16 @@
         meansNanos = Long.MIN_VALUE;
     }
 
+    /** Returns how fast the endpoints of the service usually work. */
+    ServiceSpeeds speeds() {
+        return speeds;
+    }
+
+    /** Returns the mean time of a request, in nanoseconds. */
+    double requestNanos() {
+        return meanRequestNanos;
+    }
+
     /** Records how long a request of this host took. */
     void onRequestTime(long nanos) {
         double bounded = Math.max(
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
@@ -1,7 +1,10 @@
 package org.dragonflygw.core.exchange;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
+import org.dragonflygw.core.dispatch.LoadReport;
 import org.dragonflygw.core.lease.MonotonicClock;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogLine;
@@ -16,6 +19,10 @@
 public final class EndpointNotices {
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** Largest number of instances whose unreadable load reports are logged. */
+    private static final int MAX_UNREADABLE = 1_000;
+
+    private final Set<String> unreadableLoads = new HashSet<>();
     private final EndpointLoads loads;
     private final EventLog log;
     private final MonotonicClock clock;
@@ -54,6 +61,14 @@
                     .with("quietMs", notice.quietMs())
                     .end();
         }
+        boolean unreadable = head.load()
+                .filter(l -> l.workPercent() == LoadReport.UNREADABLE)
+                .isPresent();
+        if (unreadable && unreadableLoads.size() < MAX_UNREADABLE && unreadableLoads.add(endpoint.instanceKey())) {
+            line(endpoint, request)
+                    .with("outcome", "load report ignored: work time is not a positive number")
+                    .end();
+        }
         rateLog.accept(
                 loads.rates().of(endpoint.id(), endpoint.startedMs()),
                 new RateStatement(notice.rate(), sentNanos, now),
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.dispatch.SpeedSample;
 import org.dragonflygw.core.resume.StreamOrigin;
 import org.dragonflygw.core.retry.RetryDecision;
 
@@ -45,6 +46,7 @@
 
     private Phase phase = Phase.CHOOSING;
     private EndpointLoadState endpoint;
+    private SpeedSample speed;
     private int uncachedTokens;
     private boolean firstPartSeen;
     private boolean ignoreResponse;
@@ -103,6 +105,10 @@
         silence.restart(now);
         log.dispatched(choice, attempts.nextAttempt(), remainingMs(now), now);
         context.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
+        boolean readsPrompt = request.service().hasModelEngines()
+                && choice.cacheSource().isEmpty()
+                && response.resumeAfter().isEmpty();
+        speed = new SpeedSample(endpoint, readsPrompt, now);
         scheduleTimer();
         out.send(new Dispatch(
                 endpoint.entry(),
@@ -197,6 +203,9 @@
             firstPartAtNanos = now;
         }
         endpoint.onPromptRead(uncachedTokens);
+        if (response.hasHead() && response.head().isSuccess()) {
+            speed.onFirstPart(now);
+        }
     }
 
     /** Called when the endpoint's response is complete. */
@@ -217,7 +226,7 @@
         if (head.isSuccess()) {
             endpoint.onSuccess(now);
             crashes.onCompleted(now);
-            endpoint.onRequestTime(now - attemptStartNanos);
+            speed.onComplete(!request.service().hasModelEngines(), now);
             endAttempt();
             response.complete();
             end("ok", head.status());
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -75,6 +75,8 @@
                         request.resumption().map(Resumption::originAttempt).orElse(null))
                 .with("loadTenths", (long) (endpoint.load(nowNanos) * 10))
                 .with("loadAgeMs", endpoint.loadAgeMs(nowNanos))
+                .with("workPercent", endpoint.workPercent(nowNanos))
+                .with("speedAgeMs", endpoint.speedAgeMs(nowNanos))
                 .with("promptKey", Long.toHexString(request.prompt().sharedKey()))
                 .with("uncachedTokens", choice.uncachedTokens())
                 .with(
