Bound the tokens in flight of an engine by its configured memory

Cause: an engine ends if its requests exceed its memory; the model of its cache assumed 300,000 tokens for all engines. Change: CatalogService.cacheTokens is the capacity of the cache model, and bounds the estimated tokens of all hosts' requests; an idle engine takes any prompt. RendezvousOrderTest and the simulation follow the changed constructors.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/CachedParts.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/CachedParts.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Model of one engine's prompt cache as this host estimates it: the most recently used prompt parts, up to a capacity
@@ -13,11 +14,11 @@
     private static final float LOAD_FACTOR = 0.75f;
     private static final int INITIAL_CAPACITY = 32;
 
-    private final long capacityTokens;
+    private final LongSupplier capacityTokens;
     private final Map<Long, Entry> entries = new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
     private long tokens;
 
-    CachedParts(long capacityTokens) {
+    CachedParts(LongSupplier capacityTokens) {
         this.capacityTokens = capacityTokens;
     }
 
@@ -58,8 +59,9 @@
                 tokens += p.tokens();
             }
         }
+        long capacity = capacityTokens.getAsLong();
         Iterator<Entry> oldest = entries.values().iterator();
-        while (tokens > capacityTokens && oldest.hasNext()) {
+        while (tokens > capacity && oldest.hasNext()) {
             tokens -= oldest.next().tokens;
             oldest.remove();
         }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -32,6 +32,12 @@
     /** Mean number of requests of other hosts at an endpoint from which the level of an endpoint can be told. */
     private static final double MIN_MEAN_LOAD = 0.5;
 
+    /** Share of an engine's memory that requests may occupy, since the load of other hosts is an estimate. */
+    private static final double MEMORY_SHARE = 0.9;
+
+    /** Estimated load of other hosts below which an engine counts as idle. */
+    private static final double MAX_IDLE_LOAD = 0.5;
+
     private static final LoadReport NO_REPORT = new LoadReport(0, 0, 0);
 
     private final ServiceTraffic traffic;
@@ -42,6 +48,7 @@
     private final long idHash;
     private DiscoveredEndpoint entry;
     private int inFlight;
+    private long ownTokens;
     private long unreadTokens;
     private LoadReport lastReport = NO_REPORT;
     private int otherRequestsAtReport;
@@ -57,14 +64,13 @@
     private long blockedUntilNanos = Long.MIN_VALUE;
     private boolean leaving;
 
-    EndpointLoadState(
-            DiscoveredEndpoint entry, ServiceTraffic traffic, QuietTime quiet, EndpointRate rate, long cacheTokens) {
+    EndpointLoadState(DiscoveredEndpoint entry, ServiceTraffic traffic, QuietTime quiet, EndpointRate rate) {
         this.entry = entry;
         this.traffic = traffic;
         this.speeds = new EndpointSpeeds(traffic.speeds());
         this.quiet = quiet;
         this.rate = rate;
-        this.cached = new CachedParts(cacheTokens);
+        this.cached = new CachedParts(traffic::memoryTokens);
         this.idHash = RoutingHash.of(entry.id());
     }
 
@@ -98,6 +104,8 @@
 
     void onSent(Prompt prompt, long uncachedTokens, long nowNanos) {
         inFlight++;
+        ownTokens += traffic.tokensOf(prompt);
+        traffic.onTokens(traffic.tokensOf(prompt));
         unreadTokens += uncachedTokens;
         cached.add(prompt.parts(), readNanos(nowNanos));
     }
@@ -119,9 +127,28 @@
         unreadTokens -= uncachedTokens;
     }
 
-    /** Records that a request of this host ended. */
+    /** Records that a request of this host without a prompt ended. */
     public void onRequestEnded() {
+        onRequestEnded(Prompt.NONE);
+    }
+
+    /** Records that a request of this host ended. */
+    public void onRequestEnded(Prompt prompt) {
         inFlight--;
+        ownTokens = inFlight == 0 ? 0 : Math.max(0, ownTokens - traffic.tokensOf(prompt));
+    }
+
+    /**
+     * Returns whether the memory of the engine is expected to hold one more request beside those of all hosts. An engine
+     * without requests takes any, so that long prompts are not starved.
+     */
+    boolean hasMemoryFor(Prompt prompt, long nowNanos) {
+        double others = load(nowNanos) - inFlight;
+        if (inFlight == 0 && others < MAX_IDLE_LOAD) {
+            return true;
+        }
+        double occupied = ownTokens + others * traffic.tokensPerRequest();
+        return occupied + traffic.tokensOf(prompt) <= MEMORY_SHARE * traffic.memoryTokens();
     }
 
     /** Records how long a request of this host took that was answered in whole, in nanoseconds from its sending. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -13,9 +13,6 @@
 
 /** The load states of all known endpoints, indexed by id and by service. Not thread-safe. */
 public final class EndpointLoads implements EndpointListener {
-    /** Assumed prompt cache capacity of an engine, in tokens. */
-    private static final long DEFAULT_CACHE_TOKENS = 300_000;
-
     /** Request time assumed before the first request has ended, in milliseconds; that of a short stream. */
     private static final double INITIAL_REQUEST_MS = 1_000;
 
@@ -39,11 +36,7 @@
         ServiceTraffic traffic =
                 byService.computeIfAbsent(endpoint.service(), s -> new ServiceTraffic(INITIAL_REQUEST_MS));
         EndpointLoadState state = new EndpointLoadState(
-                endpoint,
-                traffic,
-                quietTimes.of(endpoint),
-                rates.of(endpoint.id(), endpoint.startedMs()),
-                DEFAULT_CACHE_TOKENS);
+                endpoint, traffic, quietTimes.of(endpoint), rates.of(endpoint.id(), endpoint.startedMs()));
         if (leaving.contains(endpoint)) {
             state.markLeaving();
         }
@@ -114,6 +107,14 @@
         return taken;
     }
 
+    /** Records the memory of each engine of a service, in tokens. */
+    void onMemoryConfigured(String service, long tokens) {
+        ServiceTraffic traffic = byService.get(service);
+        if (traffic != null) {
+            traffic.memoryTokens(tokens);
+        }
+    }
+
     /** Returns the endpoints of a service, including draining ones. */
     public List<EndpointLoadState> ofService(String service) {
         ServiceTraffic traffic = byService.get(service);
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
@@ -41,10 +41,15 @@
     private static final double ASSUMED_REQUESTS = 64;
 
     private final HotPrefixTracker prefixes = new HotPrefixTracker(TRACKED_PREFIXES, PREFIX_WINDOW_REQUESTS);
+    /** Assumed memory of an engine before a request has named its service's configuration, in tokens. */
+    private static final long INITIAL_MEMORY_TOKENS = 300_000;
+
     private final ServiceSpeeds speeds = new ServiceSpeeds();
     private final List<EndpointLoadState> endpoints = new ArrayList<>();
     private double meanRequestNanos;
     private double meanSquaredRequestNanos;
+    private double tokensPerRequest;
+    private long memoryTokens = INITIAL_MEMORY_TOKENS;
     private long meansNanos = Long.MIN_VALUE;
     private double othersPerEndpoint;
     private double unreadPerEndpoint;
@@ -80,6 +85,31 @@
         return speeds;
     }
 
+    /** Sets the memory of one engine as configured, in tokens; 0 for plain services. */
+    void memoryTokens(long tokens) {
+        memoryTokens = tokens;
+    }
+
+    /** Returns the memory of one engine, in tokens. */
+    long memoryTokens() {
+        return memoryTokens;
+    }
+
+    /** Returns the tokens that a request may occupy in an engine's memory; not more than the engine has. */
+    long tokensOf(Prompt prompt) {
+        return Math.min(memoryTokens, (long) prompt.inputTokens() + prompt.maxOutputTokens());
+    }
+
+    /** Records the tokens that a request of this host may occupy. */
+    void onTokens(long tokens) {
+        tokensPerRequest += REQUEST_WEIGHT * (tokens - tokensPerRequest);
+    }
+
+    /** Returns the mean number of tokens that a request may occupy. */
+    double tokensPerRequest() {
+        return tokensPerRequest;
+    }
+
     /** Returns the mean time of a request, in nanoseconds. */
     double requestNanos() {
         return meanRequestNanos;
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -23,6 +23,7 @@
     /** Returns the endpoints that accept new requests, including those at capacity. */
     List<EndpointLoadState> all(ChoiceRequest request, long nowNanos) {
         List<EndpointLoadState> usable = new ArrayList<>();
+        loads.onMemoryConfigured(request.service().name(), request.service().cacheTokens());
         for (EndpointLoadState e : loads.ofService(request.service().name())) {
             if (acceptsRequests(request, e) && e.quietNanos(nowNanos) == 0 && mayHavePermit(request, e, nowNanos)) {
                 usable.add(e);
@@ -70,11 +71,14 @@
                 .toList();
     }
 
-    /** Returns whether an endpoint is at capacity; where the number of slots is unknown, only after a quiet time. */
+    /** Returns whether an endpoint is at capacity or its memory is full; where the number of slots is unknown, only after a quiet time. */
     static boolean isFull(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
         if (e.isRampFull(nowNanos)) {
             return true;
         }
+        if (request.service().hasModelEngines() && !e.hasMemoryFor(request.prompt(), nowNanos)) {
+            return true;
+        }
         int slots = e.entry().slots();
         if (slots <= 0) {
             return false;
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -433,7 +433,7 @@
             firstPartSeen = true;
             endpoint.onPromptRead(uncachedTokens);
         }
-        endpoint.onRequestEnded();
+        endpoint.onRequestEnded(request.prompt());
         phase = Phase.CHOOSING;
     }
 
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FleetSimulation.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSimulation.java
@@ -215,7 +215,7 @@
             at(doneMs, () -> {
                 engine.leave();
                 inFlight--;
-                chosen.onRequestEnded();
+                chosen.onRequestEnded(prompt);
                 speed.onComplete(false, nanos(doneMs));
             });
         }
--- a/core/src/test/java/org/dragonflygw/core/dispatch/RendezvousOrderTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/RendezvousOrderTest.java
@@ -19,8 +19,7 @@
                     new DiscoveredEndpoint("i-" + i, "s", "10.0.0.1", 80, "a", 8, false, 0, 1, "v1"),
                     new ServiceTraffic(1_000),
                     new QuietTime(),
-                    new EndpointRates().of("i-" + i, 1),
-                    1_000));
+                    new EndpointRates().of("i-" + i, 1)));
         }
         return engines;
     }
--- a/core/src/test/java/org/dragonflygw/core/dispatch/SimulatedEngine.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/SimulatedEngine.java
@@ -13,7 +13,7 @@
     private static final double FETCH_SETUP_MS = 8;
     private static final double FETCH_TOKENS_PER_MS = 500;
 
-    private final CachedParts cache = new CachedParts(MEMORY_TOKENS);
+    private final CachedParts cache = new CachedParts(() -> MEMORY_TOKENS);
     private final Deque<Runnable> waiting = new ArrayDeque<>();
     private final double speed;
     private int running;
