--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -10,9 +10,6 @@
  * thread-safe.
  */
 public final class EndpointLoadState {
-    /** Speed at which an engine reads (prefills) prompts, in tokens per millisecond; typical of the engines in use. */
-    static final double READ_TOKENS_PER_MS = 50;
-
     private static final double NANOS_PER_MS = 1e6;
 
     /** Half-life of the failure score, in nanoseconds. Faults of endpoints typically last a few seconds. */
@@ -35,14 +32,25 @@
     /** Mean number of requests of other hosts at an endpoint from which the level of an endpoint can be told. */
     private static final double MIN_MEAN_LOAD = 0.5;
 
+    /** Share of an engine's memory that requests may occupy, since the load of other hosts is an estimate. */
+    private static final double MEMORY_SHARE = 0.9;
+
+    /** Estimated load of other hosts below which an engine counts as idle. */
+    private static final double MAX_IDLE_LOAD = 0.5;
+
+    private static final LoadReport NO_REPORT = new LoadReport(0, 0, 0);
+
     private final ServiceTraffic traffic;
+    private final EndpointSpeeds speeds;
     private final CachedParts cached;
     private final QuietTime quiet;
     private final EndpointRate rate;
     private final long idHash;
     private DiscoveredEndpoint entry;
     private int inFlight;
+    private long ownTokens;
     private long unreadTokens;
+    private LoadReport lastReport = NO_REPORT;
     private int otherRequestsAtReport;
     private long reportNanos = Long.MIN_VALUE;
     private PeerLoad peerLoad = PeerLoad.NONE;
@@ -56,13 +64,13 @@
     private long blockedUntilNanos = Long.MIN_VALUE;
     private boolean leaving;
 
-    EndpointLoadState(
-            DiscoveredEndpoint entry, ServiceTraffic traffic, QuietTime quiet, EndpointRate rate, long cacheTokens) {
+    EndpointLoadState(DiscoveredEndpoint entry, ServiceTraffic traffic, QuietTime quiet, EndpointRate rate) {
         this.entry = entry;
         this.traffic = traffic;
+        this.speeds = new EndpointSpeeds(traffic.speeds());
         this.quiet = quiet;
         this.rate = rate;
-        this.cached = new CachedParts(cacheTokens);
+        this.cached = new CachedParts(traffic::memoryTokens);
         this.idHash = RoutingHash.of(entry.id());
     }
 
@@ -96,6 +104,8 @@
 
     void onSent(Prompt prompt, long uncachedTokens, long nowNanos) {
         inFlight++;
+        ownTokens += traffic.tokensOf(prompt);
+        traffic.onTokens(traffic.tokensOf(prompt));
         unreadTokens += uncachedTokens;
         cached.add(prompt.parts(), readNanos(nowNanos));
     }
@@ -109,7 +119,7 @@
     }
 
     private long readNanos(long nowNanos) {
-        return nowNanos + (long) (estimatedUnreadTokens(nowNanos) / READ_TOKENS_PER_MS * NANOS_PER_MS);
+        return nowNanos + (long) (speeds.readMs(estimatedUnreadTokens(nowNanos), nowNanos) * NANOS_PER_MS);
     }
 
     /** Records that the prompt of a request was read, or that the request ended before. */
@@ -117,9 +127,28 @@
         unreadTokens -= uncachedTokens;
     }
 
-    /** Records that a request of this host ended. */
+    /** Records that a request of this host without a prompt ended. */
     public void onRequestEnded() {
+        onRequestEnded(Prompt.NONE);
+    }
+
+    /** Records that a request of this host ended. */
+    public void onRequestEnded(Prompt prompt) {
         inFlight--;
+        ownTokens = inFlight == 0 ? 0 : Math.max(0, ownTokens - traffic.tokensOf(prompt));
+    }
+
+    /**
+     * Returns whether the memory of the engine is expected to hold one more request beside those of all hosts. An engine
+     * without requests takes any, so that long prompts are not starved.
+     */
+    boolean hasMemoryFor(Prompt prompt, long nowNanos) {
+        double others = load(nowNanos) - inFlight;
+        if (inFlight == 0 && others < MAX_IDLE_LOAD) {
+            return true;
+        }
+        double occupied = ownTokens + others * traffic.tokensPerRequest();
+        return occupied + traffic.tokensOf(prompt) <= MEMORY_SHARE * traffic.memoryTokens();
     }
 
     /** Records how long a request of this host took that was answered in whole, in nanoseconds from its sending. */
@@ -127,13 +156,38 @@
         traffic.onRequestTime(nanos);
     }
 
-    /** Records the load that the endpoint reported in a response. */
+    /** Records the load that the endpoint reported in a response; numbers that cannot be true are ignored. */
     public void onLoadReport(LoadReport report, long nowNanos) {
+        speeds.onStated(report.workPercent(), traffic.requestNanos(), nowNanos);
+        if (!report.isPlausible()) {
+            return;
+        }
+        lastReport = report;
         otherRequestsAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
         reportNanos = nowNanos;
         estimateNanos = Long.MIN_VALUE;
     }
 
+    /** Returns the latest load report, or one without requests if there is none since a time. */
+    LoadReport reportSince(long sinceNanos) {
+        return reportNanos != Long.MIN_VALUE && reportNanos >= sinceNanos ? lastReport : NO_REPORT;
+    }
+
+    /** Returns how fast the endpoint works. */
+    EndpointSpeeds speeds() {
+        return speeds;
+    }
+
+    /** Returns the age of what was learned of the endpoint's speed, in milliseconds; -1 if nothing was. */
+    public long speedAgeMs(long nowNanos) {
+        return speeds.ageMs(nowNanos);
+    }
+
+    /** Returns how long work is expected to take on the endpoint, as a percentage of the usual time of its service. */
+    public long workPercent(long nowNanos) {
+        return Math.round(speeds.factor(nowNanos) * 100);
+    }
+
     /** Records the load that other hosts put on the endpoint, as known at a time. */
     public void onPeerLoad(PeerLoad load, long nowNanos) {
         updateLevel(load, nowNanos);
