Admission with a bounded wait

Cause: a request that found all endpoints full was refused at once, whatever its priority and team, although a slot was often freed a moment later. Change: core.admission queues such requests in their host for a part of their objective, in the order of starving groups, priority, the team's recent share, repeats and arrival. An own freed slot goes to the first; of room seen in reports a host takes its share, rounded at random. In force only where the settings have the bounds for uneven load. No message, no store call, no thread. Existing tests changed only for new constructor parameters.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.resume.StreamOrigin;
 
 /**
@@ -75,12 +76,14 @@
         if (e.isRampFull(nowNanos)) {
             return true;
         }
-        int slots = e.entry().slots();
-        if (slots <= 0) {
-            return false;
-        }
-        double capacity = request.service().hasModelEngines() ? slots : slots * (1 + PLAIN_QUEUE_PER_SLOT);
-        return e.load(nowNanos) >= capacity;
+        double capacity = capacity(request.service(), e);
+        return capacity > 0 && e.load(nowNanos) >= capacity;
+    }
+
+    /** Returns the number of requests that an endpoint takes, with those that queue; 0 if unknown. */
+    static double capacity(CatalogService service, EndpointLoadState e) {
+        int slots = Math.max(0, e.entry().slots());
+        return service.hasModelEngines() ? slots : slots * (1 + PLAIN_QUEUE_PER_SLOT);
     }
 
     /** Returns the mean load of the endpoints, or 0 if there are none. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -1,16 +1,22 @@
 package org.dragonflygw.core.exchange;
 
 import java.util.Optional;
+import org.dragonflygw.core.admission.Admission;
+import org.dragonflygw.core.admission.Outlook;
+import org.dragonflygw.core.admission.Wait;
+import org.dragonflygw.core.admission.WaitRequest;
+import org.dragonflygw.core.admission.Waiter;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.ChoiceRequest;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.dispatch.UnavailableReason;
 import org.dragonflygw.core.ratelimit.PermitDecision;
 import org.dragonflygw.core.resume.OriginDecision;
 import org.dragonflygw.core.resume.StreamOrigin;
 
 /**
  * Finds the endpoint of each attempt of one request: where the stream began that the caller takes up, then the choice of an
- * endpoint, then a permit if the endpoint names a limit. Each step may wait for other hosts. Not thread-safe.
+ * endpoint, which may wait until one has room, then a permit if the endpoint names a limit. Not thread-safe.
  */
 final class EndpointSearch {
     private static final long NANOS_PER_MS = 1_000_000;
@@ -31,6 +37,9 @@
     /** Whether the endpoint found last names a limit and gave a permit. */
     private boolean permitted;
 
+    /** The wait for room; null if the request does not wait. */
+    private Wait wait;
+
     private int permitDenials;
     private boolean cancelled;
 
@@ -42,9 +51,15 @@
         /**
          * No endpoint can serve the request now.
          *
-         * @param expectedMs see {@link Choice#expectedMs}
+         * @param expectedMs see {@link Choice#expectedMs}; after a wait the time until room is expected
          */
         void onNotFound(RejectReason reason, long expectedMs);
+
+        /** Whether the request may wait for room: it has certainly not run. */
+        boolean mayWait();
+
+        /** Requests a call of {@link EndpointSearch#onTimer} at a time of the monotonic clock. */
+        void wakeAt(long nanos);
     }
 
     EndpointSearch(
@@ -95,6 +110,24 @@
             return;
         }
         Choice choice = context.chooser().choose(choiceRequest(now), now);
+        if (mustWait(choice)) {
+            context.admission().join(waitRequest(), new RoomWaiter()).ifPresent(w -> wait = w);
+            return;
+        }
+        accept(choice);
+    }
+
+    private boolean mustWait(Choice choice) {
+        Admission admission = context.admission();
+        if (!admission.isEnabled() || !listener.mayWait()) {
+            return false;
+        }
+        return choice.reason() == UnavailableReason.BUSY
+                || (choice.endpoint().isPresent()
+                        && admission.isShort(request.service().name()));
+    }
+
+    private void accept(Choice choice) {
         if (choice.endpoint().isEmpty()) {
             listener.onNotFound(RejectReason.of(choice.reason()), choice.expectedMs());
             return;
@@ -108,6 +141,30 @@
         listener.onFound(choice);
     }
 
+    private WaitRequest waitRequest() {
+        return new WaitRequest(
+                request.id(),
+                request.service(),
+                request.route().name(),
+                request.team(),
+                request.priority(),
+                request.arrivedNanos(),
+                request.expiryNanos(),
+                request.route().objectiveMs(),
+                request.deadlineMs(),
+                request.prompt().inputTokens(),
+                request.prompt().sharedKey(),
+                request.fingerprint(),
+                origin.isPresent() || !attempts.failedEndpoints().isEmpty());
+    }
+
+    /** Called at the time that was requested through {@link Listener#wakeAt}, or earlier. */
+    void onTimer() {
+        if (wait != null) {
+            context.admission().onWake(wait);
+        }
+    }
+
     private ChoiceRequest choiceRequest(long now) {
         return new ChoiceRequest(
                 request.service(),
@@ -137,6 +194,10 @@
     /** Ends the search because nobody waits for the response any more. */
     void cancel() {
         cancelled = true;
+        if (wait != null) {
+            context.admission().leave(wait);
+            wait = null;
+        }
     }
 
     /** Requires that later attempts go on with a stream where it began. */
@@ -163,4 +224,44 @@
                 .filter(known -> known == endpoint)
                 .isPresent();
     }
+
+    /** The request while it waits for room. */
+    private final class RoomWaiter implements Waiter {
+        private Optional<RejectReason> blocked = Optional.empty();
+        private Choice found;
+
+        @Override
+        public Outlook look(long nowNanos) {
+            blocked = crashes.blockedReason(nowNanos);
+            if (blocked.isPresent()) {
+                return Outlook.UNSERVABLE;
+            }
+            found = context.chooser().choose(choiceRequest(nowNanos), nowNanos);
+            if (found.endpoint().isPresent()) {
+                return Outlook.ROOM;
+            }
+            return found.reason() == UnavailableReason.BUSY ? Outlook.BUSY : Outlook.UNSERVABLE;
+        }
+
+        @Override
+        public void proceed() {
+            wait = null;
+            if (blocked.isPresent()) {
+                listener.onNotFound(blocked.get(), 0);
+                return;
+            }
+            accept(found);
+        }
+
+        @Override
+        public void refuse(long expectedMs) {
+            wait = null;
+            listener.onNotFound(RejectReason.BUSY, expectedMs);
+        }
+
+        @Override
+        public void wakeAt(long nanos) {
+            listener.wakeAt(nanos);
+        }
+    }
 }
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -51,6 +51,7 @@
     private boolean mayHaveRun;
 
     private long attemptStartNanos;
+    private long attemptFirstPartNanos;
     private long firstPartAtNanos;
 
     private long longestGapNanos;
@@ -96,6 +97,7 @@
         endpoint = choice.endpoint().orElseThrow();
         uncachedTokens = choice.uncachedTokens();
         firstPartSeen = false;
+        attemptFirstPartNanos = 0;
         ignoreResponse = false;
         phase = Phase.SENT;
         attemptStartNanos = now;
@@ -193,6 +195,7 @@
             return;
         }
         firstPartSeen = true;
+        attemptFirstPartNanos = now;
         if (firstPartAtNanos == 0) {
             firstPartAtNanos = now;
         }
@@ -340,6 +343,9 @@
         if (reason == RejectReason.STREAM_ORIGIN_UNKNOWN) {
             return 0; // It will not be known later either.
         }
+        if (reason == RejectReason.BUSY && expectedMs > 0) {
+            return context.retryAfterDelays().whenRoomMs(expectedMs, remainingMs);
+        }
         return reason == RejectReason.ENDPOINTS_QUIET || reason == RejectReason.ENDPOINTS_LIMITED
                 ? context.retryAfterDelays().afterMs(expectedMs)
                 : context.retryAfterDelays().nextMs(remainingMs);
@@ -361,7 +367,11 @@
 
     /** Called at the time requested through {@link ExchangeOutput#wakeAt}; earlier calls are harmless. */
     public void onTimer() {
-        if (phase == Phase.ENDED || phase == Phase.CHOOSING) {
+        if (phase == Phase.CHOOSING) {
+            search.onTimer();
+            return;
+        }
+        if (phase == Phase.ENDED) {
             return;
         }
         long now = now();
@@ -425,6 +435,9 @@
         }
         endpoint.onRequestEnded();
         phase = Phase.CHOOSING;
+        long firstPartNanos = attemptFirstPartNanos == 0 ? 0 : Math.max(1, attemptFirstPartNanos - attemptStartNanos);
+        context.admission()
+                .onEnded(request.service(), request.route().name(), firstPartNanos, now() - attemptStartNanos);
     }
 
     private void end(String outcome, int status) {
@@ -451,5 +464,15 @@
         public void onNotFound(RejectReason reason, long expectedMs) {
             refuseOrFail(reason, expectedMs);
         }
+
+        @Override
+        public boolean mayWait() {
+            return !mayHaveRun && !response.started();
+        }
+
+        @Override
+        public void wakeAt(long nanos) {
+            out.wakeAt(nanos);
+        }
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
@@ -1,5 +1,6 @@
 package org.dragonflygw.core.exchange;
 
+import org.dragonflygw.core.admission.Admission;
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.crash.CrashingParts;
 import org.dragonflygw.core.dispatch.EndpointChooser;
@@ -16,6 +17,7 @@
  *
  * @param chooser chooses the endpoint of each attempt
  * @param loads load of each endpoint
+ * @param admission lets requests wait that find all endpoints at capacity
  * @param permits gives permits to send to endpoints that name a limit
  * @param origins knows where streams began that callers take up
  * @param notices applies what endpoints say of themselves
@@ -30,6 +32,7 @@
 public record ExchangeContext(
         EndpointChooser chooser,
         EndpointLoads loads,
+        Admission admission,
         EndpointPermits permits,
         StreamOrigins origins,
         EndpointNotices notices,
--- a/core/src/main/java/org/dragonflygw/core/limits/RetryAfterDelays.java
+++ b/core/src/main/java/org/dragonflygw/core/limits/RetryAfterDelays.java
@@ -32,6 +32,18 @@
         return waitMs + MIN_DELAY_MS + (long) (random.nextDouble() * JITTER_MS);
     }
 
+    /**
+     * Returns the delay until the caller should retry, in milliseconds: when room is expected, with up to as much again
+     * at random, and within the part of the remaining time that lets the retry be served.
+     *
+     * @param roomMs time until room is expected, in milliseconds
+     * @param remainingMs time that the caller still waits, in milliseconds
+     */
+    public long whenRoomMs(long roomMs, long remainingMs) {
+        double longestMs = Math.min(Math.max(MIN_DELAY_MS, roomMs) * 2.0, remainingMs * MAX_SHARE_OF_REMAINING);
+        return Math.max(1, (long) (longestMs * (1 + random.nextDouble()) / 2));
+    }
+
     /**
      * Returns the delay until the caller should retry, in milliseconds, at least 1.
      *
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -22,6 +22,8 @@
     READINESS,
     /** A request waits because the process has just started and knows no configuration or no endpoints yet. */
     HOLD,
+    /** A request waits for room at its service, or its wait ended; the line has the outcome. */
+    WAIT,
     /** An endpoint names a limit for all hosts together; the line says whether the request may be sent there. */
     PERMIT,
     /** The software versions of a service in the store were read or written. */
--- a/core/src/main/java/org/dragonflygw/core/settings/HostBounds.java
+++ b/core/src/main/java/org/dragonflygw/core/settings/HostBounds.java
@@ -10,6 +10,7 @@
  * @param retries retry budget
  * @param capFactor maximum load of an endpoint, as a multiple of the mean load of its service
  * @param heartbeatMs interval at which endpoints renew their entries in the store, in milliseconds
+ * @param boundedWait whether requests that find all endpoints at capacity may wait for room
  */
 public record HostBounds(
         long drainMs,
@@ -18,4 +19,5 @@
         long revokeMs,
         RetryBounds retries,
         double capFactor,
-        long heartbeatMs) {}
+        long heartbeatMs,
+        boolean boundedWait) {}
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
@@ -196,4 +196,74 @@
             assertThat(f.origins.size()).isEqualTo(0);
         }
     }
+
+    /** Three endpoints with room for ten requests each. */
+    @Nested
+    final class WithWaiting {
+        private static final int ROOM = 30;
+
+        private final List<Exchange> running = new ArrayList<>();
+
+        private void fill() {
+            f.admission = ExchangeFixture.admission(() -> true, f.loads, f.clock);
+            for (int i = 0; i < 60; i++) {
+                Exchange x = f.start(PLAIN);
+                f.clock.advanceMs(10);
+                x.onHead(ExchangeFixture.signedHead(200));
+                x.onBody(new byte[] {1});
+                x.onComplete();
+            }
+            for (int i = 0; i < ROOM; i++) {
+                running.add(f.start(PLAIN));
+            }
+            f.sent.clear();
+        }
+
+        @Test
+        void aFreedSlotIsGivenToTheRequestThatWaits() {
+            fill();
+            Exchange waiting = f.start(PLAIN);
+            assertThat(f.sent).isEmpty();
+            assertThat(f.rejections).isEmpty();
+            running.get(0).onHead(ExchangeFixture.signedHead(200));
+            running.get(0).onBody(new byte[] {1});
+            running.get(0).onComplete();
+            waiting.onTimer();
+            assertThat(f.sent).hasSize(1);
+        }
+
+        @Test
+        void nothingIsSentAfterTheCallerHasLeft() {
+            fill();
+            Exchange waiting = f.start(PLAIN);
+            waiting.onCallerDisconnected();
+            running.get(0).onHead(ExchangeFixture.signedHead(200));
+            running.get(0).onBody(new byte[] {1});
+            running.get(0).onComplete();
+            waiting.onTimer();
+            assertThat(f.sent).isEmpty();
+            assertThat(f.admission.waitingCount()).isEqualTo(0);
+        }
+
+        /** Guards against a request that waits for room at endpoints that are gone. */
+        @Test
+        void aPoolThatVanishesEndsTheWait() {
+            fill();
+            Exchange waiting = f.start(PLAIN);
+            for (int i = 1; i <= 3; i++) {
+                f.loads.onRemoved(f.loads.get("e" + i).orElseThrow().entry());
+            }
+            f.clock.advanceMs(50);
+            waiting.onTimer();
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.NO_ENDPOINT);
+        }
+
+        @Test
+        void withoutBoundedWaitTheRequestIsRefusedAtOnce() {
+            fill();
+            f.admission = ExchangeFixture.noAdmission(f.loads, f.clock);
+            f.start(PLAIN);
+            assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.BUSY);
+        }
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -8,8 +8,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.dragonflygw.core.ManualMonotonicClock;
+import org.dragonflygw.core.admission.Admission;
+import org.dragonflygw.core.admission.FleetShare;
 import org.dragonflygw.core.catalog.CatalogRoute;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.catalog.RouteKind;
@@ -21,6 +24,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.dispatch.Prompt;
+import org.dragonflygw.core.dispatch.ServiceRoom;
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.log.NoOpEventLog;
@@ -69,6 +73,7 @@
     /** Fingerprint of the requests that are started; 0 for one of its own for each. */
     long fingerprint;
 
+    Admission admission = noAdmission(loads, clock);
     EndpointPermits permits = PERMITS;
     final StreamOrigins origins = lonelyOrigins(clock);
 
@@ -138,6 +143,7 @@
         ExchangeContext context = new ExchangeContext(
                 chooser,
                 loads,
+                admission,
                 permits,
                 origins,
                 notices,
@@ -171,6 +177,23 @@
                 400);
     }
 
+    /** Refuses at once what finds no room. */
+    static Admission noAdmission(EndpointLoads loads, ManualMonotonicClock clock) {
+        return admission(() -> false, loads, clock);
+    }
+
+    /** Lets requests wait on a host without peers. */
+    static Admission admission(BooleanSupplier enabled, EndpointLoads loads, ManualMonotonicClock clock) {
+        return new Admission(
+                enabled,
+                new ServiceRoom(loads),
+                new FleetShare(() -> OptionalInt.of(1)),
+                new SplittableRandom(1),
+                new NoOpEventLog(),
+                clock,
+                clock);
+    }
+
     /** What a host without peers knows of the beginnings of streams. */
     static StreamOrigins lonelyOrigins(ManualMonotonicClock clock) {
         return new StreamOrigins(
@@ -208,6 +231,7 @@
         return new ExchangeContext(
                 new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), (all, now) -> all),
                 loads,
+                noAdmission(loads, clock),
                 permits,
                 origins,
                 new EndpointNotices(loads, new NoOpEventLog(), clock),
--- a/core/src/test/java/org/dragonflygw/core/settings/SettingsHolderTest.java
+++ b/core/src/test/java/org/dragonflygw/core/settings/SettingsHolderTest.java
@@ -17,7 +17,7 @@
     }
 
     private static HostBounds bounds(long drainMs) {
-        return new HostBounds(drainMs, 8_000, 2_000, 5_000, new RetryBounds(0.2, 52, 10_000_000_000L), 2, 1_200);
+        return new HostBounds(drainMs, 8_000, 2_000, 5_000, new RetryBounds(0.2, 52, 10_000_000_000L), 2, 1_200, false);
     }
 
     @Test
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -8,6 +8,8 @@
 import java.time.InstantSource;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.admission.Admission;
+import org.dragonflygw.core.admission.FleetShare;
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.crash.CrashSuspects;
@@ -24,6 +26,7 @@
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.dispatch.FleetSizeSampler;
 import org.dragonflygw.core.dispatch.RoundRobinChooser;
+import org.dragonflygw.core.dispatch.ServiceRoom;
 import org.dragonflygw.core.dispatch.TwoChoicesChooser;
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.exchange.ExchangeContext;
@@ -95,6 +98,7 @@
     private final CrashSuspects crashes;
     private final CrashingParts crashingParts;
     private final PeerTable peers;
+    private final Admission admission;
     private final StoreView store;
     private final PeerSocket peerSocket;
     private final PermitIssuer permitIssuer;
@@ -121,6 +125,14 @@
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
+        this.admission = new Admission(
+                () -> settings.bounds().boundedWait(),
+                new ServiceRoom(loads),
+                new FleetShare(peers::fleetSize),
+                new SplittableRandom(),
+                log,
+                System::nanoTime,
+                InstantSource.system());
         HostRanking ranking = new HostRanking(identity.hostName(), peers::hostNames, System::nanoTime);
         PermitOwners owners = new PermitOwners(identity.hostName(), ranking, peers::isListed, peers::mayBeUp);
         this.peerSocket = new PeerSocket(group, log);
@@ -178,6 +190,11 @@
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
         metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
+        metrics.registerGauge("requests_waiting", admission::waitingCount);
+        metrics.registerGauge("waits_started_total", admission.counts()::started);
+        metrics.registerGauge("waits_served_total", admission.counts()::served);
+        metrics.registerGauge("waits_refused_total", admission.counts()::refused);
+        metrics.registerGauge("waits_left_total", admission.counts()::left);
         metrics.registerGauge("stream_origins", origins::size);
         metrics.registerGauge("stream_origins_unknown_total", origins::unknownCount);
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
@@ -284,6 +301,7 @@
         ExchangeContext exchanges = new ExchangeContext(
                 endpointChoice(),
                 loads,
+                admission,
                 permits,
                 origins,
                 notices,
@@ -326,6 +344,7 @@
 
     /** Runs a {@link GracefulStop}; returns when the process may exit. */
     public void stop() throws InterruptedException {
+        group.next().execute(admission::beginStop);
         new GracefulStop(group.next(), frontState, log, settings.bounds().graceMs(), this::closePort).run();
     }
 
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -20,6 +20,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.dragonflygw.core.admission.Admission;
+import org.dragonflygw.core.admission.FleetShare;
 import org.dragonflygw.core.catalog.CallerLimits;
 import org.dragonflygw.core.catalog.Catalog;
 import org.dragonflygw.core.catalog.CatalogHolder;
@@ -35,6 +37,7 @@
 import org.dragonflygw.core.dispatch.DispatchSettings;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
+import org.dragonflygw.core.dispatch.ServiceRoom;
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
@@ -83,6 +86,18 @@
 
     final FrontState frontState = new FrontState();
     final EndpointLoads loads = new EndpointLoads();
+    /** Whether requests that find all endpoints at capacity may wait. */
+    volatile boolean boundedWait;
+
+    final Admission admission = new Admission(
+            () -> boundedWait,
+            new ServiceRoom(loads),
+            new FleetShare(() -> OptionalInt.of(1)),
+            new SplittableRandom(1),
+            new NoOpEventLog(),
+            System::nanoTime,
+            InstantSource.system());
+
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Channel listener;
     private final int port;
@@ -105,6 +120,7 @@
         ExchangeContext exchanges = new ExchangeContext(
                 chooser,
                 loads,
+                admission,
                 PERMITS,
                 new StreamOrigins(
                         "self",
@@ -139,7 +155,12 @@
     }
 
     void addEndpoint(String id, RawEndpoint endpoint) {
-        loads.onUpdated(new DiscoveredEndpoint(id, SERVICE, "127.0.0.1", endpoint.port(), "a", 8, false, 0, 1, "v1"));
+        addEndpoint(id, endpoint, 8);
+    }
+
+    void addEndpoint(String id, RawEndpoint endpoint, int slots) {
+        loads.onUpdated(
+                new DiscoveredEndpoint(id, SERVICE, "127.0.0.1", endpoint.port(), "a", slots, false, 0, 1, "v1"));
     }
 
     void removeEndpoint(String id) {
@@ -189,7 +210,9 @@
         group.next().submit(frontState::closeIdle).syncUninterruptibly();
     }
 
+    /** Returns a stop of which the admission knows, as with {@link EdgeNode#stop}. */
     GracefulStop stop(long graceMs) {
+        group.next().execute(admission::beginStop);
         return new GracefulStop(group.next(), frontState, new NoOpEventLog(), graceMs, listener::close);
     }
 
--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
@@ -51,7 +51,7 @@
             serverThread.start();
             HostAddress address = new HostAddress("127.0.0.1", server.getLocalPort());
             HostIdentity identity = new HostIdentity("h", "127.0.0.1", "z", address, address, 1);
-            HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1);
+            HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, false);
             SettingsHolder settings = new SettingsHolder(new HostSettings(identity, 0, address, bounds));
             StoreClient client = new StoreClient(group, settings, new EdgeMetrics(new MetricRegistry()));
             CompletableFuture<StoreResponse> future = new CompletableFuture<>();
