--- a/core/src/main/java/org/dragonflygw/core/settings/HostBounds.java
+++ b/core/src/main/java/org/dragonflygw/core/settings/HostBounds.java
@@ -12,6 +12,7 @@
  * @param heartbeatMs interval at which endpoints renew their entries in the store, in milliseconds
  * @param evacuationMs time after which endpoints of an evacuated zone get no more requests, in milliseconds; 0 if the
  *     deployment names none
+ * @param boundedWait whether requests that find all endpoints at capacity may wait for room
  */
 public record HostBounds(
         long drainMs,
@@ -21,4 +22,5 @@
         RetryBounds retries,
         double capFactor,
         long heartbeatMs,
-        long evacuationMs) {}
+        long evacuationMs,
+        boolean boundedWait) {}
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -8,6 +8,8 @@
 import java.time.InstantSource;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.core.admission.Admission;
+import org.dragonflygw.core.admission.FleetShare;
 import org.dragonflygw.core.catalog.CatalogHolder;
 import org.dragonflygw.core.contact.StoreContact;
 import org.dragonflygw.core.crash.CrashSuspects;
@@ -24,6 +26,7 @@
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.dispatch.FleetSizeSampler;
 import org.dragonflygw.core.dispatch.RoundRobinChooser;
+import org.dragonflygw.core.dispatch.ServiceRoom;
 import org.dragonflygw.core.dispatch.TwoChoicesChooser;
 import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.exchange.EndpointNotices;
@@ -106,6 +109,7 @@
     private final CrashSuspects crashes;
     private final CrashingParts crashingParts;
     private final PeerTable peers;
+    private final Admission admission;
     private final StoreView store;
     private final PeerSocket peerSocket;
     private final FleetLoads fleetLoads;
@@ -137,6 +141,14 @@
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
+        this.admission = new Admission(
+                () -> settings.bounds().boundedWait(),
+                new ServiceRoom(loads),
+                new FleetShare(peers::fleetSize),
+                new SplittableRandom(),
+                log,
+                System::nanoTime,
+                InstantSource.system());
         HostRanking ranking = new HostRanking(identity.hostName(), peers::rankedHosts, System::nanoTime);
         PermitOwners owners = new PermitOwners(identity.hostName(), ranking, peers::isListed, peers::mayBeUp);
         this.peerSocket = new PeerSocket(group, log);
@@ -205,6 +217,11 @@
         metrics.registerGauge("load_sum_age_ms", fleetLoads::ageMs);
         metrics.registerGauge("load_sum_hosts", fleetLoads::includedHosts);
         metrics.registerGauge("load_relay_active", () -> fleetLoads.isActing() ? 1 : 0);
+        metrics.registerGauge("requests_waiting", admission::waitingCount);
+        metrics.registerGauge("waits_started_total", admission.counts()::started);
+        metrics.registerGauge("waits_served_total", admission.counts()::served);
+        metrics.registerGauge("waits_refused_total", admission.counts()::refused);
+        metrics.registerGauge("waits_left_total", admission.counts()::left);
         metrics.registerGauge("stream_origins", origins::size);
         metrics.registerGauge("stream_origins_unknown_total", origins::unknownCount);
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text);
@@ -315,6 +332,7 @@
         ExchangeContext exchanges = new ExchangeContext(
                 endpointChoice(),
                 loads,
+                admission,
                 permits,
                 origins,
                 notices,
@@ -365,6 +383,7 @@
         if (listener == null) {
             return;
         }
+        group.next().execute(admission::beginStop);
         new GracefulStop(group.next(), frontState, log, settings.bounds().graceMs(), this::closePort).run();
     }
 
--- a/edge/src/test/java/org/dragonflygw/edge/store/PeerDiscoveryTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/PeerDiscoveryTest.java
@@ -37,7 +37,7 @@
             platform.store().put(StoreApiCodec.HOST_TABLE, "other", "10.0.0.7:7000".getBytes(StandardCharsets.UTF_8));
             HostAddress store = new HostAddress("127.0.0.1", platform.port());
             HostIdentity identity = new HostIdentity("h", "127.0.0.1", "z", store, store, 1);
-            HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, 0);
+            HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, 0, false);
             SettingsHolder settings = new SettingsHolder(new HostSettings(identity, 0, store, bounds));
             AtomicInteger calls = new AtomicInteger();
             MonotonicClock failingOnce = () -> {
--- a/edge/src/test/java/org/dragonflygw/edge/store/TableFollowerTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/TableFollowerTest.java
@@ -50,7 +50,7 @@
     private void follow() {
         HostAddress store = new HostAddress("127.0.0.1", platform.port());
         HostIdentity identity = new HostIdentity("h", "127.0.0.1", "z", store, store, 1);
-        HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, 0);
+        HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, 0, false);
         SettingsHolder settings = new SettingsHolder(new HostSettings(identity, 0, store, bounds));
         StoreClient client = new StoreClient(group, settings, new EdgeMetrics(new MetricRegistry()));
         new TableFollower(
--- a/edge/src/test/java/org/dragonflygw/edge/store/VersionRowsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/VersionRowsTest.java
@@ -38,7 +38,7 @@
             platform.store().put(StoreApiCodec.VERSION_TABLE, "service", row);
             HostAddress store = new HostAddress("127.0.0.1", platform.port());
             HostIdentity identity = new HostIdentity("h", "127.0.0.1", "z", store, store, 1);
-            HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, 0);
+            HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, 0, false);
             SettingsHolder settings = new SettingsHolder(new HostSettings(identity, 0, store, bounds));
             AtomicInteger calls = new AtomicInteger();
             MonotonicClock failingAtTheFirstRow = () -> {
