--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
@@ -8,10 +8,15 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.dragonflygw.core.dispatch.LoadReport;
+import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.ratelimit.RateNotice;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -48,6 +53,25 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Guards against a line for each response of an endpoint whose fourth load number is always wrong. */
+    @Test
+    void unreadableWorkTimeIsLoggedOncePerInstance() {
+        List<LogTopic> lines = new ArrayList<>();
+        EventLog log = topic -> {
+            lines.add(topic);
+            return new NoOpEventLog().line(topic);
+        };
+        EndpointNotices notices = new EndpointNotices(f.loads, log, () -> 1);
+        EndpointNotice none = new EndpointNotice(false, 0, RateNotice.UNLIMITED);
+        LoadReport bad = new LoadReport(1, 0, 8, LoadReport.UNREADABLE);
+        ResponseHead head = new ResponseHead(200, true, false, false, -1, false, Optional.of(bad), none, List.of());
+        for (int i = 0; i < 5; i++) {
+            notices.accept(ExchangeFixture.endpoint("a"), head, "r", 0);
+            notices.accept(ExchangeFixture.endpoint("b"), head, "r", 0);
+        }
+        assertThat(lines).hasSize(2);
+    }
+
     @Nested
     final class Leaving {
         private String leavingEndpoint(int status) {
