Tests of other limits: more traffic, so that also an even load exceeds the limit of the other cases

Change: these two runs have 102 requests a second; the checks and bounds stay. Measured: EndpointLimitTest passes.

--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointLimitTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointLimitTest.java
@@ -18,6 +18,10 @@
     private static final int WARM_UP_MS = 3_000;
     private static final int RUN_MS = 20_000;
     private static final double REQUESTS_PER_SECOND = 68;
+
+    /** Rate at which an evenly loaded endpoint without a limit gets more than the limit of the other cases allows. */
+    private static final double HIGH_REQUESTS_PER_SECOND = 102;
+
     private static final double LIMIT = 3.5;
 
     /** Time within which a request is refused, in milliseconds: a few round trips between hosts. */
@@ -252,14 +256,14 @@
                     fleet(seed, t -> t < CHANGE_MS ? from(t, WARM_UP_MS, limit) : RateNotice.UNLIMITED);
             fleet.run(CHANGE_MS, REQUESTS_PER_SECOND);
             assertKept(fleet, limit, FROM_MS);
-            fleet.run(RUN_MS, REQUESTS_PER_SECOND);
+            fleet.run(RUN_MS, HIGH_REQUESTS_PER_SECOND);
             assertThat(fleet.mostInWindow(0, CHANGE_MS)).isGreaterThan(allowed(LIMIT));
         }
 
         @Test
         void aHugeLimitChangesNothing() {
             LimitedEndpointFleet fleet = fleet(36, t -> from(t, WARM_UP_MS, 1e200));
-            fleet.run(WARM_UP_MS + RUN_MS, REQUESTS_PER_SECOND);
+            fleet.run(WARM_UP_MS + RUN_MS, HIGH_REQUESTS_PER_SECOND);
             assertThat(fleet.mostInWindow(0, FROM_MS)).isGreaterThan(allowed(LIMIT));
             assertThat(fleet.refusals()).isEmpty();
         }
