--- a/core/src/test/java/org/dragonflygw/core/exchange/WaitingFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/WaitingFleet.java
@@ -47,6 +47,9 @@
 final class WaitingFleet {
     static final String SERVICE = "llm";
 
+    /** Memory of an engine in tokens; enough for all slots, so that the slots bound its load. */
+    private static final long ENGINE_MEMORY_TOKENS = 414_661;
+
     private static final byte[] EVENT = "data: 1\n\n".getBytes(StandardCharsets.UTF_8);
     private static final int FAN_OUT = 8;
     private static final long REPORT_INTERVAL_MS = 200;
@@ -114,7 +117,7 @@
         this.slots = slots;
         this.waiting = waiting;
         this.random = new SplittableRandom(seed);
-        this.service = new CatalogService(SERVICE, "/", 520, slots, 1, 0);
+        this.service = new CatalogService(SERVICE, "/", 520, slots, ENGINE_MEMORY_TOKENS, 0);
         for (int i = 0; i < engineCount; i++) {
             engines.put("e" + i, new Engine());
         }
