Measure the progress of a stream by its events

Cause: each byte of a response counted as progress, so a stalled stream that sent a byte now and then was borne until the deadline (SlowStreamTest: one dispatch, two expected). Change: on streaming routes only the first part and the end of an event restart the time after which an endpoint counts as silent. Measured: 1 of 5 tests of SlowStreamTest failed before, all pass; slow but sound streams, streams in small parts and an endpoint that is missing from the list for a while keep their attempt; ExchangeTest, ExchangeFuzzTest, CrashingPartTest pass.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -186,13 +186,16 @@
         if (firstPartSeen) {
             longestGapNanos = Math.max(longestGapNanos, now - silence.lastReadNanos());
         }
-        silence.restart(now);
+        boolean first = !firstPartSeen;
         onFirstPart(now);
         crashes.onPart(now);
         if (!response.appendBody(body)) {
             onAttemptFailed(AttemptFailure.MALFORMED);
             return;
         }
+        if (first || response.progressed()) {
+            silence.restart(now);
+        }
         if (response.started()) {
             phase = Phase.FORWARDING;
         }
--- a/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
@@ -30,6 +30,7 @@
     private boolean empty = true;
     private Optional<String> lastEventId = Optional.empty();
     private boolean forwardedWithoutId;
+    private boolean progressed;
 
     /**
      * Creates an empty buffer.
@@ -76,9 +77,10 @@
      */
     boolean appendBody(byte[] body) {
         empty &= body.length == 0;
+        progressed = !route.streaming();
         if (route.streaming()) {
             for (byte b : body) {
-                boundary.endsEvent(b);
+                progressed |= boundary.endsEvent(b);
             }
         }
         if (!forwardsImmediately()) {
@@ -92,6 +94,11 @@
         return true;
     }
 
+    /** Whether the last part ended an event of a stream; bytes of an event that never ends bring the caller nothing. */
+    boolean progressed() {
+        return progressed;
+    }
+
     /**
      * Whether what was read can be a whole response. A declared length has shown it; else a stream ends after an event, and
      * a body that ends with its connection is not empty.
