--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -228,7 +228,7 @@
     }
 
     /** Returns the number of requests of other hosts at the endpoint by the newest report. */
-    double othersReported(long nowNanos) {
+    public double othersReported(long nowNanos) {
         return isOwnReportNewer(nowNanos) ? otherRequestsAtReport : peerLoad.inFlight();
     }
 
