Take only HTTP/1 status lines for responses of endpoints

Cause: the library's codec takes almost any three words for a status line, and nothing behind it asked for a status of three digits. Ruled out: the missing attempt id, as the same lines with id and signature were passed on too.

Fix: a decoder of its own for endpoints' responses takes HTTP/1.0 and HTTP/1.1 with a status from 100 to 599; all else is malformed, so 502 or a repeat.

--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -51,6 +51,7 @@
     private final EndpointHeaders headers;
     private final EndpointNotices notices;
     private final SkippedByteLimit skippedByteLimit;
+    private final EndpointResponseDecoder decoder;
 
     private ChannelHandlerContext context;
     private DiscoveredEndpoint endpoint;
@@ -81,11 +82,13 @@
             EndpointConnectionPool pool,
             EndpointHeaders headers,
             EndpointNotices notices,
-            SkippedByteLimit skippedByteLimit) {
+            SkippedByteLimit skippedByteLimit,
+            EndpointResponseDecoder decoder) {
         this.pool = pool;
         this.headers = headers;
         this.notices = notices;
         this.skippedByteLimit = skippedByteLimit;
+        this.decoder = decoder;
     }
 
     DiscoveredEndpoint endpoint() {
@@ -118,6 +121,7 @@
         headReceived = false;
         skippingResponse = false;
         skippedByteLimit.reset();
+        decoder.onRequest(HttpMethod.HEAD.name().equals(r.method()));
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(r.method()),
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
@@ -9,8 +9,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -82,10 +82,12 @@
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
         SkippedByteLimit limit = new SkippedByteLimit(MAX_SKIPPED_BYTES);
+        EndpointResponseDecoder decoder = new EndpointResponseDecoder(config);
         channel.pipeline()
                 .addLast(limit)
-                .addLast(new HttpClientCodec(config, false, false))
-                .addLast(new EndpointConnection(this, headers, notices, limit));
+                .addLast(decoder)
+                .addLast(new HttpRequestEncoder())
+                .addLast(new EndpointConnection(this, headers, notices, limit, decoder));
     }
 
     /** Sends a request on an idle or a new connection; the listener receives the outcome on the event loop. */
