Close connections to endpoints on which bytes arrive without a request

Cause: the beginning of a second response stayed in the decoder of a connection that went back to the pool, and the next response continued it. The check for bytes without a request saw decoded messages only. Ruled out: whole late copies, which the id tells apart (LateCopyTest).

Fix: a guard before the decoder closes a connection on which bytes arrive while it is idle, and the decoder says whether anything came after the response. Such bytes, malformed responses and those to other requests are logged as UNUSED_RESPONSE and counted; before, the log did not tell these apart.

A copy that arrives when the next request is open is a fault of its own.

--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -38,6 +38,8 @@
     REFUSE,
     /** An attempt at an endpoint failed. */
     ATTEMPT_FAILED,
+    /** An endpoint sent bytes that reach no caller; the line has the request that was sent last on the connection. */
+    UNUSED_RESPONSE,
     /** The retry budget granted or denied one more attempt; the line has the figures that decided it. */
     RETRY,
     /** Endpoints were lost while they ran a request, or the request was cleared; the line has the lost endpoints. */
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -137,7 +137,7 @@
                 loads.rates(), catalogs::current, registry::loaded, System::nanoTime, InstantSource.system(), log);
         catalogs.onChange(c -> warmups.refresh());
         this.notices = new EndpointNotices(loads, warmups::onResponse, log, System::nanoTime);
-        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics);
+        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics, log);
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
--- a/edge/src/main/java/org/dragonflygw/edge/ops/EdgeMetrics.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ops/EdgeMetrics.java
@@ -28,6 +28,8 @@
     private final Counter responsesCompleted;
     private final Counter responsesAborted;
     private final Counter malformedRequests;
+    private final Counter malformedResponses;
+    private final Counter unexpectedResponses;
     private final Counter connections;
     private final Counter callerErrors;
     private final Counter storeCalls;
@@ -43,6 +45,8 @@
         responsesCompleted = registry.counter("requests_answered_total");
         responsesAborted = registry.counter("answers_cut_total");
         malformedRequests = registry.counter("requests_malformed_total");
+        malformedResponses = registry.counter("endpoint_responses_malformed_total");
+        unexpectedResponses = registry.counter("endpoint_responses_unexpected_total");
         connections = registry.counter("endpoint_connections_opened_total");
         callerErrors = registry.counter("caller_connection_errors_total");
         storeCalls = registry.counter("store_calls_total");
@@ -76,6 +80,16 @@
         malformedRequests.inc();
     }
 
+    /** Counts bytes of an endpoint that are no response to the request that was sent. */
+    public void onMalformedResponse() {
+        malformedResponses.inc();
+    }
+
+    /** Counts bytes of an endpoint that belong to another request or to none. */
+    public void onUnexpectedResponse() {
+        unexpectedResponses.inc();
+    }
+
     /** Counts a request that this host answered with an error of its own. */
     public void onRejected(RejectReason reason) {
         rejections.get(reason).inc();
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -50,12 +50,18 @@
     private final EndpointConnectionPool pool;
     private final EndpointHeaders headers;
     private final EndpointNotices notices;
+    private final UnusedResponses unused;
     private final SkippedByteLimit skippedByteLimit;
     private final EndpointResponseDecoder decoder;
+    private final UnexpectedByteGuard guard = new UnexpectedByteGuard(this::onUnexpectedBytes);
 
     private ChannelHandlerContext context;
     private DiscoveredEndpoint endpoint;
     private EndpointRequest request;
+
+    /** Id of the request that was sent last. */
+    private String lastRequest = "";
+
     private PendingAttempt attempt;
     private ChannelFuture written;
 
@@ -82,15 +88,26 @@
             EndpointConnectionPool pool,
             EndpointHeaders headers,
             EndpointNotices notices,
+            UnusedResponses unused,
             SkippedByteLimit skippedByteLimit,
             EndpointResponseDecoder decoder) {
         this.pool = pool;
         this.headers = headers;
         this.notices = notices;
+        this.unused = unused;
         this.skippedByteLimit = skippedByteLimit;
         this.decoder = decoder;
     }
 
+    /** Returns the handler that sees all bytes before they are decoded. */
+    UnexpectedByteGuard guard() {
+        return guard;
+    }
+
+    private void onUnexpectedBytes(long bytes) {
+        unused.onIdle(endpoint, lastRequest, bytes);
+    }
+
     DiscoveredEndpoint endpoint() {
         return endpoint;
     }
@@ -115,7 +132,9 @@
 
     void send(EndpointRequest r, PendingAttempt a) {
         request = r;
+        lastRequest = r.attemptId();
         attempt = a;
+        guard.setRequestOpen(true);
         sentNanos = System.nanoTime();
         idleBeforeSendNanos = idleSinceNanos == 0 ? 0 : sentNanos - idleSinceNanos;
         headReceived = false;
@@ -169,13 +188,22 @@
             } else if (abandoned && message instanceof HttpResponse response) {
                 onAbandonedResponse(response);
             } else {
-                ctx.close(); // Bytes that belong to no request.
+                closeBecauseOfRemainder();
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
+    /** Bytes after a response belong to no request. */
+    private void closeBecauseOfRemainder() {
+        if (responseComplete) {
+            responseComplete = false;
+            unused.onRemainder(endpoint, lastRequest);
+        }
+        context.close();
+    }
+
     private void onAbandonedResponse(HttpResponse response) {
         if (response.decoderResult().isSuccess() && !isInformational(response)) {
             notices.accept(endpoint, decode(response), request.attemptId(), sentNanos);
@@ -197,7 +225,7 @@
 
     private void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            fail(AttemptFailure.MALFORMED);
+            failMalformed(message.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -216,6 +244,7 @@
         if (!headers.matchesAttempt(response.headers()::get, request.attemptId())) {
             skippingResponse = true;
             reusable = false;
+            unused.onOtherRequest(endpoint, lastRequest, response.status().code());
             notices.accept(endpoint, decode(response), request.attemptId(), RateStatement.UNKNOWN_SENT);
             return;
         }
@@ -280,16 +309,27 @@
     }
 
     /**
-     * Returns the connection to the pool only after all received bytes are read, since bytes after a response belong to
-     * no request.
+     * Returns the connection to the pool only after all received bytes are read, and only if none of them came after the
+     * response: in the decoder, the next response would continue them.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (responseComplete && ctx.channel().isActive()) {
-            responseComplete = false;
-            idleSinceNanos = System.nanoTime();
-            pool.onIdle(this);
+        if (!responseComplete || !ctx.channel().isActive()) {
+            return;
         }
+        if (decoder.isInsideMessage()) {
+            closeBecauseOfRemainder();
+            return;
+        }
+        responseComplete = false;
+        guard.setRequestOpen(false);
+        idleSinceNanos = System.nanoTime();
+        pool.onIdle(this);
+    }
+
+    private void failMalformed(Throwable cause) {
+        unused.onMalformed(endpoint, lastRequest, cause.getMessage());
+        fail(AttemptFailure.MALFORMED);
     }
 
     private void fail(AttemptFailure failure) {
@@ -310,7 +350,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof TooLongFrameException) {
-            fail(AttemptFailure.MALFORMED);
+            failMalformed(cause);
             return;
         }
         reset = true;
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
@@ -18,6 +18,7 @@
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.exchange.AttemptFailure;
 import org.dragonflygw.core.exchange.EndpointNotices;
+import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
@@ -50,6 +51,7 @@
     private final EndpointHeaders headers;
     private final EndpointNotices notices;
     private final EdgeMetrics metrics;
+    private final UnusedResponses unused;
     private final IdleLimits idleLimits = new IdleLimits();
     private final Map<String, Deque<EndpointConnection>> idle = new HashMap<>();
 
@@ -57,12 +59,14 @@
      * Creates an empty pool.
      *
      * @param notices applies what endpoints say in responses that nobody waits for
+     * @param log receives a line for all that endpoints send and no caller gets
      */
     public EndpointConnectionPool(
-            EventLoopGroup group, EndpointHeaders headers, EndpointNotices notices, EdgeMetrics metrics) {
+            EventLoopGroup group, EndpointHeaders headers, EndpointNotices notices, EdgeMetrics metrics, EventLog log) {
         this.headers = headers;
         this.notices = notices;
         this.metrics = metrics;
+        this.unused = new UnusedResponses(log, metrics);
         this.bootstrap = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -83,11 +87,13 @@
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
         SkippedByteLimit limit = new SkippedByteLimit(MAX_SKIPPED_BYTES);
         EndpointResponseDecoder decoder = new EndpointResponseDecoder(config);
+        EndpointConnection connection = new EndpointConnection(this, headers, notices, unused, limit, decoder);
         channel.pipeline()
+                .addLast(connection.guard())
                 .addLast(limit)
                 .addLast(decoder)
                 .addLast(new HttpRequestEncoder())
-                .addLast(new EndpointConnection(this, headers, notices, limit, decoder));
+                .addLast(connection);
     }
 
     /** Sends a request on an idle or a new connection; the listener receives the outcome on the event loop. */
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
@@ -1,8 +1,12 @@
 package org.dragonflygw.edge.upstream;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 import java.util.regex.Pattern;
 
 /**
@@ -14,6 +18,7 @@
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
 
     private boolean bodiless;
+    private boolean insideMessage;
 
     EndpointResponseDecoder(HttpDecoderConfig config) {
         super(config);
@@ -24,6 +29,17 @@
         bodiless = head;
     }
 
+    /** Whether bytes were received since the end of the last response. */
+    boolean isInsideMessage() {
+        return insideMessage;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        super.decode(ctx, in, out);
+        insideMessage = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         if (!VERSION.matcher(statusLine[0]).matches()
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -145,7 +145,7 @@
                 new RequestResolver(catalogs, contact),
                 new StartupHold(() -> true, System::nanoTime),
                 exchanges,
-                new EndpointConnectionPool(group, new EndpointHeaders(), notices, metrics),
+                new EndpointConnectionPool(group, new EndpointHeaders(), notices, metrics, new NoOpEventLog()),
                 new CallerHeaders(),
                 new EndpointHeaders(),
                 frontState,
--- a/edge/src/test/java/org/dragonflygw/edge/HeadRequestTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/HeadRequestTest.java
@@ -20,7 +20,8 @@
     void isForwardedWithoutABody() throws IOException {
         try (RawEndpoint e = new RawEndpoint((head, s, out) -> {
                     String answer = DataPlaneTest.answer(head, "body");
-                    RawEndpoint.write(out, head.startsWith("HEAD") ? answer.replace("\r\n\r\nbody", "\r\n\r\n") : answer);
+                    RawEndpoint.write(
+                            out, head.startsWith("HEAD") ? answer.replace("\r\n\r\nbody", "\r\n\r\n") : answer);
                     return true;
                 });
                 EdgeFixture f = new EdgeFixture(e);
