Reject heads of responses that contain a second status line

Cause: the beginning of a late copy arrives when the next request is already open on the connection, so no guard can tell it by its time. 'HTTP/1.1 200 OK' and 'HTTP/1.1 500 ...' make one line with the status 200; cut in a field, the copy swallows the next status line into that field. Ruled out: copies cut in their body, after which the rest begins with no status line.

Fix: a status line in a reason phrase or in a field marks the head as malformed, so neither its status nor its fields are believed. Works for any cut, as each response begins with a status line.

JoinedResponseTest.BeforeTheNextResponse: both cases failed before (a success for a failure with the copy cut at byte 13, a request sent twice with the rejection cut at byte 59), none after, with the copy cut at each byte.

--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
@@ -2,21 +2,28 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import java.util.Map;
 import java.util.regex.Pattern;
 
 /**
  * Decodes the responses of an endpoint. The codec of the library takes almost any three words for a status line; here,
- * bytes that are not a status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599 are malformed.
+ * bytes that are not a status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599 are malformed. So is a head that
+ * contains a second status line.
  */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
 
+    /** Beginning of a status line; its status may be cut off. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ");
+
     private boolean bodiless;
     private boolean insideMessage;
 
@@ -37,6 +44,7 @@
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         super.decode(ctx, in, out);
+        out.forEach(EndpointResponseDecoder::rejectJoinedHead);
         insideMessage = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
     }
 
@@ -46,9 +54,29 @@
                 || !STATUS.matcher(statusLine[1]).matches()) {
             throw new IllegalArgumentException("invalid status line");
         }
+        if (STATUS_LINE.matcher(statusLine[2]).find()) {
+            throw new IllegalArgumentException("status line in a reason phrase");
+        }
         return super.createMessage(statusLine);
     }
 
+    /**
+     * Marks a head as malformed if a field contains a status line: it is the beginning of one response, which broke off, and
+     * the rest of another.
+     */
+    private static void rejectJoinedHead(Object message) {
+        if (!(message instanceof HttpResponse response)) {
+            return;
+        }
+        for (Map.Entry<String, String> field : response.headers()) {
+            if (STATUS_LINE.matcher(field.getValue()).find()) {
+                response.setDecoderResult(DecoderResult.failure(
+                        new IllegalArgumentException("status line in the field " + field.getKey())));
+                return;
+            }
+        }
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return bodiless || super.isContentAlwaysEmpty(message);
