--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -25,6 +25,7 @@
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.exchange.HeaderField;
 import org.dragonflygw.core.exchange.ResponseHead;
+import org.dragonflygw.core.exchange.ResponseOwner;
 import org.dragonflygw.core.ratelimit.RateStatement;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
@@ -47,6 +48,8 @@
 
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
+    private static final String NO_SINGLE_ID = "no single attempt id";
+
     private final EndpointConnectionPool pool;
     private final EndpointHeaders headers;
     private final EndpointNotices notices;
@@ -57,8 +60,6 @@
 
     private ChannelHandlerContext context;
     private DiscoveredEndpoint endpoint;
-    private EndpointRequest request;
-
     /** Id of the request that was sent last. */
     private String lastRequest = "";
 
@@ -131,7 +132,6 @@
     }
 
     void send(EndpointRequest r, PendingAttempt a) {
-        request = r;
         lastRequest = r.attemptId();
         attempt = a;
         guard.setRequestOpen(true);
@@ -206,26 +206,41 @@
 
     private void onAbandonedResponse(HttpResponse response) {
         if (response.decoderResult().isSuccess() && !isInformational(response)) {
-            notices.accept(endpoint, decode(response), request.attemptId(), sentNanos);
+            List<HeaderField> fields = fieldsOf(response);
+            ResponseHead head = decode(response, fields);
+            switch (headers.ownerOf(fields, lastRequest)) {
+                case OPEN_REQUEST -> notices.accept(endpoint, head, lastRequest, sentNanos);
+                case OTHER_REQUEST -> onOtherRequest(head);
+                case UNKNOWN -> unused.onMalformed(endpoint, lastRequest, NO_SINGLE_ID);
+            }
         }
         context.close();
     }
 
+    private void onOtherRequest(ResponseHead head) {
+        unused.onOtherRequest(endpoint, lastRequest, head.status());
+        notices.accept(endpoint, head, lastRequest, RateStatement.UNKNOWN_SENT);
+    }
+
     private static boolean isInformational(HttpResponse response) {
         return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
 
-    private ResponseHead decode(HttpResponse response) {
+    private ResponseHead decode(HttpResponse response, List<HeaderField> fields) {
+        return headers.decode(response.status().code(), response.headers()::get, fields);
+    }
+
+    private static List<HeaderField> fieldsOf(HttpResponse response) {
         List<HeaderField> fields = new ArrayList<>();
         for (Map.Entry<String, String> e : response.headers()) {
             fields.add(new HeaderField(e.getKey(), e.getValue()));
         }
-        return headers.decode(response.status().code(), response.headers()::get, fields);
+        return fields;
     }
 
     private void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            failMalformed(message.decoderResult().cause());
+            failMalformed(message.decoderResult().cause().getMessage());
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -241,18 +256,24 @@
             skippingResponse = true;
             return;
         }
-        if (!headers.matchesAttempt(response.headers()::get, request.attemptId())) {
+        List<HeaderField> fields = fieldsOf(response);
+        ResponseHead head = decode(response, fields);
+        ResponseOwner owner = headers.ownerOf(fields, lastRequest);
+        if (owner == ResponseOwner.UNKNOWN) {
+            failMalformed(NO_SINGLE_ID);
+            return;
+        }
+        if (owner == ResponseOwner.OTHER_REQUEST) {
             skippingResponse = true;
             reusable = false;
-            unused.onOtherRequest(endpoint, lastRequest, response.status().code());
-            notices.accept(endpoint, decode(response), request.attemptId(), RateStatement.UNKNOWN_SENT);
+            onOtherRequest(head);
             return;
         }
         skippingResponse = false;
         headReceived = true;
         reusable &= HttpUtil.isKeepAlive(response) && hasExplicitEnd(response);
         recordKeepAliveTimeout(response.headers().get("Keep-Alive"));
-        attempt.onHead(decode(response));
+        attempt.onHead(head);
     }
 
     private static boolean hasExplicitEnd(HttpResponse response) {
@@ -297,7 +318,6 @@
     private void complete() {
         PendingAttempt done = attempt;
         attempt = null;
-        request = null;
         boolean keepOpen = reusable && headReceived && written.isDone() && written.isSuccess();
         done.onComplete();
         if (keepOpen && context.channel().isActive()) {
@@ -327,8 +347,8 @@
         pool.onIdle(this);
     }
 
-    private void failMalformed(Throwable cause) {
-        unused.onMalformed(endpoint, lastRequest, cause.getMessage());
+    private void failMalformed(String reason) {
+        unused.onMalformed(endpoint, lastRequest, reason);
         fail(AttemptFailure.MALFORMED);
     }
 
@@ -350,7 +370,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof TooLongFrameException) {
-            failMalformed(cause);
+            failMalformed(cause.getMessage());
             return;
         }
         reset = true;
