Count the ages in reports from before they arrived

Reproduced on the untouched code with real processes.

Cause: the ages in a report counted from the moment at which it was read. News were ignored while the last round of reports was over 0.6 s ago, but the socket gave one datagram in a pass and the overdue round ran after the first pass; all other datagrams that had waited counted as new. Ruled out: a newer row that is known and cannot be read, as a confirmation whose time is true needs none.

Fix: the allocator of the socket's buffers remembers when the socket was last empty, and ages count from then. After a pause news and loads are ignored until the socket was empty once; one detector serves both, in place of two copies.

PeerReportsTest.AfterAPause: 2 of 2 cases failed with the old rule, none after.

--- a/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
@@ -41,27 +41,33 @@
     /**
      * Applies the news of another host to this host's copies of both tables.
      *
+     * @param arrivedAfterNanos time on the monotonic clock, in nanoseconds, at which the news had not arrived yet. The ages
+     *     that the news state count from then, as a message may wait in this host's socket
      * @param endpoints copy of the table of endpoints
      * @param configuration copy of the table that holds the configuration's row
      * @param catalog the configuration in force
      */
     public void apply(
-            StoreNews news, FollowedTable endpoints, FollowedTable configuration, CatalogUpdateTarget catalog) {
+            StoreNews news,
+            long arrivedAfterNanos,
+            FollowedTable endpoints,
+            FollowedTable configuration,
+            CatalogUpdateTarget catalog) {
         boolean sameEra = era.onSeen(news.era(), "report") && news.era() == era.current();
         if (!sameEra) {
             return;
         }
-        applyEndpoints(news, endpoints);
+        applyEndpoints(news, arrivedAfterNanos, endpoints);
         evacuations.onNews(news.evacuations());
-        applyConfiguration(news, configuration, catalog);
+        applyConfiguration(news, arrivedAfterNanos, configuration, catalog);
     }
 
-    private void applyEndpoints(StoreNews news, FollowedTable endpoints) {
+    private void applyEndpoints(StoreNews news, long arrivedAfterNanos, FollowedTable endpoints) {
         if (!endpoints.listed() || news.endpointsAgeMs() < 0) {
             return;
         }
         long now = clock.nanos();
-        long asOfNanos = asOfNanos(news.endpointsAgeMs(), now);
+        long asOfNanos = asOfNanos(news.endpointsAgeMs(), arrivedAfterNanos);
         registry.onStoreRead(asOfNanos, now);
         boolean continuous =
                 news.completeFrom() <= endpoints.version() && news.endpointsVersion() >= endpoints.version();
@@ -85,7 +91,8 @@
         }
     }
 
-    private void applyConfiguration(StoreNews storeNews, FollowedTable table, CatalogUpdateTarget catalog) {
+    private void applyConfiguration(
+            StoreNews storeNews, long arrivedAfterNanos, FollowedTable table, CatalogUpdateTarget catalog) {
         ConfigurationNews news = storeNews.configuration();
         if (!table.listed() || news.rowVersion() == 0) {
             return;
@@ -105,13 +112,13 @@
         // Hosts of an earlier program do not say which zones are evacuated, so their news do not replace a read.
         boolean complete = news.ageMs() >= 0 && storeNews.evacuations().isKnown();
         if (news.rowVersion() == catalog.rowVersion() && complete) {
-            long asOf = asOfNanos(news.ageMs(), clock.nanos());
+            long asOf = asOfNanos(news.ageMs(), arrivedAfterNanos);
             contact.onRead(asOf);
             table.markFresh(Math.min(catalog.rowVersion(), evacuations.version()), asOf);
         }
     }
 
-    private static long asOfNanos(long ageMs, long now) {
-        return now - (ageMs + TRANSIT_MS) * NANOS_PER_MS;
+    private static long asOfNanos(long ageMs, long arrivedAfterNanos) {
+        return arrivedAfterNanos - (ageMs + TRANSIT_MS) * NANOS_PER_MS;
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/storenews/EraAgreementTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/EraAgreementTest.java
@@ -210,7 +210,7 @@
                         news);
                 Host target = hosts.get(Integer.parseInt(to.ip().substring(1)));
                 if (target.peers.onReport(report)) {
-                    target.applier.apply(news, target, target, target);
+                    target.applier.apply(news, clock.nanos(), target, target, target);
                 }
             }
 
--- a/core/src/test/java/org/dragonflygw/core/storenews/EvacuationFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/EvacuationFleet.java
@@ -335,7 +335,7 @@
 
         private void receive(HostReport report) {
             if (!silent && peers.onReport(report)) {
-                applier.apply(report.news(), endpoints, this, this);
+                applier.apply(report.news(), clock.nanos(), endpoints, this, this);
             }
         }
 
--- a/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/LeavePropagationTest.java
@@ -270,7 +270,7 @@
 
         private void receive(HostReport report) {
             if (peers.onReport(report)) {
-                applier.apply(report.news(), this, this, this);
+                applier.apply(report.news(), clock.nanos(), this, this, this);
             }
         }
 
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
@@ -44,7 +44,7 @@
     }
 
     private void apply(StoreNews news) {
-        applier.apply(news, endpoints, configuration, catalog);
+        applier.apply(news, clock.nanos(), endpoints, configuration, catalog);
     }
 
     private static StoreNews endpointNews(long completeFrom, long version, EndpointChange... changes) {
@@ -191,7 +191,7 @@
             StoreNewsApplier later = new StoreNewsApplier(era, registry, changeLog, evacuations, contact, clock);
             era.onSeen(3, "read");
             StoreNews news = configurationNews(fresh, new EvacuationNews(12, List.of("a")));
-            later.apply(news, endpoints, configuration, catalog);
+            later.apply(news, clock.nanos(), endpoints, configuration, catalog);
             assertThat(zones.contains("a")).isFalse();
         }
     }
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsFuzzTest.java
@@ -219,7 +219,7 @@
                     other.log.changes(),
                     ConfigurationNews.NONE,
                     EvacuationNews.UNKNOWN);
-            applier.apply(news, this, this, this);
+            applier.apply(news, clock.nanos(), this, this, this);
         }
 
         Set<String> ids() {
--- a/edge/src/main/java/org/dragonflygw/edge/peers/LoadExchange.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/LoadExchange.java
@@ -12,17 +12,10 @@
 
 /** Sends and receives the loads of hosts and their sums, one datagram each. Used by the event loop only. */
 public final class LoadExchange {
-    /**
-     * Time since the last round, in nanoseconds, above which received loads are ignored: this process was paused, and
-     * queued datagrams may be older than they state.
-     */
-    private static final long MAX_STALL_NANOS = 600_000_000L;
-
     private final PeerSocket socket;
     private final FleetLoads loads;
     private final EventLog log;
     private final PeerMessageCodec codec = new PeerMessageCodec();
-    private long lastRoundNanos;
 
     public LoadExchange(PeerSocket socket, FleetLoads loads, EventLog log) {
         this.socket = socket;
@@ -32,7 +25,6 @@
 
     /** Sends what is due in a round. */
     void send(LoadMessages messages) {
-        lastRoundNanos = System.nanoTime();
         messages.own().ifPresent(m -> send(codec.encode(m), messages.ownTargets()));
         messages.sums().ifPresent(m -> send(codec.encode(m), messages.sumTargets()));
     }
@@ -50,20 +42,17 @@
         }
     }
 
-    void onHostLoad(HostLoad load) {
-        if (!isStalled()) {
+    /** Receives the load of a host, unless it may be older than it states. */
+    void onHostLoad(HostLoad load, Datagram datagram) {
+        if (!datagram.waited()) {
             loads.onHostLoad(load);
         }
     }
 
-    /** Receives sums, and passes the datagram on to the next hosts. */
-    void onFleetLoad(FleetLoad load, byte[] content) {
-        if (!isStalled()) {
-            send(content, loads.onFleetLoad(load));
+    /** Receives sums, unless they may be older than they state, and passes the datagram on to the next hosts. */
+    void onFleetLoad(FleetLoad load, Datagram datagram) {
+        if (!datagram.waited()) {
+            send(datagram.content(), loads.onFleetLoad(load));
         }
     }
-
-    private boolean isStalled() {
-        return System.nanoTime() - lastRoundNanos > MAX_STALL_NANOS;
-    }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerMessages.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerMessages.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.edge.peers;
 
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -81,32 +80,25 @@
      * @param loads receives loads of hosts
      */
     public PeerSocket.Handler handler(PermitIssuer permits, StreamOrigins origins, LoadExchange loads) {
-        return (content, sender) -> codec.decode(content, new Receiver(permits, origins, loads, content, sender));
+        return datagram -> codec.decode(datagram.content(), new Receiver(permits, origins, loads, datagram));
     }
 
     private final class Receiver implements PeerMessageHandler {
         private final PermitIssuer permits;
         private final StreamOrigins origins;
         private final LoadExchange loads;
-        private final byte[] content;
-        private final InetSocketAddress sender;
-
-        Receiver(
-                PermitIssuer permits,
-                StreamOrigins origins,
-                LoadExchange loads,
-                byte[] content,
-                InetSocketAddress sender) {
+        private final Datagram datagram;
+
+        Receiver(PermitIssuer permits, StreamOrigins origins, LoadExchange loads, Datagram datagram) {
             this.permits = permits;
             this.origins = origins;
             this.loads = loads;
-            this.content = content;
-            this.sender = sender;
+            this.datagram = datagram;
         }
 
         @Override
         public void onPermitRequest(long id, PermitRequest request) {
-            socket.reply(codec.encode(id, permits.issue(request)), sender);
+            socket.reply(codec.encode(id, permits.issue(request)), datagram.sender());
         }
 
         @Override
@@ -121,7 +113,7 @@
 
         @Override
         public void onOriginRequest(long id, String attempt, String service) {
-            socket.reply(codec.encode(id, origins.reply(attempt, service)), sender);
+            socket.reply(codec.encode(id, origins.reply(attempt, service)), datagram.sender());
         }
 
         @Override
@@ -131,12 +123,12 @@
 
         @Override
         public void onHostLoad(HostLoad load) {
-            loads.onHostLoad(load);
+            loads.onHostLoad(load, datagram);
         }
 
         @Override
         public void onFleetLoad(FleetLoad load) {
-            loads.onFleetLoad(load, content);
+            loads.onFleetLoad(load, datagram);
         }
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerReports.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.edge.peers;
 
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -22,12 +21,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A task of the event loop is lost only when the loop shuts down.
 public final class PeerReports {
-    /**
-     * Time since the last round, in nanoseconds, above which received news are ignored: this process was paused, and
-     * queued datagrams may be older than they state.
-     */
-    private static final long MAX_STALL_NANOS = 600_000_000L;
-
     private final PeerSocket socket;
     private final PeerTable peers;
     private final ReportRounds rounds;
@@ -35,9 +28,20 @@
     private final EventLog log;
     private final Consumer<HostReport> crashListener;
     private final Supplier<StoreNews> storeNews;
-    private final Consumer<StoreNews> storeNewsListener;
+    private final NewsListener storeNewsListener;
     private final HostReportCodec codec = new HostReportCodec();
-    private long lastRoundNanos;
+
+    /** Receives news about the store from other hosts. */
+    @FunctionalInterface
+    public interface NewsListener {
+        /**
+         * Called with the news of a report.
+         *
+         * @param arrivedAfterNanos time on the monotonic clock, in nanoseconds, at which the report had not arrived yet; the
+         *     ages in the news count from then
+         */
+        void onNews(StoreNews news, long arrivedAfterNanos);
+    }
 
     /**
      * Creates an exchange that {@link #listen} starts.
@@ -54,7 +58,7 @@
             EventLog log,
             Consumer<HostReport> crashListener,
             Supplier<StoreNews> storeNews,
-            Consumer<StoreNews> storeNewsListener) {
+            NewsListener storeNewsListener) {
         this.socket = socket;
         this.peers = peers;
         this.rounds = rounds;
@@ -81,7 +85,7 @@
     }
 
     private void sendRound() {
-        lastRoundNanos = System.nanoTime();
+        socket.onRound();
         RoundOfReports round = rounds.next(storeNews.get());
         round.reports().forEach(r -> send(r.report(), r.targets()));
         loads.send(round.loads());
@@ -109,15 +113,14 @@
         log.line(LogTopic.PEER).with("outcome", "report too large to send").end();
     }
 
-    private void onReport(byte[] content, InetSocketAddress sender) {
-        HostReport report = codec.decode(content);
-        boolean stalled = System.nanoTime() - lastRoundNanos > MAX_STALL_NANOS;
+    private void onReport(Datagram datagram) {
+        HostReport report = codec.decode(datagram.content());
         boolean accepted = peers.onReport(report);
         if (accepted) {
             crashListener.accept(report);
         }
-        if (accepted && !stalled) {
-            storeNewsListener.accept(report.news());
+        if (accepted && !datagram.waited()) {
+            storeNewsListener.onNews(report.news(), datagram.arrivedAfterNanos());
         }
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerSocket.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerSocket.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -17,6 +16,7 @@
 import org.dragonflygw.core.error.CodedException;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.peers.PauseDetector;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.wire.codec.PeerMessageCodec;
 
@@ -26,8 +26,12 @@
     /** Maximum datagram size in bytes: the report of a host in a large fleet with several hundred endpoints. */
     static final int MAX_DATAGRAM_BYTES = 16_384;
 
+    /** Maximum number of datagrams read at once; the socket is empty if there were fewer. */
+    private static final int MAX_READ_AT_ONCE = 8;
+
     private final EventLoopGroup group;
     private final EventLog log;
+    private final PauseDetector pauses = new PauseDetector();
     private Channel channel;
 
     public PeerSocket(EventLoopGroup group, EventLog log) {
@@ -35,10 +39,10 @@
         this.log = log;
     }
 
-    /** Receives the content of datagrams; throws {@link CodedException} if it cannot be read. */
+    /** Receives datagrams; throws {@link CodedException} if it cannot be read. */
     @FunctionalInterface
     public interface Handler {
-        void accept(byte[] content, InetSocketAddress sender);
+        void accept(Datagram datagram);
     }
 
     /**
@@ -48,11 +52,12 @@
      * @param messages receives all other messages
      */
     public void listen(HostAddress address, Handler reports, Handler messages) {
+        DatagramAllocator allocator = new DatagramAllocator(MAX_DATAGRAM_BYTES, MAX_READ_AT_ONCE);
         channel = new Bootstrap()
                 .group(group)
                 .channel(NioDatagramChannel.class)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
-                .handler(new Receiver(reports, messages))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, allocator)
+                .handler(new Receiver(allocator, reports, messages))
                 .bind(address.ip(), address.port())
                 .syncUninterruptibly()
                 .channel();
@@ -63,6 +68,11 @@
         return channel != null;
     }
 
+    /** Called in each round of reports, whose delay shows a pause of this process. */
+    void onRound() {
+        pauses.onRound(System.nanoTime());
+    }
+
     EventLoop loop() {
         return channel.eventLoop();
     }
@@ -82,10 +92,14 @@
     }
 
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final DatagramAllocator source;
         private final Handler reports;
         private final Handler messages;
+        private long arrivedAfterNanos;
 
-        Receiver(Handler reports, Handler messages) {
+        Receiver(DatagramAllocator source, Handler reports, Handler messages) {
+            this.source = source;
+            this.arrivedAfterNanos = source.emptyNanos();
             this.reports = reports;
             this.messages = messages;
         }
@@ -93,8 +107,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             byte[] content = ByteBufUtil.getBytes(packet.content());
+            boolean waited = pauses.mayHaveWaited(arrivedAfterNanos, System.nanoTime());
             try {
-                (PeerMessageCodec.isMessage(content) ? messages : reports).accept(content, packet.sender());
+                (PeerMessageCodec.isMessage(content) ? messages : reports)
+                        .accept(new Datagram(content, packet.sender(), arrivedAfterNanos, waited));
             } catch (CodedException e) {
                 log.line(LogTopic.PEER)
                         .with("outcome", "unreadable report")
@@ -104,6 +120,12 @@
             }
         }
 
+        /** All datagrams of a read are passed on after it; only the next ones arrived after the socket was empty. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            arrivedAfterNanos = source.emptyNanos();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             log.line(LogTopic.PEER)
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -141,8 +141,12 @@
         return peers.addressesOf(readerSelection.group());
     }
 
-    /** Applies news about the store received from a peer. */
-    public void applyNews(StoreNews news) {
-        newsApplier.apply(news, endpoints, configuration, configurationFeed);
+    /**
+     * Applies news about the store received from a peer.
+     *
+     * @param arrivedAfterNanos time on the monotonic clock, in nanoseconds, at which the news had not arrived yet
+     */
+    public void applyNews(StoreNews news, long arrivedAfterNanos) {
+        newsApplier.apply(news, arrivedAfterNanos, endpoints, configuration, configurationFeed);
     }
 }
--- a/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/PeerReportsTest.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -15,12 +17,14 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.dragonflygw.core.crash.CrashReport;
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.crash.CrashingParts;
+import org.dragonflygw.core.crash.PartReport;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.Prompt;
@@ -29,6 +33,7 @@
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.FleetLoads;
 import org.dragonflygw.core.peers.HostRanking;
+import org.dragonflygw.core.peers.HostReport;
 import org.dragonflygw.core.peers.HostReportFactory;
 import org.dragonflygw.core.peers.PeerTable;
 import org.dragonflygw.core.peers.ReportRounds;
@@ -39,7 +44,10 @@
 import org.dragonflygw.edge.peers.LoadExchange;
 import org.dragonflygw.edge.peers.PeerReports;
 import org.dragonflygw.edge.peers.PeerSocket;
+import org.dragonflygw.wire.codec.HostReportCodec;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Sends reports between two hosts on loopback. */
@@ -82,7 +90,18 @@
             HostAddress other,
             EndpointLoads loads,
             Supplier<StoreNews> news,
-            Consumer<StoreNews> taker) {
+            PeerReports.NewsListener taker) {
+        return host(name, own, other, loads, news, taker, group);
+    }
+
+    private static PeerReports host(
+            String name,
+            HostAddress own,
+            HostAddress other,
+            EndpointLoads loads,
+            Supplier<StoreNews> news,
+            PeerReports.NewsListener taker,
+            EventLoopGroup loops) {
         PeerTable peers = new PeerTable(name, loads, new NoOpEventLog(), System::nanoTime);
         peers.onHostListed("other-than-" + name, other);
         HostReportFactory reportFactory = new HostReportFactory(
@@ -93,7 +112,7 @@
                 new CrashSuspects(new NoOpEventLog()),
                 new CrashingParts(new NoOpEventLog()),
                 System::nanoTime);
-        PeerSocket socket = new PeerSocket(group, new NoOpEventLog());
+        PeerSocket socket = new PeerSocket(loops, new NoOpEventLog());
         HostRanking ranking = new HostRanking(name, peers::hostNames, System::nanoTime);
         FleetLoads fleet = new FleetLoads(name, 1, peers, loads, ranking, new NoOpEventLog(), System::nanoTime);
         return new PeerReports(
@@ -137,10 +156,10 @@
     void reportOfALargeFleetArrivesComplete() throws Exception {
         HostAddress a = freeAddress();
         HostAddress b = freeAddress();
-        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, received::add)
-                .listen(b, (content, sender) -> {});
-        host("a", a, b, busyLoads(), PeerReportsTest::newsOfManyChanges, n -> {})
-                .listen(a, (content, sender) -> {});
+        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, (news, arrivedAfterNanos) -> received.add(news))
+                .listen(b, datagram -> {});
+        host("a", a, b, busyLoads(), PeerReportsTest::newsOfManyChanges, (n, t) -> {})
+                .listen(a, datagram -> {});
         assertThat(received.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(newsOfManyChanges());
     }
 
@@ -156,9 +175,9 @@
             }
             return newsOfManyChanges();
         };
-        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, received::add)
-                .listen(b, (content, sender) -> {});
-        host("a", a, b, new EndpointLoads(), failingOnce, n -> {}).listen(a, (content, sender) -> {});
+        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, (news, arrivedAfterNanos) -> received.add(news))
+                .listen(b, datagram -> {});
+        host("a", a, b, new EndpointLoads(), failingOnce, (n, t) -> {}).listen(a, datagram -> {});
         assertThat(received.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(newsOfManyChanges());
     }
 
@@ -167,8 +186,8 @@
     void goOnAfterMalformedDatagrams() throws Exception {
         HostAddress a = freeAddress();
         HostAddress b = freeAddress();
-        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, received::add)
-                .listen(b, (content, sender) -> {
+        host("b", b, a, new EndpointLoads(), () -> StoreNews.NONE, (news, arrivedAfterNanos) -> received.add(news))
+                .listen(b, datagram -> {
                     throw new IllegalStateException("message");
                 });
         SplittableRandom random = new SplittableRandom(1);
@@ -179,8 +198,137 @@
                 s.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(), b.port()));
             }
         }
-        host("a", a, b, new EndpointLoads(), PeerReportsTest::newsOfManyChanges, n -> {})
-                .listen(a, (content, sender) -> {});
+        host("a", a, b, new EndpointLoads(), PeerReportsTest::newsOfManyChanges, (n, t) -> {})
+                .listen(a, datagram -> {});
         assertThat(received.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(newsOfManyChanges());
     }
+
+    /** The process stands still while reports arrive, which then wait in its socket and are older than they state. */
+    @Nested
+    final class AfterAPause {
+        private static final int REPORTS = 20;
+        private static final long LONG_PAUSE_MS = 1_500;
+        private static final long SHORT_PAUSE_MS = 300;
+
+        private final EventLoopGroup paused = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        private final BlockingQueue<Delivery> deliveries = new ArrayBlockingQueue<>(1_000);
+        private final HostReportCodec codec = new HostReportCodec();
+        private HostAddress own;
+        private long sequence;
+
+        /** News, by the version that they name, and the time that they count from. */
+        private record Delivery(long version, long arrivedAfterNanos) {}
+
+        @BeforeEach
+        void listen() throws SocketException {
+            own = freeAddress();
+            host(
+                            "b",
+                            own,
+                            freeAddress(),
+                            new EndpointLoads(),
+                            () -> StoreNews.NONE,
+                            (news, t) -> deliveries.add(new Delivery(news.endpointsVersion(), t)),
+                            paused)
+                    .listen(own, datagram -> {});
+        }
+
+        @AfterEach
+        void stop() {
+            paused.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+
+        private void sendReport(DatagramSocket from) throws IOException {
+            sequence++;
+            StoreNews news = new StoreNews(
+                    0,
+                    true,
+                    sequence,
+                    0,
+                    0,
+                    List.of(),
+                    new ConfigurationNews(1, 0, 0, List.of()),
+                    EvacuationNews.UNKNOWN);
+            HostReport report = new HostReport(
+                    "a",
+                    own,
+                    1,
+                    sequence,
+                    List.of(),
+                    List.of(),
+                    CrashReport.NONE,
+                    PartReport.NONE,
+                    List.of(),
+                    List.of(),
+                    news);
+            byte[] bytes = codec.encode(report);
+            from.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(), own.port()));
+        }
+
+        private Delivery awaitDelivery(DatagramSocket from) throws Exception {
+            for (int i = 0; i < WAIT_S * 20; i++) {
+                sendReport(from);
+                Delivery d = deliveries.poll(50, TimeUnit.MILLISECONDS);
+                if (d != null) {
+                    return d;
+                }
+            }
+            throw new AssertionError("no news arrived");
+        }
+
+        private CountDownLatch pause() throws InterruptedException {
+            CountDownLatch begun = new CountDownLatch(1);
+            CountDownLatch end = new CountDownLatch(1);
+            paused.next().execute(() -> {
+                begun.countDown();
+                try {
+                    end.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            begun.await();
+            return end;
+        }
+
+        /** Guards against queued reports, all but the first of which count as new once the overdue round has run. */
+        @Test
+        void newsThatWaitedAreIgnored() throws Exception {
+            try (DatagramSocket from = new DatagramSocket()) {
+                awaitDelivery(from);
+                CountDownLatch end = pause();
+                long first = sequence + 1;
+                for (int i = 0; i < REPORTS; i++) {
+                    sendReport(from);
+                }
+                long last = sequence;
+                Thread.sleep(LONG_PAUSE_MS);
+                end.countDown();
+                for (long version = 0; version <= last; ) {
+                    version = awaitDelivery(from).version();
+                    assertThat(version).isNotIn(Range.closed(first, last));
+                }
+            }
+        }
+
+        /** Guards against an age that counts from the moment at which a report is read. */
+        @Test
+        void newsCountFromBeforeTheyArrived() throws Exception {
+            try (DatagramSocket from = new DatagramSocket()) {
+                awaitDelivery(from);
+                CountDownLatch end = pause();
+                deliveries.clear();
+                long sentNanos = System.nanoTime();
+                for (int i = 0; i < REPORTS; i++) {
+                    sendReport(from);
+                }
+                Thread.sleep(SHORT_PAUSE_MS);
+                end.countDown();
+                for (int i = 0; i < REPORTS; i++) {
+                    Delivery d = deliveries.poll(WAIT_S, TimeUnit.SECONDS);
+                    assertThat(d.arrivedAfterNanos()).isAtMost(sentNanos);
+                }
+            }
+        }
+    }
 }
--- a/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
@@ -213,7 +213,11 @@
             long before = feed.rowVersion();
             EvacuationNews noZones = new EvacuationNews(other.feed.rowVersion(), List.of());
             newsApplier.apply(
-                    new StoreNews(0, true, 0, -1, 0, List.of(), other.feed.news(), noZones), this, this, feed);
+                    new StoreNews(0, true, 0, -1, 0, List.of(), other.feed.news(), noZones),
+                    System.nanoTime(),
+                    this,
+                    this,
+                    feed);
             return feed.rowVersion() > before ? 1 : 0;
         }
 
