Count requests for the retry budget at one host only when callers move

Cause: each host may repeat a share of its own requests of the last 10 s. The same traffic counts at the host that it left and at the one that it came to. Ruled out: repeats that are given back, and grants that wait long for a send.

Fix: each request adds its share of a repeat to a credit that expires within some 2 s; beyond it, a host uses its part of the fixed slack. The bound of the window stays beside both. The log line of a decision shows the credit.

FleetRetryShareTest.aProcessThatHasJustStarted...: its requests were all 10 s old, and credit of such age has expired; it now sends as many again before the second count and asks for the same 55.

--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -122,6 +122,7 @@
                 .with("requests", decision.requests())
                 .with("retries", decision.retries())
                 .with("allowedTenths", (long) (decision.allowed() * 10))
+                .with("creditTenths", (long) (decision.credit() * 10))
                 .with("hosts", decision.hosts().orElse(0))
                 .end();
     }
--- a/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
+++ b/core/src/main/java/org/dragonflygw/core/retry/FleetRetryShare.java
@@ -59,7 +59,10 @@
     /** Records a request of a caller. */
     public void onRequest(String service, long nowNanos) {
         forgetAfterSuspension(nowNanos);
-        window(service).requests.add(nowNanos, bounds.get().windowNanos());
+        RetryBounds budget = bounds.get();
+        Window window = window(service);
+        window.requests.add(nowNanos, budget.windowNanos());
+        window.credit.onRequest(USED_BUDGET_SHARE * budget.ratio(), nowNanos, budget.windowNanos());
     }
 
     /** Takes a retry from the share, unless the share is exhausted. */
@@ -68,18 +71,22 @@
         Window window = window(service);
         long windowNanos = bounds.get().windowNanos();
         expire(window.retries, nowNanos - windowNanos);
+        expire(window.fixedPart, nowNanos - windowNanos);
         int requests = window.requests.leastCounted(nowNanos, windowNanos);
         OptionalInt hosts = fleetSize.get();
         double allowed = allowed(requests, hosts, nowNanos);
+        double credit = window.credit.available(nowNanos, windowNanos);
         int used = window.retries.size();
-        boolean granted = used + 1 <= allowed;
+        boolean byRequests = credit >= 1;
+        boolean byFixedPart = window.fixedPart.size() + 1 <= USED_BUDGET_SHARE * slackShare(hosts);
+        boolean granted = used + 1 <= allowed && (byRequests || byFixedPart);
         if (granted) {
-            window.retries.addLast(nowNanos);
+            window.take(byRequests, nowNanos);
             grantedCount++;
         } else {
             deniedCount++;
         }
-        return new RetryDecision(granted, requests, used, allowed, hosts);
+        return new RetryDecision(granted, requests, used, allowed, credit, hosts);
     }
 
     /** The times that a suspended host has recorded are older than they seem, so it begins like a new process. */
@@ -95,8 +102,12 @@
         if (nowNanos - knownSinceNanos < budget.windowNanos()) {
             return FIRST_WINDOW_RATIO_SHARE * budget.ratio() * requests;
         }
-        double slackShare = hosts.isPresent() ? budget.slack() / hosts.getAsInt() : 0;
-        return USED_BUDGET_SHARE * (budget.ratio() * requests + slackShare);
+        return USED_BUDGET_SHARE * (budget.ratio() * requests + slackShare(hosts));
+    }
+
+    /** Returns this host's share of the fixed part of the budget; nothing while the number of hosts is unknown. */
+    private double slackShare(OptionalInt hosts) {
+        return hosts.isPresent() ? bounds.get().slack() / hosts.getAsInt() : 0;
     }
 
     /** Returns the number of retries granted since the start. */
@@ -121,6 +132,19 @@
 
     private static final class Window {
         private final RequestTimes requests = new RequestTimes();
+        private final RetryCredit credit = new RetryCredit();
         private final Deque<Long> retries = new ArrayDeque<>();
+
+        /** The retries that were taken from the fixed part of the budget. */
+        private final Deque<Long> fixedPart = new ArrayDeque<>();
+
+        void take(boolean byRequests, long nowNanos) {
+            retries.addLast(nowNanos);
+            if (byRequests) {
+                credit.take();
+            } else {
+                fixedPart.addLast(nowNanos);
+            }
+        }
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryBudgetTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryBudgetTest.java
@@ -100,4 +100,34 @@
         }
         assertThat(fleet.times().worstExcess()).isAtMost(0);
     }
+
+    /** Guards against requests that count at the host that they left and at the one that they moved to. */
+    @Property(tries = 20, seed = "20261205")
+    void requestsThatMoveToOtherHostsCountOnce(@ForAll long seed) {
+        SimulatedRetryFleet fleet = calmFleet(seed);
+        fleet.setReceivers(0, HOSTS / 2);
+        fleet.runForMs(CALM_MS);
+        fleet.setFailing(true);
+        for (int i = 1; i <= 8; i++) {
+            fleet.runForMs(5_000);
+            fleet.setReceivers(i % 2 * HOSTS / 2, HOSTS / 2);
+        }
+        assertThat(fleet.times().worstExcess()).isAtMost(0);
+    }
+
+    /** Guards against any series of such moves, fast or slow, to one host or several. */
+    @Property(tries = 200, seed = "20261205")
+    void budgetHoldsWhileRequestsMove(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SimulatedRetryFleet fleet = calmFleet(seed);
+        for (int i = 0; i < 40; i++) {
+            if (random.nextInt(3) == 0) {
+                disturb(fleet, random);
+            } else {
+                fleet.setReceivers(random.nextInt(HOSTS), 1 + random.nextInt(HOSTS));
+            }
+            fleet.runForMs(random.nextInt(6_000));
+        }
+        assertThat(fleet.times().worstExcess()).isAtMost(0);
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/FleetRetryShareTest.java
@@ -75,6 +75,9 @@
             share.onRequest("s", 1);
         }
         assertThat(countRetries(share, WINDOW - 1)).isEqualTo(2);
+        for (int i = 0; i < 100; i++) {
+            share.onRequest("s", WINDOW - 1);
+        }
         assertThat(countRetries(share, WINDOW)).isEqualTo(55);
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/retry/SimulatedRetryFleet.java
@@ -38,6 +38,8 @@
     private boolean failing;
     private boolean reportsLost;
     private boolean listReadable;
+    private int firstReceiver;
+    private int receiverCount;
     private int nowMs;
 
     /** Creates a fleet whose processes have just started. */
@@ -45,6 +47,7 @@
         this.requestsPerSecond = requestsPerSecond;
         this.startMs = startMs;
         this.random = random;
+        this.receiverCount = hostCount;
         for (int i = 0; i < hostCount; i++) {
             hosts.add(new Host("h" + i));
         }
@@ -68,6 +71,12 @@
         listReadable = value;
     }
 
+    /** Sets which hosts receive all requests: some that follow each other, as callers move between availability zones. */
+    void setReceivers(int first, int count) {
+        firstReceiver = first;
+        receiverCount = count;
+    }
+
     void killAll() {
         hosts.forEach(Host::kill);
     }
@@ -93,7 +102,8 @@
             while (random.nextDouble() < expected) {
                 expected -= 1;
                 times.addRequest(clock.nanos());
-                hosts.get(random.nextInt(hosts.size())).onRequest();
+                int receiver = (firstReceiver + random.nextInt(receiverCount)) % hosts.size();
+                hosts.get(receiver).onRequest();
             }
         }
     }
