Do not confirm keys by the report that withdraws the confirmation

Cause: a report that names a newer configuration in force beside the same row withdraws the confirmation of keys, and the same call confirms them again, as the row is the same.

Fix: the target says whether it has the newest configuration that it knows of in force; else no report confirms keys.

--- a/core/src/main/java/org/dragonflygw/core/storenews/CatalogUpdateTarget.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/CatalogUpdateTarget.java
@@ -5,8 +5,12 @@
     /** Row version of the configuration in force; 0 if there is none. */
     long rowVersion();
 
-    /** Records the version of the configuration that another host has in force beside the same row. */
-    void onVersionInForce(long configVersion);
+    /**
+     * Records the version of the configuration that another host has in force beside the same row.
+     *
+     * @return whether this host has the newest configuration that it knows of in force, so that its keys can be confirmed
+     */
+    boolean onVersionInForce(long configVersion);
 
     /** Puts a change in force whose {@code fromRowVersion} equals {@link #rowVersion}. */
     void apply(CatalogUpdate update);
--- a/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
@@ -106,14 +106,15 @@
             table.readNow();
             return;
         }
-        if (news.rowVersion() == catalog.rowVersion()) {
-            catalog.onVersionInForce(news.configVersion());
-        }
+        boolean sameRow = news.rowVersion() == catalog.rowVersion();
+        boolean mayConfirm = sameRow && catalog.onVersionInForce(news.configVersion());
         // Hosts of an earlier program do not say which zones are evacuated, so their news do not replace a read.
         boolean complete = news.ageMs() >= 0 && storeNews.evacuations().isKnown();
-        if (news.rowVersion() == catalog.rowVersion() && complete) {
+        if (sameRow && complete) {
             long asOf = asOfNanos(news.ageMs(), arrivedAfterNanos);
-            contact.onRead(asOf);
+            if (mayConfirm) {
+                contact.onRead(asOf);
+            }
             table.markFresh(Math.min(catalog.rowVersion(), evacuations.version()), asOf);
         }
     }
--- a/core/src/test/java/org/dragonflygw/core/storenews/EvacuationFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/EvacuationFleet.java
@@ -368,8 +368,8 @@
         }
 
         @Override
-        public void onVersionInForce(long configVersion) {
-            // All hosts have the same configuration.
+        public boolean onVersionInForce(long configVersion) {
+            return true; // All hosts have the same configuration.
         }
 
         @Override
--- a/core/src/test/java/org/dragonflygw/core/storenews/SimulatedTable.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/SimulatedTable.java
@@ -28,8 +28,8 @@
     }
 
     @Override
-    public final void onVersionInForce(long configVersion) {
-        // Hosts without a configuration have no version of it.
+    public final boolean onVersionInForce(long configVersion) {
+        return true; // Hosts without a configuration have no version of it.
     }
 
     @Override
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
@@ -250,8 +250,8 @@
         private int appliedCount;
 
         @Override
-        public void onVersionInForce(long configVersion) {
-            // ConfigurationFeedTest covers what follows from it.
+        public boolean onVersionInForce(long configVersion) {
+            return true; // ConfigurationFeedTest covers what follows from it.
         }
 
         @Override
--- a/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
@@ -64,11 +64,16 @@
      * row: the store has lost that configuration, and this host started afterwards. Keys may have been revoked in it.
      */
     @Override
-    public void onVersionInForce(long configVersion) {
+    public boolean onVersionInForce(long configVersion) {
         newestInForce = Math.max(newestInForce, configVersion);
-        if (catalogs.version() < newestInForce) {
+        if (!hasNewestInForce()) {
             contact.withdraw();
         }
+        return hasNewestInForce();
+    }
+
+    private boolean hasNewestInForce() {
+        return catalogs.version() >= newestInForce;
     }
 
     @Override
@@ -84,7 +89,7 @@
                 allApplied &= apply(r);
             }
         }
-        if (allApplied && catalogs.current().isPresent() && catalogs.version() >= newestInForce) {
+        if (allApplied && catalogs.current().isPresent() && hasNewestInForce()) {
             contact.onRead(sentNanos);
         }
     }
--- a/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
@@ -24,6 +24,7 @@
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.storage.VersionedRow;
 import org.dragonflygw.core.storenews.CatalogUpdate;
+import org.dragonflygw.core.storenews.ConfigurationNews;
 import org.dragonflygw.core.storenews.EndpointChangeLog;
 import org.dragonflygw.core.storenews.FollowedTable;
 import org.dragonflygw.core.storenews.StoreEra;
@@ -119,6 +120,22 @@
             assertThat(contact.keysConfirmed()).isTrue();
         }
 
+        /** Guards against a confirmation that a report withdraws and gives again, as it names the same row as fresh. */
+        @Test
+        void aReportOfANewerConfigurationBesideTheSameRowConfirmsNoKeys() {
+            Operator operator = new Operator(new SplittableRandom(1));
+            operator.change();
+            Host restarted = new Host(operator);
+            Host other = new Host(operator);
+            assertThat(restarted.contact.keysConfirmed()).isTrue();
+            restarted.applyNewsOf(other, other.catalogs.version());
+            assertThat(restarted.contact.keysConfirmed()).isTrue();
+            restarted.applyNewsOf(other, other.catalogs.version() + 1);
+            assertThat(restarted.contact.keysConfirmed()).isFalse();
+            restarted.applyNewsOf(other, other.catalogs.version());
+            assertThat(restarted.contact.keysConfirmed()).isFalse();
+        }
+
         /** Guards against differences from the copy that are applied to the newer configuration in force. */
         @Test
         void differencesAreNeitherToldNorAppliedBesideAnOlderRow() {
@@ -210,14 +227,17 @@
 
         /** Applies the news of another host; returns 1 if the configuration in force changed, otherwise 0. */
         int applyNewsOf(Host other) {
+            return applyNewsOf(other, other.catalogs.version());
+        }
+
+        /** Applies the news of another host that has a configuration of some version in force beside its row. */
+        int applyNewsOf(Host other, long configVersion) {
+            ConfigurationNews own = other.feed.news();
+            ConfigurationNews news = new ConfigurationNews(own.rowVersion(), configVersion, own.ageMs(), own.updates());
             long before = feed.rowVersion();
             EvacuationNews noZones = new EvacuationNews(other.feed.rowVersion(), List.of());
             newsApplier.apply(
-                    new StoreNews(0, true, 0, -1, 0, List.of(), other.feed.news(), noZones),
-                    System.nanoTime(),
-                    this,
-                    this,
-                    feed);
+                    new StoreNews(0, true, 0, -1, 0, List.of(), news, noZones), System.nanoTime(), this, this, feed);
             return feed.rowVersion() > before ? 1 : 0;
         }
 
