Confirm keys after a start once the other hosts were heard

Cause: its own read of the copy confirmed the keys before a report of the hosts that have a newer configuration in force could arrive. Their first reports were heard, but the news in them ignored, since the detector of pauses took a process before its first round for paused.

Fix: own reads confirm keys once each other host has reported after the first read, at most 0.6 s later; until then the host is not ready and holds requests. The detector of pauses starts with the socket.

--- a/core/src/main/java/org/dragonflygw/core/peers/PauseDetector.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PauseDetector.java
@@ -8,16 +8,20 @@
     /** Time between two rounds, in nanoseconds, above which the process was paused: several intervals. */
     private static final long MAX_GAP_NANOS = 600_000_000L;
 
-    private boolean started;
     private long lastRoundNanos;
     private long resumedNanos;
 
+    /** Creates a detector of a timer that starts now; no messages wait yet. */
+    public PauseDetector(long nowNanos) {
+        this.lastRoundNanos = nowNanos;
+        this.resumedNanos = nowNanos - MAX_GAP_NANOS;
+    }
+
     /** Called in each round of the timer. */
     public void onRound(long nowNanos) {
         if (isOverdue(nowNanos)) {
             resumedNanos = nowNanos;
         }
-        started = true;
         lastRoundNanos = nowNanos;
     }
 
@@ -32,6 +36,6 @@
     }
 
     private boolean isOverdue(long nowNanos) {
-        return !started || nowNanos - lastRoundNanos > MAX_GAP_NANOS;
+        return nowNanos - lastRoundNanos > MAX_GAP_NANOS;
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -274,6 +274,11 @@
         return silent <= peers.size() * MAX_SILENT_FRACTION;
     }
 
+    /** Returns whether the list of hosts was read and each peer has reported since a time on the monotonic clock. */
+    public boolean heardAllSince(long nanos) {
+        return isListed() && peers.values().stream().allMatch(p -> p.report != null && p.lastReportNanos - nanos >= 0);
+    }
+
     /**
      * Returns whether a peer is not known to be silent: it was heard recently, or it was listed so recently that its first
      * report may be under way.
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -254,7 +254,7 @@
 
     /** Whether requests need not be held any more; a host that cannot read the suspects serves without them. */
     private boolean isPrepared() {
-        return canRoute() && store.suspectsRead();
+        return canRoute() && store.suspectsRead() && store.othersHeard();
     }
 
     private void logStart() {
@@ -356,11 +356,12 @@
     }
 
     /**
-     * Returns whether the balancer may send new connections: a configuration and the list of endpoints have been read
-     * and the process is not stopping. Logs each change of the result.
+     * Returns whether the balancer may send new connections: a configuration and the list of endpoints have been read,
+     * the other hosts were heard so that keys can be confirmed, and the process is not stopping. Logs each change of the
+     * result.
      */
     public boolean isReady() {
-        boolean now = canRoute() && !frontState.isStopping();
+        boolean now = canRoute() && store.othersHeard() && !frontState.isStopping();
         if (now != lastLoggedReady) {
             lastLoggedReady = now;
             log.line(LogTopic.READINESS)
--- a/edge/src/main/java/org/dragonflygw/edge/peers/PeerSocket.java
+++ b/edge/src/main/java/org/dragonflygw/edge/peers/PeerSocket.java
@@ -31,7 +31,7 @@
 
     private final EventLoopGroup group;
     private final EventLog log;
-    private final PauseDetector pauses = new PauseDetector();
+    private PauseDetector pauses;
     private Channel channel;
 
     public PeerSocket(EventLoopGroup group, EventLog log) {
@@ -52,6 +52,7 @@
      * @param messages receives all other messages
      */
     public void listen(HostAddress address, Handler reports, Handler messages) {
+        pauses = new PauseDetector(System.nanoTime());
         DatagramAllocator allocator = new DatagramAllocator(MAX_DATAGRAM_BYTES, MAX_READ_AT_ONCE);
         channel = new Bootstrap()
                 .group(group)
--- a/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/ConfigurationFeed.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.dragonflygw.core.catalog.Catalog;
 import org.dragonflygw.core.catalog.CatalogChange;
 import org.dragonflygw.core.catalog.CatalogHolder;
@@ -26,6 +28,7 @@
     private final CatalogHolder catalogs;
     private final StoreContact contact;
     private final EventLog log;
+    private final BooleanSupplier othersHeard;
     private final CatalogUpdateLog updates = new CatalogUpdateLog();
     private long rowVersion;
 
@@ -34,11 +37,26 @@
 
     private long newestInForce;
 
-    public ConfigurationFeed(CatalogDecoder decoder, CatalogHolder catalogs, StoreContact contact, EventLog log) {
+    /** When the last read was sent that has not confirmed the keys yet; empty if there is none. */
+    private OptionalLong unconfirmedReadNanos = OptionalLong.empty();
+
+    /**
+     * Creates a feed that has read nothing.
+     *
+     * @param othersHeard tells whether this host has heard which configuration the others have in force; before that, its
+     *     own reads do not confirm keys
+     */
+    public ConfigurationFeed(
+            CatalogDecoder decoder,
+            CatalogHolder catalogs,
+            StoreContact contact,
+            EventLog log,
+            BooleanSupplier othersHeard) {
         this.decoder = decoder;
         this.catalogs = catalogs;
         this.contact = contact;
         this.log = log;
+        this.othersHeard = othersHeard;
     }
 
     @Override
@@ -49,6 +67,7 @@
     /** Returns the row version, age and recent updates of the configuration, to be reported to peers. */
     public ConfigurationNews news() {
         updates.expire(System.nanoTime());
+        confirmRead();
         return new ConfigurationNews(rowVersion, catalogs.version(), contact.ageMs(), updates.updates());
     }
 
@@ -89,8 +108,17 @@
                 allApplied &= apply(r);
             }
         }
-        if (allApplied && catalogs.current().isPresent() && hasNewestInForce()) {
-            contact.onRead(sentNanos);
+        if (allApplied && catalogs.current().isPresent()) {
+            unconfirmedReadNanos = OptionalLong.of(sentNanos);
+            confirmRead();
+        }
+    }
+
+    /** Confirms the keys by the last read, once nothing speaks against it. */
+    public void confirmRead() {
+        if (unconfirmedReadNanos.isPresent() && hasNewestInForce() && othersHeard.getAsBoolean()) {
+            contact.onRead(unconfirmedReadNanos.getAsLong());
+            unconfirmedReadNanos = OptionalLong.empty();
         }
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreView.java
@@ -9,6 +9,7 @@
 import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.peers.PeerTable;
+import org.dragonflygw.core.peers.StartupConsultation;
 import org.dragonflygw.core.resume.SoftwareVersions;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.HostIdentity;
@@ -33,6 +34,7 @@
     private final EndpointRegistry registry;
     private final PeerTable peers;
     private final ReaderSelection readerSelection;
+    private final StartupConsultation consultation;
     private final ConfigurationFeed configurationFeed;
     private final Evacuations evacuations;
     private final EndpointChangeLog changes = new EndpointChangeLog();
@@ -74,7 +76,10 @@
         readerSelection = new ReaderSelection(settings.current().identity().hostName(), peers);
         TableFollowerFactory followers =
                 new TableFollowerFactory(group, settings, new StoreApiCodec(json), metrics, log, readerSelection, era);
-        configurationFeed = new ConfigurationFeed(new CatalogDecoder(json), catalogs, contact, log);
+        consultation =
+                new StartupConsultation(() -> catalogs.current().isPresent(), peers::heardAllSince, System::nanoTime);
+        configurationFeed =
+                new ConfigurationFeed(new CatalogDecoder(json), catalogs, contact, log, consultation::isOver);
         // Evacuations first: a host that knows a configuration may serve.
         configuration = followers.configuration(
                 new TableListeners(new EvacuationFeed(evacuations, log), configurationFeed), afterRead);
@@ -136,6 +141,16 @@
         return suspectRows.isRead();
     }
 
+    /**
+     * Returns whether this host has heard what the others know, or has waited long enough for it; from then on its reads
+     * confirm keys.
+     */
+    public boolean othersHeard() {
+        boolean over = consultation.isOver();
+        configurationFeed.confirmRead();
+        return over;
+    }
+
     /** Returns the addresses of the hosts for which this host reads the store, if it is their reader. */
     public List<HostAddress> groupAddresses() {
         return peers.addressesOf(readerSelection.group());
@@ -148,5 +163,6 @@
      */
     public void applyNews(StoreNews news, long arrivedAfterNanos) {
         newsApplier.apply(news, arrivedAfterNanos, endpoints, configuration, configurationFeed);
+        configurationFeed.confirmRead();
     }
 }
--- a/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/ConfigurationFeedTest.java
@@ -73,11 +73,12 @@
     /** The store came back from a copy that holds an older configuration. */
     @Nested
     final class RestoredStore {
+        private boolean othersHeard = true;
         private final CatalogHolder catalogs = new CatalogHolder();
         private final StoreContact contact =
                 new StoreContact(() -> TimeUnit.MINUTES.toNanos(1), System::nanoTime, InstantSource.system());
-        private final ConfigurationFeed feed =
-                new ConfigurationFeed(new CatalogDecoder(new JsonTreeReader()), catalogs, contact, new NoOpEventLog());
+        private final ConfigurationFeed feed = new ConfigurationFeed(
+                new CatalogDecoder(new JsonTreeReader()), catalogs, contact, new NoOpEventLog(), () -> othersHeard);
 
         private VersionedRow row(long rowVersion, long configVersion, String key) {
             ObjectNode root = MAPPER.createObjectNode();
@@ -120,6 +121,28 @@
             assertThat(contact.keysConfirmed()).isTrue();
         }
 
+        /** Guards against a host that confirms the keys of the copy before it can have heard of a newer configuration. */
+        @Test
+        void hostThatStartsConfirmsNoKeysByItsReadBeforeItHasHeardTheOthers() {
+            othersHeard = false;
+            list(row(80, 18, "revoked"));
+            feed.confirmRead();
+            assertThat(contact.keysConfirmed()).isFalse();
+            othersHeard = true;
+            feed.confirmRead();
+            assertThat(contact.keysConfirmed()).isTrue();
+        }
+
+        @Test
+        void hostThatHearsOfANewerConfigurationFirstDoesNotConfirmItsRead() {
+            othersHeard = false;
+            list(row(80, 18, "revoked"));
+            feed.onVersionInForce(20);
+            othersHeard = true;
+            feed.confirmRead();
+            assertThat(contact.keysConfirmed()).isFalse();
+        }
+
         /** Guards against a confirmation that a report withdraws and gives again, as it names the same row as fresh. */
         @Test
         void aReportOfANewerConfigurationBesideTheSameRowConfirmsNoKeys() {
@@ -205,8 +228,8 @@
         private final CatalogHolder catalogs = new CatalogHolder();
         private final StoreContact contact =
                 new StoreContact(() -> TimeUnit.MINUTES.toNanos(1), System::nanoTime, InstantSource.system());
-        private final ConfigurationFeed feed =
-                new ConfigurationFeed(new CatalogDecoder(new JsonTreeReader()), catalogs, contact, new NoOpEventLog());
+        private final ConfigurationFeed feed = new ConfigurationFeed(
+                new CatalogDecoder(new JsonTreeReader()), catalogs, contact, new NoOpEventLog(), () -> true);
         private final StoreNewsApplier newsApplier = new StoreNewsApplier(
                 new StoreEra(new NoOpEventLog(), () -> {}),
                 new EndpointRegistry(new EndpointLoads(), () -> 1, new NoOpEventLog()),
