--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -65,8 +65,8 @@
     private static final int SPARE_KEYS = 12;
     private static final List<FaultProxy.Mode> LINK_FAULTS =
             List.of(FaultProxy.Mode.DELAY, FaultProxy.Mode.SILENT, FaultProxy.Mode.ONE_WAY, FaultProxy.Mode.RESET);
-    private static final List<SoakEndpoint.Mode> ENDPOINT_FAULTS =
-            List.of(SoakEndpoint.Mode.ERRORS, SoakEndpoint.Mode.CRASHES, SoakEndpoint.Mode.SHEDS);
+    private static final List<SoakEndpoint.Mode> ENDPOINT_FAULTS = List.of(
+            SoakEndpoint.Mode.ERRORS, SoakEndpoint.Mode.CRASHES, SoakEndpoint.Mode.SHEDS, SoakEndpoint.Mode.STUTTERS);
     private static final List<String> VERSIONS = List.of("v1", "v1.1");
 
     private final SplittableRandom random;
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -30,6 +31,8 @@
         CRASHES,
         /** Rejects requests and asks for a time without any. */
         SHEDS,
+        /** Executes requests, fails some, and sends the beginnings of second copies of its responses, at once or late. */
+        STUTTERS,
         /** Executes requests and names a limit for all hosts together. */
         LIMITS
     }
@@ -40,6 +43,9 @@
     private static final long QUIET_MS = 1_500;
     private static final long EVENT_PAUSE_MS = 10;
 
+    /** One in so many requests fails, and another is answered twice, while the endpoint stutters. */
+    private static final int STUTTER_EACH = 3;
+
     /** Requests per second that an endpoint takes which names a limit. */
     private static final double LIMIT = 4;
 
@@ -50,6 +56,10 @@
     private final Consumer<SoakEndpoint> endListener;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
+
+    /** Beginnings of second copies that are sent when the next request has arrived on the connection. */
+    private final Map<OutputStream, String> lateCopies = new ConcurrentHashMap<>();
+
     private volatile Mode mode = Mode.HEALTHY;
     private volatile boolean leaving;
 
@@ -145,6 +155,30 @@
         }
     }
 
+    /** Writes a response, and at times the beginning of a second copy of it, at once or before the next response. */
+    private void writeStuttering(String requestId, String response, OutputStream out) throws IOException {
+        SplittableRandom random = new SplittableRandom(requestId.hashCode());
+        write(out, lateCopies.getOrDefault(out, ""));
+        lateCopies.remove(out);
+        if (random.nextInt(STUTTER_EACH) == 0) {
+            write(out, errorResponse(requestId));
+            return;
+        }
+        write(out, response);
+        if (random.nextInt(STUTTER_EACH) == 0) {
+            String copy = response.substring(0, 1 + random.nextInt(response.length() - 1));
+            if (random.nextBoolean()) {
+                write(out, copy);
+            } else {
+                lateCopies.put(out, copy);
+            }
+        }
+    }
+
+    private String errorResponse(String requestId) {
+        return "HTTP/1.1 500 Error\r\n" + signature(requestId) + "Content-Length: 0\r\n\r\n";
+    }
+
     /** Closes the port and all connections at once. */
     private synchronized void end() throws IOException {
         if (server.isClosed()) {
@@ -199,7 +233,7 @@
             return false;
         }
         if (mode == Mode.ERRORS) {
-            write(out, "HTTP/1.1 500 Error\r\n" + signature(requestId) + "Content-Length: 0\r\n\r\n");
+            write(out, errorResponse(requestId));
             return true;
         }
         if (head.target().startsWith("/stream/")) {
@@ -207,10 +241,13 @@
             return true;
         }
         String answer = answerTo(requestId);
-        write(
-                out,
-                "HTTP/1.1 200 OK\r\n" + signature(requestId) + "Content-Length: " + answer.length() + "\r\n\r\n"
-                        + answer);
+        String response = "HTTP/1.1 200 OK\r\n" + signature(requestId) + "Content-Length: " + answer.length()
+                + "\r\n\r\n" + answer;
+        if (mode == Mode.STUTTERS) {
+            writeStuttering(requestId, response, out);
+        } else {
+            write(out, response);
+        }
         return true;
     }
 
