--- a/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
@@ -11,6 +11,7 @@
  *     {@link UnavailableReason#LIMITED} the time until the first endpoint takes requests again
  * @param uncachedTokens number of prompt tokens that the endpoint has to read (prefill)
  * @param cacheSource another engine from which the endpoint can fetch uncached parts of the prompt
+ * @param loadBound load in requests above which an endpoint of the service is a last resort; 0 if the choice has none
  * @param reason why the request cannot be served; {@link UnavailableReason#NONE} if it can
  */
 public record Choice(
@@ -18,8 +19,9 @@
         long expectedMs,
         int uncachedTokens,
         Optional<DiscoveredEndpoint> cacheSource,
+        double loadBound,
         UnavailableReason reason) {
     static Choice none(UnavailableReason reason, long expectedMs) {
-        return new Choice(Optional.empty(), expectedMs, 0, Optional.empty(), reason);
+        return new Choice(Optional.empty(), expectedMs, 0, Optional.empty(), 0, reason);
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -137,6 +137,7 @@
                 (long) best.expectedMs,
                 best.reading.tokens,
                 best.reading.source,
+                bound,
                 UnavailableReason.NONE);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -74,6 +74,7 @@
                         "resumes",
                         request.resumption().map(Resumption::originAttempt).orElse(null))
                 .with("loadTenths", (long) (endpoint.load(nowNanos) * 10))
+                .with("boundTenths", (long) (choice.loadBound() * 10))
                 .with("loadAgeMs", endpoint.loadAgeMs(nowNanos))
                 .with("workPercent", endpoint.workPercent(nowNanos))
                 .with("speedAgeMs", endpoint.speedAgeMs(nowNanos))
