Keep the load bound whatever the wait elsewhere costs

Cause, by reading: an endpoint over the bound cost 3,000 ms more, and expected waits elsewhere could cost more than that, since learned speeds reach ten times the start values for a service and eight for an endpoint and halve in 60 s; so only processes that have run for a while are affected. Also, with old reports no endpoint outside the sample was compared while one inside took requests.

Endpoints over the bound, and those to which connections fail, are now a last resort: compared by cost among themselves only, after all others, in the sample or not. LoadBoundTest.WhenOtherEnginesAreSlow failed before (the engine with 31 requests beside idle ones was chosen) and passes. FewSoundEnginesTest, FleetSimulationTest and ExpectedTimeChooserTest pass.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -71,7 +71,7 @@
     /** Share of the configured multiple of the mean that is used, as load reports are delayed. */
     private static final double LOAD_BOUND_SHARE = 0.85;
 
-    /** Cost of an endpoint above the load bound, in milliseconds; chosen only if all others are worse. */
+    /** Cost of an endpoint above the load bound, in milliseconds, among those that are chosen only as a last resort. */
     private static final double OVER_BOUND_PENALTY_MS = 3_000;
 
     /** Cost of an endpoint to which connections failed recently, in milliseconds. */
@@ -172,18 +172,21 @@
         for (int i = 0; i < candidates.size(); i++) {
             EndpointLoadState e = candidates.get(i);
             boolean selected = selection.contains(order.rank(i));
-            if ((!selected && best != null) || UsableEndpoints.isFull(request, e, nowNanos)) {
+            if ((!selected && best != null && !best.lastResort) || UsableEndpoints.isFull(request, e, nowNanos)) {
                 continue;
             }
             int rank = Math.max(0, order.rank(i) - selection.homes() + 1);
             ScoredEndpoint s = score(request, e, rank, sources, bound, nowNanos);
             if (selected) {
-                best = best == null || s.cost < best.cost ? s : best;
+                best = s.orBetter(best);
             } else {
-                bestOther = bestOther == null || s.cost < bestOther.cost ? s : bestOther;
+                bestOther = s.orBetter(bestOther);
             }
         }
-        return best == null ? bestOther : best;
+        if (best == null || (best.lastResort && bestOther != null && !bestOther.lastResort)) {
+            return bestOther;
+        }
+        return best;
     }
 
     private PromptSources sources(ChoiceRequest request, long nowNanos) {
@@ -215,13 +218,14 @@
         if (!settings.get().zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_PENALTY_MS;
         }
-        if (Math.max(load, e.highestLoad(nowNanos)) + 1 > bound) {
+        boolean overBound = Math.max(load, e.highestLoad(nowNanos)) + 1 > bound;
+        if (overBound) {
             cost += OVER_BOUND_PENALTY_MS;
         }
         if (e.isBlocked(nowNanos)) {
             cost += BLOCKED_PENALTY_MS;
         }
-        return new ScoredEndpoint(e, cost, expected, reading);
+        return new ScoredEndpoint(e, overBound || e.isBlocked(nowNanos), cost, expected, reading);
     }
 
     private static double loadCostMs(EndpointLoadState e, long nowNanos) {
@@ -286,5 +290,22 @@
         private static final PromptReading NONE = new PromptReading(0, 0, Optional.empty());
     }
 
-    private record ScoredEndpoint(EndpointLoadState endpoint, double cost, double expectedMs, PromptReading reading) {}
+    /**
+     * A candidate with its cost.
+     *
+     * @param lastResort whether the endpoint is chosen only if no other one is left, whatever the costs
+     */
+    private record ScoredEndpoint(
+            EndpointLoadState endpoint, boolean lastResort, double cost, double expectedMs, PromptReading reading) {
+        /** Returns the better of this candidate and another one, which may be null. */
+        ScoredEndpoint orBetter(ScoredEndpoint other) {
+            if (other == null) {
+                return this;
+            }
+            if (lastResort != other.lastResort) {
+                return lastResort ? other : this;
+            }
+            return cost < other.cost ? this : other;
+        }
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
@@ -0,0 +1,87 @@
+package org.dragonflygw.core.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.dragonflygw.core.catalog.CatalogService;
+import org.dragonflygw.core.discovery.DiscoveredEndpoint;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests to an engine over the allowed multiple of its service's mean load while others are below it. */
+final class LoadBoundTest {
+    private static final String ENGINES = "llm";
+    private static final CatalogService SERVICE = new CatalogService(ENGINES, "/", 300, 64, 600_000, 18_432);
+    private static final int ENGINE_COUNT = 6;
+    private static final int CAP_FACTOR = 2;
+    private static final int CAP_SLACK = 3;
+    private static final long NOW = 1_000_000_000_000L;
+    private static final Prompt PROMPT =
+            new Prompt(List.of(new PromptPart(1, 10_000), new PromptPart(2, 1_000)), 11_000, 300);
+    private static final Prompt SMALL = new Prompt(List.of(new PromptPart(3, 10)), 10, 10);
+
+    private final EndpointLoads loads = new EndpointLoads();
+    private final ExpectedTimeChooser chooser =
+            new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", CAP_FACTOR), (all, now) -> all);
+
+    LoadBoundTest() {
+        for (int i = 0; i < ENGINE_COUNT; i++) {
+            loads.onUpdated(entry(i, false));
+        }
+    }
+
+    private static DiscoveredEndpoint entry(int number, boolean draining) {
+        return new DiscoveredEndpoint("e" + number, ENGINES, "10.0.0.1", 80, "a", 64, draining, 0, 1, "v1");
+    }
+
+    private EndpointLoadState engine(int number) {
+        return loads.get("e" + number).orElseThrow();
+    }
+
+    private EndpointLoadState choose(Prompt prompt) {
+        return chooser.choose(new ChoiceRequest(SERVICE, prompt, 800, 15_000, Set.of()), NOW)
+                .endpoint()
+                .orElseThrow();
+    }
+
+    /** Sends requests whose prompts are read already, so that only their number counts. */
+    private void load(EndpointLoadState engine, int requests) {
+        for (int i = 0; i < requests; i++) {
+            loads.onSent(engine, SMALL, 0, NOW);
+        }
+    }
+
+    private double meanLoad() {
+        return loads.ofService(ENGINES).stream()
+                .mapToInt(EndpointLoadState::inFlight)
+                .average()
+                .orElseThrow();
+    }
+
+    private void assertBelowTheLimit(EndpointLoadState chosen) {
+        assertThat(chosen.inFlight() + 1.0).isAtMost(CAP_FACTOR * meanLoad() + CAP_SLACK);
+    }
+
+    /** The wait elsewhere was charged more than the load above the bound. */
+    @Nested
+    final class WhenOtherEnginesAreSlow {
+        /** Makes this host expect long waits, as after minutes in which responses came late. */
+        private void learnSlowReading(EndpointLoadState engine) {
+            for (int i = 0; i < 20; i++) {
+                engine.speeds().onFirstToken(60_000, 11_000, 1, NOW);
+            }
+        }
+
+        @Test
+        void theirWaitDoesNotOutweighTheBound() {
+            EndpointLoadState home = choose(PROMPT);
+            loads.onSent(home, PROMPT, 11_000, NOW);
+            home.onPromptRead(11_000);
+            load(home, 30);
+            loads.ofService(ENGINES).stream().filter(e -> e != home).forEach(this::learnSlowReading);
+            EndpointLoadState chosen = choose(PROMPT);
+            assertThat(chosen).isNotSameInstanceAs(home);
+            assertBelowTheLimit(chosen);
+        }
+    }}
