Count leaving endpoints in the mean load of a service

While engines are replaced or taken away, those that drain hold few requests, so the mean of the service is lower than that of the others, and the bound was too high. The lower of both means is used.

LoadBoundTest.WhileHalfOfTheEnginesDrain failed before (an engine with 15 requests was chosen where 13 are allowed and others held 8).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -121,7 +121,7 @@
         if (candidates.isEmpty()) {
             return noCandidate(request, nowNanos);
         }
-        double bound = loadBound(candidates, nowNanos);
+        double bound = loadBound(request, candidates, nowNanos);
         if (!request.service().hasModelEngines()) {
             candidates = sampler.sample(usable.notFull(request, nowNanos), nowNanos);
         }
@@ -196,9 +196,11 @@
         return new PromptSources(engines, request.prompt(), nowNanos);
     }
 
-    private double loadBound(List<EndpointLoadState> candidates, long nowNanos) {
-        return LOAD_BOUND_SHARE * settings.get().capFactor() * UsableEndpoints.meanLoad(candidates, nowNanos)
-                + LOAD_BOUND_SLACK_REQUESTS;
+    /** The mean is that of the service or of the candidates, whichever is lower: others may run few requests. */
+    private double loadBound(ChoiceRequest request, List<EndpointLoadState> candidates, long nowNanos) {
+        List<EndpointLoadState> all = loads.ofService(request.service().name());
+        double mean = Math.min(UsableEndpoints.meanLoad(candidates, nowNanos), UsableEndpoints.meanLoad(all, nowNanos));
+        return LOAD_BOUND_SHARE * settings.get().capFactor() * mean + LOAD_BOUND_SLACK_REQUESTS;
     }
 
     private ScoredEndpoint score(
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
@@ -84,4 +84,25 @@
             assertThat(chosen).isNotSameInstanceAs(home);
             assertBelowTheLimit(chosen);
         }
-    }}
+    }
+    /** Endpoints that leave lowered the mean of the service, but not the bound. */
+    @Nested
+    final class WhileHalfOfTheEnginesDrain {
+        @Test
+        void theirLoadCountsInTheMean() {
+            EndpointLoadState home = choose(PROMPT);
+            loads.onSent(home, PROMPT, 11_000, NOW);
+            home.onPromptRead(11_000);
+            load(home, 13);
+            int stay = 2;
+            for (int i = 0; i < ENGINE_COUNT; i++) {
+                if (engine(i) != home && stay-- > 0) {
+                    load(engine(i), 8);
+                } else if (engine(i) != home) {
+                    loads.onUpdated(entry(i, true));
+                }
+            }
+            assertBelowTheLimit(choose(PROMPT));
+        }
+    }
+}
