Keep the count of requests at an endpoint whose entry comes back

An entry that goes and comes back for the same process began with no requests, on all hosts at once, while its requests still ran, so that it got as many again. The state is kept while requests run, and used again for the same instance and service.

LoadBoundTest.WhenAnEntryComesBack failed before (0 instead of 18 requests).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -26,6 +26,10 @@
     private final EndpointRates rates = new EndpointRates();
     private final EvacuatedZones evacuated = new EvacuatedZones();
     private final Map<String, EndpointLoadState> byId = new HashMap<>();
+
+    /** States without an entry whose endpoints still run requests of this host, by instance. */
+    private final Map<String, EndpointLoadState> removedRunning = new HashMap<>();
+
     private final Map<String, ServiceTraffic> byService = new HashMap<>();
 
     @Override
@@ -35,22 +39,39 @@
             known.entry(endpoint);
             return;
         }
-        ServiceTraffic traffic =
-                byService.computeIfAbsent(endpoint.service(), s -> new ServiceTraffic(INITIAL_REQUEST_MS));
-        EndpointLoadState state = new EndpointLoadState(
-                endpoint, traffic, quietTimes.of(endpoint), rates.of(endpoint.id(), endpoint.startedMs()));
+        EndpointLoadState state = stateOf(endpoint);
         if (leaving.contains(endpoint)) {
             state.markLeaving();
         }
         byId.put(endpoint.id(), state);
-        traffic.add(state);
+        state.traffic().add(state);
+    }
+
+    /** Returns the state of an instance whose entry came back while its requests run, or a new one. */
+    private EndpointLoadState stateOf(DiscoveredEndpoint endpoint) {
+        EndpointLoadState removed = removedRunning.remove(endpoint.instanceKey());
+        if (removed != null
+                && removed.entry().sameIncarnation(endpoint)
+                && removed.entry().service().equals(endpoint.service())) {
+            removed.entry(endpoint);
+            return removed;
+        }
+        ServiceTraffic traffic =
+                byService.computeIfAbsent(endpoint.service(), s -> new ServiceTraffic(INITIAL_REQUEST_MS));
+        return new EndpointLoadState(
+                endpoint, traffic, quietTimes.of(endpoint), rates.of(endpoint.id(), endpoint.startedMs()));
     }
 
     @Override
     public void onRemoved(DiscoveredEndpoint endpoint) {
         EndpointLoadState state = byId.remove(endpoint.id());
-        if (state != null) {
-            byService.get(endpoint.service()).remove(state);
+        if (state == null) {
+            return;
+        }
+        state.traffic().remove(state);
+        removedRunning.values().removeIf(s -> s.inFlight() == 0);
+        if (state.inFlight() > 0) {
+            removedRunning.put(state.entry().instanceKey(), state);
         }
     }
 
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
@@ -105,4 +105,27 @@
             assertBelowTheLimit(choose(PROMPT));
         }
     }
+
+    /** The requests that run at an engine were forgotten with its entry. */
+    @Nested
+    final class WhenAnEntryComesBack {
+        @Test
+        void theSameProcessStillHasItsRequests() {
+            EndpointLoadState before = engine(0);
+            load(before, 20);
+            loads.onRemoved(entry(0, false));
+            before.onRequestEnded(SMALL);
+            loads.onUpdated(entry(0, false));
+            before.onRequestEnded(SMALL);
+            assertThat(engine(0).inFlight()).isEqualTo(18);
+        }
+
+        @Test
+        void aNewProcessHasNone() {
+            load(engine(0), 20);
+            loads.onRemoved(entry(0, false));
+            loads.onUpdated(new DiscoveredEndpoint("e0", ENGINES, "10.0.0.1", 80, "a", 64, false, 0, 2, "v1"));
+            assertThat(engine(0).inFlight()).isEqualTo(0);
+        }
+    }
 }
