Notice and log when a host reaches no endpoint of a service

Failed connections, lost ones and half a second of silence raise a suspicion; new connections to three endpoints decide. DEPENDENCY_LOST and DEPENDENCY_REGAINED lines have the reason and the probes, the gauge services_out_of_reach the number.

Nothing depends on it yet, but that idle connections of a lost service are closed. EndpointPathsTest: refused and silent cuts, one endpoint that ends, endpoints that are silent for a while, connections that live on, results that are left out, probe rate.

--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.time.InstantSource;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.admission.Admission;
@@ -37,6 +38,7 @@
 import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.log.LogTopic;
+import org.dragonflygw.core.paths.EndpointPaths;
 import org.dragonflygw.core.peers.FleetLoads;
 import org.dragonflygw.core.peers.HostRanking;
 import org.dragonflygw.core.peers.HostReport;
@@ -89,6 +91,9 @@
     /** Interval in milliseconds at which cold endpoints are checked for the end of their warm-up. */
     private static final long WARMUP_CHECK_MS = 200;
 
+    /** Interval in milliseconds at which the paths to endpoints are checked. */
+    private static final long PATH_CHECK_MS = 100;
+
     private final SettingsHolder settings;
     private final HostIdentity identity;
     private final ChoicePolicy policy;
@@ -99,6 +104,7 @@
     private final StartupHold startupHold = new StartupHold(this::isPrepared, System::nanoTime);
     private final EdgeMetrics metrics;
     private final EndpointHeaders endpointHeaders = new EndpointHeaders();
+    private final EndpointPaths paths;
     private final EndpointConnectionPool pool;
     private final StoreContact contact;
     private final EndpointLoads loads = new EndpointLoads();
@@ -137,7 +143,14 @@
                 loads.rates(), catalogs::current, registry::loaded, System::nanoTime, InstantSource.system(), log);
         catalogs.onChange(c -> warmups.refresh());
         this.notices = new EndpointNotices(loads, warmups::onResponse, log, System::nanoTime);
-        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, metrics, log);
+        this.paths = new EndpointPaths(
+                loads,
+                new ConnectProbe(group, metrics, "as its service seems out of reach", log),
+                new PathChanges(),
+                new Random(),
+                log,
+                System::nanoTime);
+        this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, paths, metrics, log);
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
         this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
@@ -205,6 +218,7 @@
         metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
         metrics.registerGauge("crashing_parts", crashingParts::count);
         metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
+        metrics.registerGauge("services_out_of_reach", paths::lostCount);
         metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
         metrics.registerGauge("evacuated_zones", loads.evacuated()::count);
         metrics.registerGauge("requests_in_evacuated_zones", loads::requestsInEvacuatedZones);
@@ -229,6 +243,7 @@
         ops.listen(new HostAddress(identity.ip(), metricsPort));
         startStoreAndPeers();
         scheduleWithFixedDelay(WARMUP_CHECK_MS, warmups::refresh);
+        scheduleWithFixedDelay(PATH_CHECK_MS, paths::check);
         listener = new FrontServer(group, frontParts()).listen(identity.callers());
         releaseHeldRequests();
         logStart();
@@ -339,7 +354,7 @@
                 retries,
                 crashes,
                 crashingParts,
-                new ConnectProbe(group, metrics, log),
+                new ConnectProbe(group, metrics, "after a lost connection", log),
                 new RetryAfterDelays(new SplittableRandom()),
                 log,
                 System::nanoTime);
@@ -395,6 +410,17 @@
                         .end());
     }
 
+    /** Connections that were open while the paths were lost may be dead without showing it. */
+    private final class PathChanges implements EndpointPaths.Listener {
+        @Override
+        public void onLost(String service) {
+            loads.ofService(service).forEach(e -> pool.closeIdle(e.entry().id()));
+        }
+
+        @Override
+        public void onRegained(String service) {}
+    }
+
     private final class EndpointUpdates implements EndpointListener {
         @Override
         public void onUpdated(DiscoveredEndpoint endpoint) {
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/ConnectProbe.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/ConnectProbe.java
@@ -43,13 +43,20 @@
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final EdgeMetrics metrics;
+    private final String reason;
     private final EventLog log;
 
     /** Time of the last or the next probe by instance of the endpoint, from {@link System#nanoTime()}. */
     private final Map<String, Long> probeNanos = new LinkedHashMap<>();
 
-    public ConnectProbe(EventLoopGroup group, EdgeMetrics metrics, EventLog log) {
+    /**
+     * Creates a probe.
+     *
+     * @param reason why endpoints are probed, for the log
+     */
+    public ConnectProbe(EventLoopGroup group, EdgeMetrics metrics, String reason, EventLog log) {
         this.metrics = metrics;
+        this.reason = reason;
         this.log = log;
         this.loop = group.next();
         this.bootstrap = new Bootstrap()
@@ -105,7 +112,7 @@
     private void end(DiscoveredEndpoint endpoint, Result result, Consumer<Result> listener) {
         log.line(LogTopic.ENDPOINT)
                 .with("endpoint", endpoint.id())
-                .with("outcome", "probed after a lost connection")
+                .with("outcome", "probed " + reason)
                 .with("result", result.name())
                 .end();
         listener.accept(result);
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -26,6 +26,7 @@
 import org.dragonflygw.core.exchange.HeaderField;
 import org.dragonflygw.core.exchange.ResponseHead;
 import org.dragonflygw.core.exchange.ResponseOwner;
+import org.dragonflygw.core.paths.EndpointPaths;
 import org.dragonflygw.core.ratelimit.RateStatement;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
@@ -53,6 +54,7 @@
     private final EndpointConnectionPool pool;
     private final EndpointHeaders headers;
     private final EndpointNotices notices;
+    private final EndpointPaths paths;
     private final UnusedResponses unused;
     private final SkippedByteLimit skippedByteLimit;
     private final EndpointResponseDecoder decoder;
@@ -89,12 +91,14 @@
             EndpointConnectionPool pool,
             EndpointHeaders headers,
             EndpointNotices notices,
+            EndpointPaths paths,
             UnusedResponses unused,
             SkippedByteLimit skippedByteLimit,
             EndpointResponseDecoder decoder) {
         this.pool = pool;
         this.headers = headers;
         this.notices = notices;
+        this.paths = paths;
         this.unused = unused;
         this.skippedByteLimit = skippedByteLimit;
         this.decoder = decoder;
@@ -154,6 +158,7 @@
             message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, length);
         }
         written = context.writeAndFlush(message);
+        paths.onSent(endpoint);
     }
 
     void close() {
@@ -182,6 +187,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        paths.onHeard(endpoint);
         try {
             if (attempt != null) {
                 onMessage((HttpObject) message);
@@ -378,6 +384,9 @@
     }
 
     private void failConnectionLost() {
+        if (attempt != null && !headReceived) {
+            paths.onConnectionLost(endpoint);
+        }
         if (attempt != null && !headReceived && idleBeforeSendNanos > 0) {
             pool.onReusedConnectionLost(endpoint, idleBeforeSendNanos);
         }
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
@@ -19,6 +19,7 @@
 import org.dragonflygw.core.exchange.AttemptFailure;
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.log.EventLog;
+import org.dragonflygw.core.paths.EndpointPaths;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
@@ -50,6 +51,7 @@
     private final Bootstrap bootstrap;
     private final EndpointHeaders headers;
     private final EndpointNotices notices;
+    private final EndpointPaths paths;
     private final EdgeMetrics metrics;
     private final UnusedResponses unused;
     private final IdleLimits idleLimits = new IdleLimits();
@@ -59,12 +61,19 @@
      * Creates an empty pool.
      *
      * @param notices applies what endpoints say in responses that nobody waits for
+     * @param paths learns which endpoints can be reached
      * @param log receives a line for all that endpoints send and no caller gets
      */
     public EndpointConnectionPool(
-            EventLoopGroup group, EndpointHeaders headers, EndpointNotices notices, EdgeMetrics metrics, EventLog log) {
+            EventLoopGroup group,
+            EndpointHeaders headers,
+            EndpointNotices notices,
+            EndpointPaths paths,
+            EdgeMetrics metrics,
+            EventLog log) {
         this.headers = headers;
         this.notices = notices;
+        this.paths = paths;
         this.metrics = metrics;
         this.unused = new UnusedResponses(log, metrics);
         this.bootstrap = new Bootstrap()
@@ -87,7 +96,7 @@
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
         SkippedByteLimit limit = new SkippedByteLimit(MAX_SKIPPED_BYTES);
         EndpointResponseDecoder decoder = new EndpointResponseDecoder(config);
-        EndpointConnection connection = new EndpointConnection(this, headers, notices, unused, limit, decoder);
+        EndpointConnection connection = new EndpointConnection(this, headers, notices, paths, unused, limit, decoder);
         channel.pipeline()
                 .addLast(connection.guard())
                 .addLast(limit)
@@ -115,8 +124,9 @@
         return attempt;
     }
 
-    private static void onConnected(ChannelFuture future, EndpointRequest request, PendingAttempt attempt) {
+    private void onConnected(ChannelFuture future, EndpointRequest request, PendingAttempt attempt) {
         if (!future.isSuccess()) {
+            paths.onConnectionFailed(request.dispatch().endpoint());
             boolean timeout = future.cause() instanceof ConnectTimeoutException;
             attempt.onFailed(timeout ? AttemptFailure.CONNECT_TIMEOUT : AttemptFailure.CONNECT_REFUSED);
             return;
@@ -188,7 +198,12 @@
     /** Closes the idle connections to an endpoint that was removed. */
     public void removeEndpoint(DiscoveredEndpoint endpoint) {
         idleLimits.removeEndpoint(endpoint.id());
-        Deque<EndpointConnection> connections = idle.remove(endpoint.id());
+        closeIdle(endpoint.id());
+    }
+
+    /** Closes the idle connections to an endpoint. */
+    public void closeIdle(String endpointId) {
+        Deque<EndpointConnection> connections = idle.remove(endpointId);
         if (connections != null) {
             connections.forEach(EndpointConnection::close);
         }
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +46,7 @@
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.limits.StartupHold;
 import org.dragonflygw.core.log.NoOpEventLog;
+import org.dragonflygw.core.paths.EndpointPaths;
 import org.dragonflygw.core.peers.HostRanking;
 import org.dragonflygw.core.ratelimit.EndpointPermits;
 import org.dragonflygw.core.ratelimit.PermitDecision;
@@ -70,7 +72,8 @@
 @SuppressWarnings("FutureReturnValueIgnored") // The loop ends with the test.
 final class EdgeFixture implements AutoCloseable {
     private static final int READ_TIMEOUT_MS = 5_000;
-    private static final String SERVICE = "s";
+    private static final long PATH_CHECK_MS = 20;
+    static final String SERVICE = "s";
 
     /** Grants each permit at once. */
     private static final EndpointPermits PERMITS =
@@ -98,6 +101,7 @@
             System::nanoTime,
             InstantSource.system());
 
+    final EndpointPaths paths;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Channel listener;
     private final int port;
@@ -133,19 +137,33 @@
                 retries,
                 new CrashSuspects(new NoOpEventLog()),
                 new CrashingParts(new NoOpEventLog()),
-                new ConnectProbe(group, metrics, new NoOpEventLog()),
+                new ConnectProbe(group, metrics, "", new NoOpEventLog()),
                 new RetryAfterDelays(new SplittableRandom(1)),
                 new NoOpEventLog(),
                 System::nanoTime);
         for (int i = 0; i < endpoints.length; i++) {
             addEndpoint("i-" + i, endpoints[i]);
         }
+        paths = new EndpointPaths(
+                loads,
+                new ConnectProbe(group, metrics, "", new NoOpEventLog()),
+                new EndpointPaths.Listener() {
+                    @Override
+                    public void onLost(String service) {}
+
+                    @Override
+                    public void onRegained(String service) {}
+                },
+                new Random(1),
+                new NoOpEventLog(),
+                System::nanoTime);
+        group.next().scheduleWithFixedDelay(paths::check, PATH_CHECK_MS, PATH_CHECK_MS, TimeUnit.MILLISECONDS);
         FrontContext front = new FrontContext(
                 catalogs,
                 new RequestResolver(catalogs, contact),
                 new StartupHold(() -> true, System::nanoTime),
                 exchanges,
-                new EndpointConnectionPool(group, new EndpointHeaders(), notices, metrics, new NoOpEventLog()),
+                new EndpointConnectionPool(group, new EndpointHeaders(), notices, paths, metrics, new NoOpEventLog()),
                 new CallerHeaders(),
                 new EndpointHeaders(),
                 frontState,
--- a/edge/src/test/java/org/dragonflygw/edge/upstream/ConnectProbeTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/upstream/ConnectProbeTest.java
@@ -25,7 +25,7 @@
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ConnectProbe probe =
-            new ConnectProbe(group, new EdgeMetrics(new MetricRegistry()), new NoOpEventLog());
+            new ConnectProbe(group, new EdgeMetrics(new MetricRegistry()), "", new NoOpEventLog());
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
 
     @AfterEach
