Pass requests to another host where this one reaches no endpoint

Cause: each request found out for itself that nothing was reachable, and then there was no way out but a refusal.

While a host knows that it lost its paths to a service, or when a request finds no endpoint and was sent to none, the request is passed to another host, which handles it like one of its own callers' (keys, limits, retries and loads are counted there). One hop at most: what comes on the port for other hosts is never passed on. A host that rejects it as not run names the reason, and the next one is asked; once a host may have run it, it goes to no other. Each relayed request has a connection of its own.

Ruled out: readiness (the balancer takes a zone's hosts back when fewer than half are left, and open connections stay), closing callers' connections (a first try is lost).

--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -34,6 +34,8 @@
     RESUME,
     /** A request was sent to an endpoint; the line has the figures behind the choice. */
     DISPATCH,
+    /** A request was passed to another host, or that host's answer came; the line has the outcome. */
+    RELAY,
     /** A request was refused before it was sent; the line has the reason. */
     REFUSE,
     /** An attempt at an endpoint failed. */
--- a/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/PeerTable.java
@@ -265,6 +265,17 @@
         return ranked.names(clock.nanos(), FIRST_REPORT_EXPIRIES * reportExpiryNanos());
     }
 
+    /** Returns the names of the peers that were heard recently. */
+    public Set<String> heardHosts() {
+        Set<String> heard = new HashSet<>();
+        for (Map.Entry<String, Peer> e : peers.entrySet()) {
+            if (e.getValue().reporting && mayBeUp(e.getKey())) {
+                heard.add(e.getKey());
+            }
+        }
+        return heard;
+    }
+
     /**
      * Returns whether most known peers reported recently. A few that do not have failed; if many do not, this host is cut
      * off from them.
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -48,6 +48,7 @@
 import org.dragonflygw.core.ratelimit.PermitIssuer;
 import org.dragonflygw.core.ratelimit.PermitOwners;
 import org.dragonflygw.core.ratelimit.SharedPermits;
+import org.dragonflygw.core.relay.RelayPeers;
 import org.dragonflygw.core.resume.ResumableRoutes;
 import org.dragonflygw.core.resume.SoftwareVersions;
 import org.dragonflygw.core.resume.StreamOrigins;
@@ -60,6 +61,7 @@
 import org.dragonflygw.edge.front.FrontContext;
 import org.dragonflygw.edge.front.FrontServer;
 import org.dragonflygw.edge.front.FrontState;
+import org.dragonflygw.edge.front.RelayContext;
 import org.dragonflygw.edge.log.GuardedTask;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.ops.OpsServer;
@@ -71,6 +73,7 @@
 import org.dragonflygw.edge.store.StoreView;
 import org.dragonflygw.edge.upstream.ConnectProbe;
 import org.dragonflygw.edge.upstream.EndpointConnectionPool;
+import org.dragonflygw.edge.upstream.RelayClient;
 import org.dragonflygw.platform.adapter.CallerHeaders;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
@@ -244,7 +247,9 @@
         startStoreAndPeers();
         scheduleWithFixedDelay(WARMUP_CHECK_MS, warmups::refresh);
         scheduleWithFixedDelay(PATH_CHECK_MS, paths::check);
-        listener = new FrontServer(group, frontParts()).listen(identity.callers());
+        FrontContext front = frontParts();
+        new FrontServer(group, front.forIncomingRelays()).listen(identity.internal());
+        listener = new FrontServer(group, front).listen(identity.callers());
         releaseHeldRequests();
         logStart();
     }
@@ -364,6 +369,12 @@
                 startupHold,
                 exchanges,
                 pool,
+                new RelayContext(
+                        paths,
+                        new RelayPeers(peers::heardHosts, new Random(), System::nanoTime),
+                        peers::addressOf,
+                        new RelayClient(group, endpointHeaders),
+                        false),
                 new CallerHeaders(),
                 endpointHeaders,
                 frontState,
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -21,11 +21,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.exchange.AttemptFailure;
 import org.dragonflygw.core.exchange.Dispatch;
 import org.dragonflygw.core.exchange.Exchange;
 import org.dragonflygw.core.exchange.ExchangeOutput;
+import org.dragonflygw.core.exchange.ExchangeRequest;
 import org.dragonflygw.core.exchange.HeaderField;
 import org.dragonflygw.core.exchange.RejectReason;
 import org.dragonflygw.core.exchange.Rejection;
@@ -34,9 +36,12 @@
 import org.dragonflygw.core.exchange.ResponseHead;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.routing.RoutingHash;
+import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.edge.upstream.Attempt;
 import org.dragonflygw.edge.upstream.AttemptListener;
 import org.dragonflygw.edge.upstream.EndpointRequest;
+import org.dragonflygw.edge.upstream.RelayClient;
+import org.dragonflygw.edge.upstream.RelayRequest;
 
 /**
  * One request on a caller's connection. Collects the request, starts an {@link Exchange} for it and carries out the
@@ -44,6 +49,9 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or close is reported as the end of the connection.
 final class Call implements ExchangeOutput, AttemptListener {
+    /** Open requests that this host takes from other hosts, beside those of its own callers. */
+    private static final int MAX_RELAYED_CALLS = 256;
+
     private final FrontHandler connection;
     private final FrontContext front;
     private final String method;
@@ -55,11 +63,14 @@
     private final long arrivedNanos;
     private final CompositeByteBuf body = Unpooled.compositeBuffer(256);
 
+    private Optional<ExchangeRequest> request = Optional.empty();
     private Exchange exchange;
+    private CallRelay relay;
     private String team = "";
     private Attempt attempt;
     private ScheduledFuture<?> timer;
     private boolean chunked;
+    private boolean sendTried;
     private boolean ended;
     private boolean released;
 
@@ -113,17 +124,56 @@
         if (ended) {
             return; // The caller left while the request was held.
         }
+        if (front.relays().incoming() && front.state().relayedCalls() > MAX_RELAYED_CALLS) {
+            rejectUnrouted(RejectReason.OVERLOADED);
+            return;
+        }
         Resolution resolution = front.resolver().resolve(requestHead, arrivedNanos, contentHash());
         if (resolution.reason().isPresent()) {
             rejectUnrouted(resolution.reason().get());
             return;
         }
-        var request = resolution.request().orElseThrow();
-        team = request.team();
-        exchange = new Exchange(request, front.exchanges(), this);
+        request = resolution.request();
+        ExchangeRequest resolved = request.orElseThrow();
+        team = resolved.team();
+        boolean lost = front.relays().paths().isLost(resolved.service().name());
+        if (lost && front.relays().incoming()) {
+            rejectUnrouted(RejectReason.UNREACHABLE);
+            return;
+        }
+        if (lost && front.relays().peers().anyHost()) {
+            relay();
+            return;
+        }
+        exchange = new Exchange(resolved, front.exchanges(), this);
         exchange.start();
     }
 
+    /** Passes the request, which no endpoint has received, to other hosts. */
+    private void relay() {
+        relay = new CallRelay(
+                front,
+                request.orElseThrow(),
+                this::relayMessage,
+                this,
+                context().executor());
+        relay.start();
+    }
+
+    private RelayRequest relayMessage(HostAddress host, long remainingMs) {
+        List<HeaderField> header = front.endpointHeaders().encodeForHost(callerFields, remainingMs);
+        return new RelayRequest(host, method, target, header, body.duplicate());
+    }
+
+    private boolean mayRelay(RejectReason reason) {
+        boolean notReached = reason == RejectReason.UNREACHABLE || (sendTried && reason == RejectReason.NO_ENDPOINT);
+        return notReached
+                && exchange != null
+                && relay == null
+                && !front.relays().incoming()
+                && front.relays().peers().anyHost();
+    }
+
     /** Returns the hash by which the request is recognized when it comes again, with the team that the key belongs to. */
     private long contentHash() {
         long head = RoutingHash.of(method + ' ' + requestHead.host() + target);
@@ -151,7 +201,9 @@
 
     /** Ends the request because the process exits: with a response if none has begun. */
     void endBeforeExit() {
-        if (exchange == null) {
+        if (relay != null) {
+            relay.onStopping();
+        } else if (exchange == null) {
             rejectUnrouted(RejectReason.STOPPING);
         } else {
             exchange.onStopping();
@@ -160,6 +212,9 @@
 
     /** Returns what the request waits for, for the log. */
     String waitingFor() {
+        if (relay != null) {
+            return "other host";
+        }
         return exchange == null ? "start" : exchange.waitingFor();
     }
 
@@ -173,11 +228,18 @@
         if (exchange != null) {
             exchange.onCallerDisconnected();
         }
+        if (relay != null) {
+            relay.cancel();
+        }
         cancelTimer();
         release();
     }
 
     void onWritabilityChanged(boolean writable) {
+        if (relay != null) {
+            relay.setAutoRead(writable);
+            return;
+        }
         if (attempt != null) {
             attempt.setAutoRead(writable);
         }
@@ -193,6 +255,7 @@
 
     @Override
     public void send(Dispatch dispatch) {
+        sendTried = true;
         List<HeaderField> header = front.endpointHeaders().encode(callerFields, dispatch, team);
         front.metrics().onRequestSent();
         attempt = front.pool()
@@ -215,6 +278,7 @@
         HttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()));
         head.fields().forEach(f -> response.headers().add(f.name(), f.value()));
+        response.headers().remove(RelayClient.REJECT_REASON); // Only a host may state one.
         boolean bodiless = head.status() == HttpResponseStatus.NO_CONTENT.code()
                 || head.status() == HttpResponseStatus.NOT_MODIFIED.code();
         if (head.contentLength() >= 0) {
@@ -266,8 +330,15 @@
 
     @Override
     public void reject(Rejection rejection) {
+        if (mayRelay(rejection.reason())) {
+            relay();
+            return;
+        }
         front.metrics().onRejected(rejection.reason());
         DefaultFullHttpResponse response = RejectionEncoder.encode(rejection);
+        if (front.relays().incoming()) {
+            response.headers().set(RelayClient.REJECT_REASON, rejection.reason().name());
+        }
         setConnectionHeader(response);
         end(response);
     }
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontContext.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontContext.java
@@ -17,6 +17,7 @@
  * @param startupHold holds requests until this process can route them
  * @param exchanges objects shared by all exchanges
  * @param pool connections to endpoints
+ * @param relays passes requests to other hosts
  * @param callerHeaders decodes the headers of callers' requests
  * @param endpointHeaders encodes the headers of requests to endpoints
  * @param state open connections and calls, and whether the process is stopping
@@ -28,7 +29,23 @@
         StartupHold startupHold,
         ExchangeContext exchanges,
         EndpointConnectionPool pool,
+        RelayContext relays,
         CallerHeaders callerHeaders,
         EndpointHeaders endpointHeaders,
         FrontState state,
-        EdgeMetrics metrics) {}
+        EdgeMetrics metrics) {
+    /** Returns the same objects for the port that takes requests of other hosts. */
+    public FrontContext forIncomingRelays() {
+        return new FrontContext(
+                catalogs,
+                resolver,
+                startupHold,
+                exchanges,
+                pool,
+                relays.forIncoming(),
+                callerHeaders,
+                endpointHeaders,
+                state,
+                metrics);
+    }
+}
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
@@ -102,6 +102,10 @@
         return context;
     }
 
+    private boolean isRelayed() {
+        return front.relays().incoming();
+    }
+
     private CallerLimits limits() {
         return front.catalogs().current().map(Catalog::limits).orElse(CallerLimits.DEFAULT);
     }
@@ -124,9 +128,12 @@
         scheduleIdleCheck();
     }
 
-    /** Closes the connection if no request is open on it, after pending bytes are written. */
+    /**
+     * Closes the connection if no request is open on it, after pending bytes are written. The request of another host is
+     * about to come on a connection that it opened.
+     */
     void closeIfIdle() {
-        if (call == null && !partRead && !closing && queued.isEmpty() && context != null) {
+        if (!isRelayed() && call == null && !partRead && !closing && queued.isEmpty() && context != null) {
             closing = true;
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
@@ -190,7 +197,7 @@
         }
         reading = true;
         call = new Call(this, front, request, System.nanoTime());
-        front.state().onCallStarted();
+        front.state().onCallStarted(isRelayed());
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -219,7 +226,7 @@
         call.discard();
         call = null;
         reading = false;
-        front.state().onCallEnded();
+        front.state().onCallEnded(isRelayed());
     }
 
     /**
@@ -229,7 +236,7 @@
      */
     void onCallEnded(boolean keepAlive) {
         call = null;
-        front.state().onCallEnded();
+        front.state().onCallEnded(isRelayed());
         lastActiveNanos = System.nanoTime();
         if (!keepAlive) {
             closing = true;
@@ -258,7 +265,7 @@
         if (call != null) {
             Call interrupted = call;
             call = null;
-            front.state().onCallEnded();
+            front.state().onCallEnded(isRelayed());
             interrupted.onCallerDisconnected();
         }
     }
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontState.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontState.java
@@ -18,6 +18,7 @@
     private final Set<FrontHandler> connections = new HashSet<>();
     private boolean stopping;
     private int openCalls;
+    private int relayedCalls;
     private int unwrittenResponses;
     private long reservedBytes;
 
@@ -79,12 +80,24 @@
         unwrittenResponses--;
     }
 
-    void onCallStarted() {
+    /** Returns the number of open calls that other hosts have passed to this one. */
+    int relayedCalls() {
+        return relayedCalls;
+    }
+
+    /**
+     * Records a call.
+     *
+     * @param relayed whether another host has passed it to this one
+     */
+    void onCallStarted(boolean relayed) {
         openCalls++;
+        relayedCalls += relayed ? 1 : 0;
     }
 
-    void onCallEnded() {
+    void onCallEnded(boolean relayed) {
         openCalls--;
+        relayedCalls -= relayed ? 1 : 0;
     }
 
     /** Reserves memory for a part of a request body; returns false if the limit would be exceeded. */
--- a/edge/src/main/java/org/dragonflygw/edge/ops/EdgeMetrics.java
+++ b/edge/src/main/java/org/dragonflygw/edge/ops/EdgeMetrics.java
@@ -30,6 +30,7 @@
     private final Counter malformedRequests;
     private final Counter malformedResponses;
     private final Counter unexpectedResponses;
+    private final Counter relayed;
     private final Counter connections;
     private final Counter callerErrors;
     private final Counter storeCalls;
@@ -47,6 +48,7 @@
         malformedRequests = registry.counter("requests_malformed_total");
         malformedResponses = registry.counter("endpoint_responses_malformed_total");
         unexpectedResponses = registry.counter("endpoint_responses_unexpected_total");
+        relayed = registry.counter("requests_passed_to_hosts_total");
         connections = registry.counter("endpoint_connections_opened_total");
         callerErrors = registry.counter("caller_connection_errors_total");
         storeCalls = registry.counter("store_calls_total");
@@ -64,6 +66,11 @@
         requestsSent.inc();
     }
 
+    /** Counts a request passed to another host. */
+    public void onRelayed() {
+        relayed.inc();
+    }
+
     /** Counts a complete response and records its latency in nanoseconds since the request's head was read. */
     public void onResponseCompleted(long nanos) {
         responsesCompleted.inc();
--- /dev/null
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/RelayClient.java
@@ -0,0 +1,67 @@
+package org.dragonflygw.edge.upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.platform.adapter.EndpointHeaders;
+
+/**
+ * Passes callers' requests to other hosts, each on a connection of its own: one that is kept could be closed by the other
+ * host while a request is under way, and whether that request ran would be unknown. Used by the event loop only.
+ */
+public final class RelayClient {
+    /** Response header with the name of the reason for which the other host itself rejects a request. */
+    public static final String REJECT_REASON = "Relay-Reject-Reason";
+
+    /** Timeout for opening a connection to another host, in milliseconds. */
+    private static final int CONNECT_TIMEOUT_MS = 300;
+
+    private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 40_960;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+
+    private final Bootstrap bootstrap;
+    private final EndpointHeaders headers;
+
+    /** Creates a client without connections. */
+    public RelayClient(EventLoopGroup group, EndpointHeaders headers) {
+        this.headers = headers;
+        this.bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+                    }
+                });
+    }
+
+    /** Sends a request; the listener receives the outcome later, on the event loop. */
+    public Attempt send(RelayRequest request, RelayListener listener) {
+        RelayConnection connection = new RelayConnection(request, headers, listener);
+        HostAddress host = request.host();
+        bootstrap
+                .connect(host.ip(), host.port())
+                .addListener((ChannelFuture f) -> onConnected(f.isSuccess() ? f.channel() : null, connection));
+        return connection;
+    }
+
+    private static void onConnected(Channel channel, RelayConnection connection) {
+        if (channel == null) {
+            connection.failToConnect();
+            return;
+        }
+        channel.pipeline().addLast(connection);
+    }
+}
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -19,6 +19,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.dragonflygw.core.admission.Admission;
@@ -50,6 +51,7 @@
 import org.dragonflygw.core.peers.HostRanking;
 import org.dragonflygw.core.ratelimit.EndpointPermits;
 import org.dragonflygw.core.ratelimit.PermitDecision;
+import org.dragonflygw.core.relay.RelayPeers;
 import org.dragonflygw.core.resume.OriginReply;
 import org.dragonflygw.core.resume.OriginTransport;
 import org.dragonflygw.core.resume.SoftwareVersions;
@@ -61,10 +63,12 @@
 import org.dragonflygw.edge.front.FrontContext;
 import org.dragonflygw.edge.front.FrontServer;
 import org.dragonflygw.edge.front.FrontState;
+import org.dragonflygw.edge.front.RelayContext;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.stop.GracefulStop;
 import org.dragonflygw.edge.upstream.ConnectProbe;
 import org.dragonflygw.edge.upstream.EndpointConnectionPool;
+import org.dragonflygw.edge.upstream.RelayClient;
 import org.dragonflygw.platform.adapter.CallerHeaders;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
@@ -101,10 +105,14 @@
             System::nanoTime,
             InstantSource.system());
 
+    /** Addresses at which other hosts take relayed requests, by host. */
+    private final Map<String, HostAddress> otherHosts = new ConcurrentHashMap<>();
+
     final EndpointPaths paths;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Channel listener;
     private final int port;
+    private final int relayPort;
 
     EdgeFixture(RawEndpoint... endpoints) {
         CatalogHolder catalogs = new CatalogHolder();
@@ -164,12 +172,21 @@
                 new StartupHold(() -> true, System::nanoTime),
                 exchanges,
                 new EndpointConnectionPool(group, new EndpointHeaders(), notices, paths, metrics, new NoOpEventLog()),
+                new RelayContext(
+                        paths,
+                        new RelayPeers(otherHosts::keySet, new Random(1), System::nanoTime),
+                        host -> Optional.ofNullable(otherHosts.get(host)),
+                        new RelayClient(group, new EndpointHeaders()),
+                        false),
                 new CallerHeaders(),
                 new EndpointHeaders(),
                 frontState,
                 metrics);
         listener = new FrontServer(group, front).listen(new HostAddress("127.0.0.1", 0));
         port = ((InetSocketAddress) listener.localAddress()).getPort();
+        Channel relayListener =
+                new FrontServer(group, front.forIncomingRelays()).listen(new HostAddress("127.0.0.1", 0));
+        relayPort = ((InetSocketAddress) relayListener.localAddress()).getPort();
     }
 
     void addEndpoint(String id, RawEndpoint endpoint) {
@@ -181,6 +198,15 @@
                 new DiscoveredEndpoint(id, SERVICE, "127.0.0.1", endpoint.port(), "a", slots, false, 0, 1, "v1"));
     }
 
+    /** Lets this host pass requests to another one. */
+    void addHost(String name, EdgeFixture host) {
+        addHost(name, host.relayPort);
+    }
+
+    void addHost(String name, int port) {
+        otherHosts.put(name, new HostAddress("127.0.0.1", port));
+    }
+
     void removeEndpoint(String id) {
         loads.onRemoved(loads.get(id).orElseThrow().entry());
     }
