Forget failures of paths as failures of endpoints

While a host loses its paths, each failed attempt raises the failure score of an endpoint and blocks it for 1.5 s. These scores go to the other hosts in reports, and when the paths are back the host turns to the few endpoints that it had not tried. They are forgotten when the paths of the service are lost and when they are back.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -326,6 +326,12 @@
                 : failureScore * Math.pow(0.5, (nowNanos - failureScoreNanos) / FAILURE_HALF_LIFE_NANOS);
     }
 
+    /** Forgets failures of this host that were no fault of the endpoint. */
+    void forgetFailures() {
+        failureScore = 0;
+        blockedUntilNanos = Long.MIN_VALUE;
+    }
+
     /** Records that connections to the endpoint fail; the endpoint is avoided until the given monotonic time. */
     public void blockUntil(long untilNanos) {
         blockedUntilNanos = untilNanos;
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -169,6 +169,14 @@
         return traffic == null ? List.of() : traffic.endpoints();
     }
 
+    /**
+     * Records that this host lost its paths to a service, or has them again: what failed lately says nothing of the
+     * endpoints, neither to this host nor to those that it reports to.
+     */
+    public void onPathsChanged(String service) {
+        ofService(service).forEach(EndpointLoadState::forgetFailures);
+    }
+
     /** Returns the largest load of an endpoint as a multiple of the mean of its service, in percent; 100 if none. */
     public long maxSpreadPercent(long nowNanos) {
         return byService.values().stream()
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -426,10 +426,13 @@
         @Override
         public void onLost(String service) {
             loads.ofService(service).forEach(e -> pool.closeIdle(e.entry().id()));
+            loads.onPathsChanged(service);
         }
 
         @Override
-        public void onRegained(String service) {}
+        public void onRegained(String service) {
+            loads.onPathsChanged(service);
+        }
     }
 
     private final class EndpointUpdates implements EndpointListener {
