Send brittle endpoints only what they have room for

Cause: hosts fill the same free places until the next reports, send a rejected request on to the next full endpoint, and all turn to an endpoint that comes back empty.

Requests are let through with the probability of free places over what the fleet is expected to send within the age of its knowledge; a rejected one goes to no other endpoint, and the endpoint is spared for a time that grows with the number of hosts.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.discovery.EndpointListener;
 import org.dragonflygw.core.evacuation.EvacuatedZones;
@@ -98,6 +99,46 @@
         quietTimes.of(endpoint).extend(untilNanos);
     }
 
+    /**
+     * Records that an endpoint says that it is brittle.
+     *
+     * @param perSecond rejections in a second that it bears
+     * @return whether this was not known of its service before
+     */
+    public boolean onBrittle(DiscoveredEndpoint endpoint, int perSecond, long nowNanos) {
+        ServiceTraffic traffic = byService.get(endpoint.service());
+        return traffic != null && traffic.brittleness().onStated(perSecond, nowNanos);
+    }
+
+    /**
+     * Records that an endpoint had no room for a request, which matters only while its service is brittle.
+     *
+     * @param report load that the endpoint stated with the rejection, if any
+     * @return rejections in a second that the endpoint bears; nothing if its service is not brittle
+     */
+    public OptionalInt onNoRoom(DiscoveredEndpoint endpoint, Optional<LoadReport> report, long nowNanos) {
+        ServiceTraffic traffic = byService.get(endpoint.service());
+        if (traffic == null || !traffic.brittleness().isBrittle(nowNanos)) {
+            return OptionalInt.empty();
+        }
+        report.filter(LoadReport::isPlausible)
+                .ifPresent(r -> traffic.brittleness().onRejected(r.running() + r.waiting()));
+        return OptionalInt.of(traffic.brittleness().rejectionsPerSecond());
+    }
+
+    /** Returns whether the endpoints of a service are brittle. */
+    public boolean isBrittle(String service, long nowNanos) {
+        ServiceTraffic traffic = byService.get(service);
+        return traffic != null && traffic.brittleness().isBrittle(nowNanos);
+    }
+
+    /** Returns the number of services whose endpoints are brittle. */
+    public long brittleCount(long nowNanos) {
+        return byService.values().stream()
+                .filter(t -> t.brittleness().isBrittle(nowNanos))
+                .count();
+    }
+
     /** Returns the rates of requests that instances of endpoints take. */
     public EndpointRates rates() {
         return rates;
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -87,6 +87,7 @@
     private final Supplier<DispatchSettings> settings;
     private final CandidateSampler sampler;
     private final PrefixSpread spread;
+    private final BrittleAdmission brittle;
     private final RandomGenerator random;
 
     /**
@@ -108,6 +109,7 @@
         this.sampler = sampler;
         this.random = random;
         this.spread = new PrefixSpread(random);
+        this.brittle = new BrittleAdmission(random);
     }
 
     /** Creates a chooser whose samples are the same in each run. */
@@ -122,7 +124,10 @@
             return noCandidate(request, nowNanos);
         }
         double bound = loadBound(request, candidates, nowNanos);
-        if (!request.service().hasModelEngines()) {
+        if (loads.isBrittle(request.service().name(), nowNanos)) {
+            List<EndpointLoadState> open = usable.notFull(request, nowNanos);
+            candidates = brittle.admit(open, candidates.get(0).traffic(), nowNanos);
+        } else if (!request.service().hasModelEngines()) {
             candidates = sampler.sample(usable.notFull(request, nowNanos), nowNanos);
         }
         ScoredEndpoint best = best(request, candidates, bound, nowNanos);
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
@@ -45,6 +45,7 @@
     private static final long INITIAL_MEMORY_TOKENS = 300_000;
 
     private final ServiceSpeeds speeds = new ServiceSpeeds();
+    private final Brittleness brittleness = new Brittleness();
     private final List<EndpointLoadState> endpoints = new ArrayList<>();
     private double meanRequestNanos;
     private double meanSquaredRequestNanos;
@@ -80,6 +81,11 @@
         meansNanos = Long.MIN_VALUE;
     }
 
+    /** Returns whether the endpoints of the service are brittle. */
+    public Brittleness brittleness() {
+        return brittleness;
+    }
+
     /** Returns how fast the endpoints of the service usually work. */
     ServiceSpeeds speeds() {
         return speeds;
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -83,7 +83,7 @@
                 .toList();
     }
 
-    /** Returns whether an endpoint is at capacity or its memory is full; where the number of slots is unknown, only after a quiet time. */
+    /** Returns whether an endpoint is or may be at capacity, or its memory is full; where the number of slots is unknown, only after a quiet time. */
     static boolean isFull(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
         if (e.isRampFull(nowNanos)) {
             return true;
@@ -91,6 +91,10 @@
         if (request.service().hasModelEngines() && !e.hasMemoryFor(request.prompt(), nowNanos)) {
             return true;
         }
+        Brittleness brittleness = e.traffic().brittleness();
+        if (brittleness.isBrittle(nowNanos) && brittleness.freePlaces(e, nowNanos) < 1) {
+            return true;
+        }
         double capacity = capacity(request.service(), e);
         return capacity > 0 && e.load(nowNanos) >= capacity;
     }
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
@@ -1,6 +1,7 @@
 package org.dragonflygw.core.exchange;
 
 import java.util.HashSet;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoads;
@@ -28,6 +29,7 @@
     private final MonotonicClock clock;
     private final RateLog rateLog;
     private final ColdListener coldListener;
+    private final RejectionPauses pauses;
 
     /** Receives what endpoints say of being cold. */
     @FunctionalInterface
@@ -42,10 +44,16 @@
 
     /** Creates notices of endpoints that are never cold. */
     public EndpointNotices(EndpointLoads loads, EventLog log, MonotonicClock clock) {
-        this(loads, (endpoint, leftMs) -> {}, log, clock);
+        this(loads, (endpoint, leftMs) -> {}, RejectionPauses.ofOneHost(), log, clock);
     }
 
-    public EndpointNotices(EndpointLoads loads, ColdListener coldListener, EventLog log, MonotonicClock clock) {
+    public EndpointNotices(
+            EndpointLoads loads,
+            ColdListener coldListener,
+            RejectionPauses pauses,
+            EventLog log,
+            MonotonicClock clock) {
+        this.pauses = pauses;
         this.loads = loads;
         this.coldListener = coldListener;
         this.log = log;
@@ -82,6 +90,7 @@
         if (notice.coldLeftMs() != 0) {
             coldListener.onResponse(endpoint, notice.coldLeftMs());
         }
+        acceptBrittleness(endpoint, head, request, now);
         boolean unreadable = head.load()
                 .filter(l -> l.workPercent() == LoadReport.UNREADABLE)
                 .isPresent();
@@ -96,6 +105,28 @@
                 request);
     }
 
+    private void acceptBrittleness(DiscoveredEndpoint endpoint, ResponseHead head, String request, long now) {
+        EndpointNotice notice = head.notice();
+        if (notice.isBrittle() && loads.onBrittle(endpoint, notice.brittle(), now)) {
+            line(endpoint, request)
+                    .with("outcome", "service brittle by its own response")
+                    .with("rejectionsPerSecond", notice.brittle())
+                    .end();
+        }
+        if (!head.notExecuted()) {
+            return;
+        }
+        OptionalInt perSecond = loads.onNoRoom(endpoint, head.load(), now);
+        if (perSecond.isPresent()) {
+            long pauseMs = pauses.pauseMs(perSecond.getAsInt());
+            loads.onQuiet(endpoint, now + pauseMs * NANOS_PER_MS);
+            line(endpoint, request)
+                    .with("outcome", "spared after a rejection, as it is brittle")
+                    .with("quietMs", pauseMs)
+                    .end();
+        }
+    }
+
     private LogLine line(DiscoveredEndpoint endpoint, String request) {
         return log.line(LogTopic.ENDPOINT)
                 .with("request", request)
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -174,7 +174,13 @@
             endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
         }
         retryOrFail(
-                RejectReason.ENDPOINT_REJECTED, attempts.mayRetryRejected() && hasTimeToRetry(now) && takeRetry(now));
+                RejectReason.ENDPOINT_REJECTED,
+                attempts.mayRetryRejected() && !isSpared(now) && hasTimeToRetry(now) && takeRetry(now));
+    }
+
+    /** Whether the next endpoint, if it is full as well, would have to reject the request too and bears few rejections. */
+    private boolean isSpared(long now) {
+        return context.loads().isBrittle(request.service().name(), now);
     }
 
     /** Called when a part of the body of the endpoint's response was read. */
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -253,7 +253,7 @@
                 noAdmission(loads, clock),
                 permits,
                 origins,
-                new EndpointNotices(loads, coldListener, new NoOpEventLog(), clock),
+                new EndpointNotices(loads, coldListener, RejectionPauses.ofOneHost(), new NoOpEventLog(), clock),
                 retries,
                 crashes,
                 crashingParts,
--- a/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
@@ -273,7 +273,11 @@
 
         private ResponseHead head() {
             EndpointNotice notice = new EndpointNotice(
-                    false, 0, noticeAt.apply(nowMs()), responsesSayCold ? Math.max(0, coldUntilMs - nowMs()) : 0);
+                    false,
+                    0,
+                    noticeAt.apply(nowMs()),
+                    responsesSayCold ? Math.max(0, coldUntilMs - nowMs()) : 0,
+                    EndpointNotice.STURDY);
             return new ResponseHead(200, true, false, false, -1, false, Optional.empty(), notice, List.of());
         }
     }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -32,6 +32,7 @@
 import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.exchange.ExchangeContext;
+import org.dragonflygw.core.exchange.RejectionPauses;
 import org.dragonflygw.core.exchange.RequestResolver;
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
@@ -145,7 +146,13 @@
         this.warmups = new WarmupTracker(
                 loads.rates(), catalogs::current, registry::loaded, System::nanoTime, InstantSource.system(), log);
         catalogs.onChange(c -> warmups.refresh());
-        this.notices = new EndpointNotices(loads, warmups::onResponse, log, System::nanoTime);
+        this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
+        this.notices = new EndpointNotices(
+                loads,
+                warmups::onResponse,
+                new RejectionPauses(peers::fleetSize, new SplittableRandom()),
+                log,
+                System::nanoTime);
         this.paths = new EndpointPaths(
                 loads,
                 new ConnectProbe(group, metrics, "as its service seems out of reach", log),
@@ -156,7 +163,6 @@
         this.pool = new EndpointConnectionPool(group, endpointHeaders, notices, paths, metrics, log);
         this.crashes = new CrashSuspects(log);
         this.crashingParts = new CrashingParts(log);
-        this.peers = new PeerTable(identity.hostName(), loads, log, System::nanoTime);
         this.admission = new Admission(
                 () -> settings.bounds().boundedWait(),
                 new ServiceRoom(loads),
@@ -221,6 +227,7 @@
         metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
         metrics.registerGauge("crashing_parts", crashingParts::count);
         metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
+        metrics.registerGauge("services_brittle", () -> loads.brittleCount(System.nanoTime()));
         metrics.registerGauge("services_out_of_reach", paths::lostCount);
         metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
         metrics.registerGauge("evacuated_zones", loads.evacuated()::count);
