Give lost paths a log topic of their own, and explain relayed requests

The lines about lost paths had the topics of the store, of which explain keeps the last one per host as the store's loss, so a cut could be given as the reason for unconfirmed keys. Found by reading; PATHS now. explain names the host that a request was passed to, or that none was left.

--- a/cli/src/main/java/org/dragonflygw/cli/logs/LikelyCause.java
+++ b/cli/src/main/java/org/dragonflygw/cli/logs/LikelyCause.java
@@ -2,9 +2,15 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Derives the likely cause of a request's end from the log lines in its {@link RequestHistory}. */
 public final class LikelyCause {
+    private static final String NO_HOST_LEFT = "no host left";
+
+    /** Outcomes of lines about a relayed request that ended it. */
+    private static final Set<String> RELAY_ENDS = Set.of(NO_HOST_LEFT, "connection lost", "timeout", "process exits");
+
     private LikelyCause() {}
 
     /** Returns the likely cause as one sentence for operators. */
@@ -15,6 +21,10 @@
             return "it was answered after " + end.get().number("totalMs") + " ms, its first part after "
                     + end.get().number("firstPartMs") + " ms";
         }
+        Optional<LogEntry> relay = lastRequestLine(history, "RELAY").filter(LikelyCause::endedInRelay);
+        if (relay.isPresent()) {
+            return describeRelay(relay.get());
+        }
         if (refusal.isPresent()) {
             return describeRefusal(history, refusal.get());
         }
@@ -24,6 +34,20 @@
         return describeFailure(history, end.get());
     }
 
+    /** Whether the request ended while it was passed to other hosts, and not by the answer of one. */
+    private static boolean endedInRelay(LogEntry relay) {
+        return RELAY_ENDS.contains(relay.text("outcome"));
+    }
+
+    private static String describeRelay(LogEntry relay) {
+        if (relay.text("outcome").equals(NO_HOST_LEFT)) {
+            return "its host reached no endpoint, and " + relay.number("tries")
+                    + " other hosts that were asked neither";
+        }
+        return "its host reached no endpoint and passed it to " + relay.text("peer") + ", which may have run it: "
+                + relay.text("outcome");
+    }
+
     private static String describeRefusal(RequestHistory history, LogEntry refusal) {
         return switch (refusal.text("reason")) {
             case "KEYS_UNCONFIRMED" ->
--- a/cli/src/main/java/org/dragonflygw/cli/logs/RequestHistory.java
+++ b/cli/src/main/java/org/dragonflygw/cli/logs/RequestHistory.java
@@ -19,8 +19,8 @@
     private static final Duration CONTEXT_WINDOW = Duration.ofSeconds(2);
 
     /** Topics of lines that a host logs about itself. */
-    private static final Set<String> HOST_TOPICS =
-            Set.of("START", "STOP", "RELOAD", "READINESS", "CONFIGURATION", "DEPENDENCY_LOST", "DEPENDENCY_REGAINED");
+    private static final Set<String> HOST_TOPICS = Set.of(
+            "START", "STOP", "RELOAD", "READINESS", "CONFIGURATION", "DEPENDENCY_LOST", "DEPENDENCY_REGAINED", "PATHS");
 
     private final String requestId;
     private final List<LogEntry> requestLines = new ArrayList<>();
--- a/cli/src/test/java/org/dragonflygw/cli/logs/RequestHistoryTest.java
+++ b/cli/src/test/java/org/dragonflygw/cli/logs/RequestHistoryTest.java
@@ -72,6 +72,31 @@
         }
     }
 
+    @Nested
+    final class PassedToOtherHosts {
+        private String cause(String... relayOutcomes) throws IOException {
+            String[] lines = new String[relayOutcomes.length + 1];
+            lines[0] = attempt(3, "h1", "END", "q", ",\"outcome\":\"UNREACHABLE\"");
+            for (int i = 0; i < relayOutcomes.length; i++) {
+                String fields =
+                        ",\"request\":\"q\",\"peer\":\"h2\",\"tries\":1,\"outcome\":\"" + relayOutcomes[i] + "\"";
+                lines[i + 1] = line(4 + i, "h1", "RELAY", fields);
+            }
+            return LikelyCause.describe(history("q", lines));
+        }
+
+        @Test
+        void causeSaysThatNoHostReachedAnEndpoint() throws IOException {
+            assertThat(cause("asked", "UNREACHABLE", "no host left"))
+                    .contains("and 1 other hosts that were asked neither");
+        }
+
+        @Test
+        void causeNamesTheHostThatMayHaveRunIt() throws IOException {
+            assertThat(cause("asked", "connection lost")).contains("passed it to h2, which may have run it");
+        }
+    }
+
     @Test
     void causeNamesAnExhaustedRetryBudget() throws IOException {
         RequestHistory history = history(
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -34,6 +34,8 @@
     RESUME,
     /** A request was sent to an endpoint; the line has the figures behind the choice. */
     DISPATCH,
+    /** The paths of this host to the endpoints of a service were lost or are back; the line has the probes. */
+    PATHS,
     /** A request was passed to another host, or that host's answer came; the line has the outcome. */
     RELAY,
     /** A request was refused before it was sent; the line has the reason. */
--- a/core/src/main/java/org/dragonflygw/core/paths/EndpointPaths.java
+++ b/core/src/main/java/org/dragonflygw/core/paths/EndpointPaths.java
@@ -163,8 +163,8 @@
     }
 
     private void logChange(String service, ProbeRound round, boolean lost) {
-        log.line(lost ? LogTopic.DEPENDENCY_LOST : LogTopic.DEPENDENCY_REGAINED)
-                .with("dependency", "endpoints")
+        log.line(LogTopic.PATHS)
+                .with("outcome", lost ? "lost" : "regained")
                 .with("service", service)
                 .with("reason", round.reason().name())
                 .with("probed", round.asked())
