Probe lost services rarely

While a service is lost, each host opened three connections each 250 ms. One probe now, from 0.25 s apart up to a second. Requests are passed on meanwhile, so nothing waits for it.

--- a/core/src/main/java/org/dragonflygw/core/paths/EndpointPaths.java
+++ b/core/src/main/java/org/dragonflygw/core/paths/EndpointPaths.java
@@ -21,9 +21,12 @@
  * this host cannot be told here; other hosts can tell. Not thread-safe.
  */
 public final class EndpointPaths {
-    /** Endpoints that are probed at once. */
+    /** Endpoints that are probed at once on a suspicion. */
     private static final int PROBES_PER_ROUND = 3;
 
+    /** Endpoints that are probed at once while the paths are lost; a whole fleet may do so when a service is down. */
+    private static final int PROBES_WHILE_LOST = 1;
+
     /** Longest duration of a round in nanoseconds, above that of a probe; probes may leave their result out. */
     private static final long MAX_ROUND_NANOS = 600_000_000L;
 
@@ -120,7 +123,7 @@
         paths.onRoundStarted(now);
         List<EndpointLoadState> endpoints = new ArrayList<>(loads.ofService(service));
         Collections.shuffle(endpoints, random);
-        int asked = Math.min(PROBES_PER_ROUND, endpoints.size());
+        int asked = Math.min(paths.isLost() ? PROBES_WHILE_LOST : PROBES_PER_ROUND, endpoints.size());
         if (asked == 0) {
             return; // Nothing is known of a path to no endpoint.
         }
--- a/core/src/main/java/org/dragonflygw/core/paths/ServicePaths.java
+++ b/core/src/main/java/org/dragonflygw/core/paths/ServicePaths.java
@@ -8,6 +8,12 @@
     /** Least time between the starts of two rounds of probes, in nanoseconds. */
     private static final long ROUND_INTERVAL_NANOS = 250_000_000L;
 
+    /** Largest time between two rounds while the paths stay lost, in nanoseconds. */
+    private static final long MAX_INTERVAL_NANOS = 1_000_000_000L;
+
+    /** Factor by which the time between two rounds grows while the paths stay lost. */
+    private static final double INTERVAL_GROWTH = 1.5;
+
     /** Why a round of probes is due. */
     enum Suspicion {
         NONE,
@@ -24,6 +30,7 @@
     private long unansweredSinceNanos;
     private boolean probed;
     private long lastRoundNanos;
+    private long intervalNanos = ROUND_INTERVAL_NANOS;
 
     boolean isLost() {
         return lost;
@@ -48,7 +55,7 @@
 
     /** Returns why a round of probes is due now; {@link Suspicion#NONE} if none is. */
     Suspicion due(long nowNanos) {
-        if (probed && nowNanos - lastRoundNanos < ROUND_INTERVAL_NANOS) {
+        if (probed && nowNanos - lastRoundNanos < intervalNanos) {
             return Suspicion.NONE;
         }
         if (lost) {
@@ -61,11 +68,14 @@
     void onRoundStarted(long nowNanos) {
         probed = true;
         lastRoundNanos = nowNanos;
+        intervalNanos =
+                lost ? Math.min(MAX_INTERVAL_NANOS, (long) (intervalNanos * INTERVAL_GROWTH)) : ROUND_INTERVAL_NANOS;
         suspicion = Suspicion.NONE;
     }
 
     void onReached() {
         lost = false;
+        intervalNanos = ROUND_INTERVAL_NANOS;
         unanswered = false;
     }
 
