--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -335,7 +335,7 @@
             return;
         }
         front.metrics().onRejected(rejection.reason());
-        DefaultFullHttpResponse response = RejectionEncoder.encode(rejection);
+        DefaultFullHttpResponse response = RejectionEncoder.encode(rejection, method);
         if (front.relays().incoming()) {
             response.headers().set(RelayClient.REJECT_REASON, rejection.reason().name());
         }
--- a/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/FrontHandler.java
@@ -52,6 +52,9 @@
     private ChannelHandlerContext context;
     private Call call;
 
+    /** Method of the request that was read last. */
+    private String lastMethod = "";
+
     /** Whether bytes were read that are no message yet, so that a request has begun. */
     private boolean partRead;
 
@@ -186,6 +189,7 @@
 
     private void rejectMalformed(Throwable cause) {
         boolean tooLong = cause instanceof TooLongFrameException;
+        lastMethod = call == null ? "" : lastMethod;
         front.metrics().onMalformedRequest();
         rejectAndClose(Rejection.of(tooLong ? RejectReason.HEAD_TOO_LARGE : RejectReason.BAD_REQUEST));
     }
@@ -196,6 +200,7 @@
             return;
         }
         reading = true;
+        lastMethod = request.method().name();
         call = new Call(this, front, request, System.nanoTime());
         front.state().onCallStarted(isRelayed());
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -249,7 +254,7 @@
 
     private void rejectAndClose(Rejection rejection) {
         closing = true;
-        DefaultFullHttpResponse response = RejectionEncoder.encode(rejection);
+        DefaultFullHttpResponse response = RejectionEncoder.encode(rejection, lastMethod);
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
--- a/edge/src/test/java/org/dragonflygw/edge/HeadRequestTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/HeadRequestTest.java
@@ -36,4 +36,18 @@
             }
         }
     }
+
+    /** Guards against the body of a refusal, which the caller would take for the beginning of the next response. */
+    @Test
+    void isRefusedWithoutABody() throws IOException {
+        try (EdgeFixture f = new EdgeFixture();
+                Socket c = f.connect()) {
+            for (int i = 0; i < REQUESTS; i++) {
+                EdgeFixture.send(c, head("/again/x", "head" + i));
+                assertThat(EdgeFixture.readUntil(c, "\r\n\r\n")).startsWith("HTTP/1.1 503");
+                EdgeFixture.send(c, request("/again/x", "post" + i));
+                assertThat(EdgeFixture.readUntil(c, "}")).startsWith("HTTP/1.1 503");
+            }
+        }
+    }
 }
