Let no stream go on where a restart may have changed the version

An engine that crashes and starts again under its id with newer software takes connections before its new entry has reached a host, up to 0.6 s later. Cause: the version was compared with the entry, though lost connections told that the entry might be of an ended process.

Ruled out: the expected instance in the request, as the id is the same.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -43,6 +43,7 @@
     private final ServiceTraffic traffic;
     private final EndpointSpeeds speeds;
     private final CachedParts cached;
+    private final RestartDoubt restartDoubt = new RestartDoubt();
     private final QuietTime quiet;
     private final EndpointRate rate;
     private final long idHash;
@@ -352,6 +353,21 @@
         return inFlight >= quiet.maxInFlight(nowNanos);
     }
 
+    /** Records that the endpoint ended or refused a connection. */
+    void onConnectionLost(long nowNanos) {
+        restartDoubt.onConnectionLost(nowNanos);
+    }
+
+    /** Records bytes of the endpoint on a connection that was opened at a time. */
+    void onHeard(long openedNanos) {
+        restartDoubt.onHeard(openedNanos);
+    }
+
+    /** Returns whether the endpoint may have restarted, perhaps with other software, since its entry was written. */
+    public boolean mayHaveRestarted(long nowNanos) {
+        return restartDoubt.exists(nowNanos);
+    }
+
     void markLeaving() {
         leaving = true;
     }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -94,6 +94,20 @@
         return true;
     }
 
+    /** Records that an instance of an endpoint ended or refused a connection. */
+    public void onConnectionLost(DiscoveredEndpoint endpoint, long nowNanos) {
+        current(endpoint).ifPresent(e -> e.onConnectionLost(nowNanos));
+    }
+
+    /** Records bytes of an instance of an endpoint on a connection that was opened at a time of the monotonic clock. */
+    public void onHeard(DiscoveredEndpoint endpoint, long openedNanos) {
+        current(endpoint).ifPresent(e -> e.onHeard(openedNanos));
+    }
+
+    private Optional<EndpointLoadState> current(DiscoveredEndpoint endpoint) {
+        return get(endpoint.id()).filter(e -> e.entry().sameIncarnation(endpoint));
+    }
+
     /** Records that an instance of an endpoint wants no requests of this host until a time of the monotonic clock. */
     public void onQuiet(DiscoveredEndpoint endpoint, long untilNanos) {
         quietTimes.of(endpoint).extend(untilNanos);
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -148,7 +148,7 @@
 
     private Choice noCandidate(ChoiceRequest request, long nowNanos) {
         OptionalLong waitNanos = usable.shortestWaitNanos(request, nowNanos);
-        if (waitNanos.isEmpty() && usable.anyEvacuated(request)) {
+        if (waitNanos.isEmpty() && usable.anyEvacuated(request, nowNanos)) {
             return Choice.none(UnavailableReason.EVACUATED, EVACUATED_RETRY_MS);
         }
         if (waitNanos.isEmpty()) {
@@ -156,7 +156,8 @@
                     request.origin().isPresent() ? UnavailableReason.NO_VERSION : UnavailableReason.NO_ENDPOINT, 0);
         }
         long waitMs = (long) Math.ceil(waitNanos.getAsLong() / NANOS_PER_MS);
-        UnavailableReason reason = usable.anyLimited(request) ? UnavailableReason.LIMITED : UnavailableReason.QUIET;
+        UnavailableReason reason =
+                usable.anyLimited(request, nowNanos) ? UnavailableReason.LIMITED : UnavailableReason.QUIET;
         return Choice.none(reason, waitMs);
     }
 
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -26,28 +26,31 @@
         List<EndpointLoadState> usable = new ArrayList<>();
         loads.onMemoryConfigured(request.service().name(), request.service().cacheTokens());
         for (EndpointLoadState e : loads.ofService(request.service().name())) {
-            if (acceptsRequests(request, e) && e.quietNanos(nowNanos) == 0 && mayHavePermit(request, e, nowNanos)) {
+            if (acceptsRequests(request, e, nowNanos)
+                    && e.quietNanos(nowNanos) == 0
+                    && mayHavePermit(request, e, nowNanos)) {
                 usable.add(e);
             }
         }
         return usable;
     }
 
-    private boolean acceptsRequests(ChoiceRequest request, EndpointLoadState e) {
-        return !loads.isEvacuated(e) && wouldAccept(request, e);
+    private boolean acceptsRequests(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
+        return !loads.isEvacuated(e) && wouldAccept(request, e, nowNanos);
     }
 
     /** Returns whether an endpoint accepts new requests unless its availability zone is evacuated. */
-    private static boolean wouldAccept(ChoiceRequest request, EndpointLoadState e) {
+    private static boolean wouldAccept(ChoiceRequest request, EndpointLoadState e, long nowNanos) {
         return !e.entry().draining()
                 && !e.isLeaving()
                 && !request.excluded().contains(e.entry().id())
-                && request.origin().map(o -> isOf(o, e)).orElse(true);
+                && request.origin().map(o -> isOf(o, e, nowNanos)).orElse(true);
     }
 
-    /** Returns whether an endpoint may go on with a stream; an unknown version never may. */
-    private static boolean isOf(StreamOrigin origin, EndpointLoadState e) {
-        return !origin.version().isEmpty()
+    /** Returns whether an endpoint may go on with a stream; an unknown or doubtful version never may. */
+    private static boolean isOf(StreamOrigin origin, EndpointLoadState e, long nowNanos) {
+        return !e.mayHaveRestarted(nowNanos)
+                && !origin.version().isEmpty()
                 && origin.version().equals(e.entry().version())
                 && origin.service().equals(e.entry().service());
     }
@@ -59,21 +62,21 @@
     /** Returns the shortest time until an endpoint that is not usable now may take requests; nothing if there is none. */
     OptionalLong shortestWaitNanos(ChoiceRequest request, long nowNanos) {
         return loads.ofService(request.service().name()).stream()
-                .filter(e -> acceptsRequests(request, e))
+                .filter(e -> acceptsRequests(request, e, nowNanos))
                 .mapToLong(e -> Math.max(e.quietNanos(nowNanos), e.rate().permitWaitNanos(nowNanos)))
                 .min();
     }
 
     /** Returns whether an endpoint would accept new requests if its availability zone were not evacuated. */
-    boolean anyEvacuated(ChoiceRequest request) {
+    boolean anyEvacuated(ChoiceRequest request, long nowNanos) {
         return loads.ofService(request.service().name()).stream()
-                .anyMatch(e -> loads.isEvacuated(e) && wouldAccept(request, e));
+                .anyMatch(e -> loads.isEvacuated(e) && wouldAccept(request, e, nowNanos));
     }
 
     /** Returns whether an endpoint that accepts new requests names a limit. */
-    boolean anyLimited(ChoiceRequest request) {
+    boolean anyLimited(ChoiceRequest request, long nowNanos) {
         return loads.ofService(request.service().name()).stream()
-                .anyMatch(e -> acceptsRequests(request, e) && e.rate().isLimited());
+                .anyMatch(e -> acceptsRequests(request, e, nowNanos) && e.rate().isLimited());
     }
 
     /** Returns the endpoints that accept new requests and are not at capacity. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
@@ -105,6 +105,16 @@
                 request);
     }
 
+    /** Called when an endpoint ended or refused a connection. */
+    public void onConnectionLost(DiscoveredEndpoint endpoint) {
+        loads.onConnectionLost(endpoint, clock.nanos());
+    }
+
+    /** Called for bytes of an endpoint on a connection that was opened at a time of the monotonic clock. */
+    public void onHeard(DiscoveredEndpoint endpoint, long openedNanos) {
+        loads.onHeard(endpoint, openedNanos);
+    }
+
     private void acceptBrittleness(DiscoveredEndpoint endpoint, ResponseHead head, String request, long now) {
         EndpointNotice notice = head.notice();
         if (notice.isBrittle() && loads.onBrittle(endpoint, notice.brittle(), now)) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -249,7 +249,7 @@
     boolean mayStillSend(EndpointLoadState endpoint) {
         return acceptsRequests(endpoint)
                 && (hasPermit() || !endpoint.rate().isLimited())
-                && (origin.isEmpty() || isCurrent(endpoint));
+                && (origin.isEmpty() || hasVersionOfEntry(endpoint));
     }
 
     private boolean hasPermit() {
@@ -264,7 +264,11 @@
                 && endpoint.quietNanos(now) == 0;
     }
 
-    /** Whether the list still has the instance, so that its software version is the one in its entry. */
+    /** Whether the list still has the instance, and no sign shows that another one has taken its place. */
+    private boolean hasVersionOfEntry(EndpointLoadState endpoint) {
+        return !endpoint.mayHaveRestarted(context.clock().nanos()) && isCurrent(endpoint);
+    }
+
     private boolean isCurrent(EndpointLoadState endpoint) {
         return context.loads()
                 .get(endpoint.entry().id())
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -79,6 +79,8 @@
 
     private boolean responseComplete;
     private boolean abandoned;
+    private boolean closing;
+    private long openedNanos;
     private long idleSinceNanos;
     private long sentNanos;
 
@@ -133,6 +135,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
+        openedNanos = System.nanoTime();
     }
 
     void send(EndpointRequest r, PendingAttempt a) {
@@ -163,6 +166,7 @@
 
     void close() {
         attempt = null;
+        closing = true;
         context.close();
     }
 
@@ -188,6 +192,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         paths.onHeard(endpoint);
+        notices.onHeard(endpoint, openedNanos);
         try {
             if (attempt != null) {
                 onMessage((HttpObject) message);
@@ -369,7 +374,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        pool.onClosed(this);
+        boolean idle = pool.onClosed(this);
+        if (attempt != null || (idle && !closing)) {
+            notices.onConnectionLost(endpoint);
+        }
         failConnectionLost();
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
@@ -128,6 +128,9 @@
         if (!future.isSuccess()) {
             paths.onConnectionFailed(request.dispatch().endpoint());
             boolean timeout = future.cause() instanceof ConnectTimeoutException;
+            if (!timeout) {
+                notices.onConnectionLost(request.dispatch().endpoint());
+            }
             attempt.onFailed(timeout ? AttemptFailure.CONNECT_TIMEOUT : AttemptFailure.CONNECT_REFUSED);
             return;
         }
@@ -182,17 +185,17 @@
         idleLimits.onConnectionLost(endpoint.id(), idleNanos, System.nanoTime());
     }
 
-    void onClosed(EndpointConnection connection) {
+    /** Called when a connection has ended; returns whether it was idle. */
+    boolean onClosed(EndpointConnection connection) {
         if (connection.endpoint() == null) {
-            return;
+            return false;
         }
         Deque<EndpointConnection> connections = idle.get(connection.endpoint().id());
-        if (connections != null) {
-            connections.remove(connection);
-            if (connections.isEmpty()) {
-                idle.remove(connection.endpoint().id());
-            }
+        boolean wasIdle = connections != null && connections.remove(connection);
+        if (wasIdle && connections.isEmpty()) {
+            idle.remove(connection.endpoint().id());
         }
+        return wasIdle;
     }
 
     /** Closes the idle connections to an endpoint that was removed. */
