Do not learn the room of brittle endpoints from rejections

Endpoints reject for other reasons than want of room, as for a deadline that has passed. One rejection by an idle endpoint of a brittle service set the room of all its endpoints to one request until the service was no longer brittle, so that callers were refused with endpoints idle.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/Brittleness.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Brittleness.java
@@ -20,7 +20,6 @@
     private boolean stated;
     private long untilNanos;
     private int rejectionsPerSecond;
-    private double room = Double.POSITIVE_INFINITY;
 
     /**
      * Records that an endpoint says that it is brittle.
@@ -31,17 +30,11 @@
     boolean onStated(int perSecond, long nowNanos) {
         boolean began = !isBrittle(nowNanos);
         rejectionsPerSecond = began ? perSecond : Math.min(rejectionsPerSecond, perSecond);
-        room = began ? Double.POSITIVE_INFINITY : room;
         untilNanos = nowNanos + HOLD_NANOS;
         stated = true;
         return began;
     }
 
-    /** Records that a brittle endpoint rejected a request while it held a number of others. */
-    void onRejected(double load) {
-        room = Math.min(room, Math.max(1, load));
-    }
-
     /** Returns whether the endpoints are brittle. */
     public boolean isBrittle(long nowNanos) {
         return stated && nowNanos - untilNanos < 0;
@@ -52,12 +45,17 @@
         return rejectionsPerSecond;
     }
 
-    /** Returns the number of requests for which a brittle endpoint certainly has room, as far as this host knows. */
+    /**
+     * Returns the number of requests for which a brittle endpoint has room, as far as this host knows; infinite if its
+     * number of slots is not known.
+     */
     double freePlaces(EndpointLoadState endpoint, long nowNanos) {
         int slots = endpoint.entry().slots();
-        double usable = Math.min(slots > 0 ? slots : Double.POSITIVE_INFINITY, room);
+        if (slots <= 0) {
+            return Double.POSITIVE_INFINITY;
+        }
         double load = endpoint.highestLoad(nowNanos) + FREE_DEVIATIONS * endpoint.loadDeviation(nowNanos);
-        return Math.max(0, usable - load);
+        return Math.max(0, slots - load);
     }
 
     /** Records whether a request was let through to the endpoints. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -124,20 +124,11 @@
         return traffic != null && traffic.brittleness().onStated(perSecond, nowNanos);
     }
 
-    /**
-     * Records that an endpoint had no room for a request, which matters only while its service is brittle.
-     *
-     * @param report load that the endpoint stated with the rejection, if any
-     * @return rejections in a second that the endpoint bears; nothing if its service is not brittle
-     */
-    public OptionalInt onNoRoom(DiscoveredEndpoint endpoint, Optional<LoadReport> report, long nowNanos) {
-        ServiceTraffic traffic = byService.get(endpoint.service());
-        if (traffic == null || !traffic.brittleness().isBrittle(nowNanos)) {
-            return OptionalInt.empty();
-        }
-        report.filter(LoadReport::isPlausible)
-                .ifPresent(r -> traffic.brittleness().onRejected(r.running() + r.waiting()));
-        return OptionalInt.of(traffic.brittleness().rejectionsPerSecond());
+    /** Returns the rejections in a second that an endpoint bears; nothing if its service is not brittle. */
+    public OptionalInt borneRejections(DiscoveredEndpoint endpoint, long nowNanos) {
+        return isBrittle(endpoint.service(), nowNanos)
+                ? OptionalInt.of(byService.get(endpoint.service()).brittleness().rejectionsPerSecond())
+                : OptionalInt.empty();
     }
 
     /** Returns whether the endpoints of a service are brittle. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointNotices.java
@@ -126,7 +126,7 @@
         if (!head.notExecuted()) {
             return;
         }
-        OptionalInt perSecond = loads.onNoRoom(endpoint, head.load(), now);
+        OptionalInt perSecond = loads.borneRejections(endpoint, now);
         if (perSecond.isPresent()) {
             long pauseMs = pauses.pauseMs(perSecond.getAsInt());
             loads.onQuiet(endpoint, now + pauseMs * NANOS_PER_MS);
--- a/core/src/test/java/org/dragonflygw/core/exchange/BrittleEndpointsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/BrittleEndpointsTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.dispatch.LoadReport;
 import org.dragonflygw.core.ratelimit.RateNotice;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -95,6 +96,18 @@
             assertThat(rejecting.quietNanos(f.clock.nanos())).isAtLeast(1_000_000_000L);
         }
 
+        /** Endpoints also reject for other reasons than want of room. */
+        @Test
+        void leaveTheServiceOpenAfterARejectionByAnIdleEndpoint() {
+            LoadReport idle = new LoadReport(0, 0, 4);
+            EndpointNotice notice = new EndpointNotice(false, 0, RateNotice.UNLIMITED, 0, BORNE);
+            started().onHead(new ResponseHead(503, true, true, false, 2, false, Optional.of(idle), notice, List.of()));
+            for (int i = 0; i < 4; i++) {
+                started();
+            }
+            assertThat(f.sent).hasSize(5);
+        }
+
         @Test
         void areNotAssumedOfEndpointsThatMakeNone() {
             started().onHead(head(true, EndpointNotice.STURDY));
