Let no preference for named versions outweigh the load bound

Cause: EndpointSearch chose twice. The first choice left out the endpoints whose version the store does not name yet, and any endpoint that it found was taken, one above the load bound as well, since a bound among few candidates is only a last resort. Now there is one choice: such endpoints are avoided, which counts less than the bound and than a response in time, and more than costs.

Ruled out: excluding unnamed versions until they are named, which would refuse requests while idle engines serve; ending the preference, which would let streams begin of which nobody knows after the loss of all hosts.

EndpointSearchTest.WithVersions.aStreamBeginsAtAnotherVersionRatherThanAboveTheLoadBound failed before (sent to the engine with 9 requests, mean 3).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -178,7 +178,7 @@
         for (int i = 0; i < candidates.size(); i++) {
             EndpointLoadState e = candidates.get(i);
             boolean selected = selection.contains(order.rank(i));
-            if ((!selected && best != null && !best.lastResort) || UsableEndpoints.isFull(request, e, nowNanos)) {
+            if ((!selected && best != null && best.isPreferred()) || UsableEndpoints.isFull(request, e, nowNanos)) {
                 continue;
             }
             int rank = Math.max(0, order.rank(i) - selection.homes() + 1);
@@ -189,7 +189,7 @@
                 bestOther = s.orBetter(bestOther);
             }
         }
-        if (best == null || (best.lastResort && bestOther != null && !bestOther.lastResort)) {
+        if (best == null || (bestOther != null && bestOther.preference.isAbove(best.preference))) {
             return bestOther;
         }
         return best;
@@ -233,7 +233,17 @@
         if (e.isBlocked(nowNanos)) {
             cost += BLOCKED_PENALTY_MS;
         }
-        return new ScoredEndpoint(e, overBound || e.isBlocked(nowNanos), cost, expected, reading);
+        Preference preference = overBound || e.isBlocked(nowNanos)
+                ? Preference.LAST_RESORT
+                : preferenceWithinBound(request, e, expected);
+        return new ScoredEndpoint(e, preference, cost, expected, reading);
+    }
+
+    private static Preference preferenceWithinBound(ChoiceRequest request, EndpointLoadState e, double expectedMs) {
+        if (expectedMs > request.remainingMs()) {
+            return Preference.TOO_LATE;
+        }
+        return request.avoided().contains(e.entry().id()) ? Preference.AVOIDED : Preference.PREFERRED;
     }
 
     private static double loadCostMs(EndpointLoadState e, long nowNanos) {
@@ -298,20 +308,32 @@
         private static final PromptReading NONE = new PromptReading(0, 0, Optional.empty());
     }
 
-    /**
-     * A candidate with its cost.
-     *
-     * @param lastResort whether the endpoint is chosen only if no other one is left, whatever the costs
-     */
+    /** Classes of candidates; one of a later class is chosen only if there is none of the earlier ones, whatever the costs. */
+    private enum Preference {
+        PREFERRED,
+        AVOIDED,
+        TOO_LATE,
+        LAST_RESORT;
+
+        boolean isAbove(Preference other) {
+            return compareTo(other) < 0;
+        }
+    }
+
+    /** A candidate with its cost. */
     private record ScoredEndpoint(
-            EndpointLoadState endpoint, boolean lastResort, double cost, double expectedMs, PromptReading reading) {
+            EndpointLoadState endpoint, Preference preference, double cost, double expectedMs, PromptReading reading) {
+        boolean isPreferred() {
+            return preference == Preference.PREFERRED;
+        }
+
         /** Returns the better of this candidate and another one, which may be null. */
         ScoredEndpoint orBetter(ScoredEndpoint other) {
             if (other == null) {
                 return this;
             }
-            if (lastResort != other.lastResort) {
-                return lastResort ? other : this;
+            if (preference != other.preference) {
+                return preference.isAbove(other.preference) ? this : other;
             }
             return cost < other.cost ? this : other;
         }
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.core.exchange;
 
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.dragonflygw.core.admission.Admission;
@@ -177,44 +176,34 @@
         }
     }
 
-    /** Chooses an endpoint; a stream that may be taken up begins at a version that the store names, if it can. */
-    private Choice choose(long now) {
-        Set<String> failed = attempts.failedEndpoints();
-        boolean begins = request.route().streaming() && request.route().resumable() && origin.isEmpty();
-        Set<String> unnamed =
-                begins ? context.origins().unnamedEndpoints(request.service().name()) : Set.of();
-        if (!unnamed.isEmpty()) {
-            Set<String> excluded = new HashSet<>(failed);
-            excluded.addAll(unnamed);
-            Choice named = choose(excluded, now);
-            if (named.endpoint().isPresent()) {
-                return named;
-            }
-        }
-        return choose(failed, now);
-    }
-
     /** Chooses an endpoint; after denials of permits a cold endpoint is tried some times more if no other can serve. */
-    private Choice choose(Set<String> excluded, long now) {
-        Choice choice = context.chooser().choose(choiceRequest(excluded, permitDenials < MAX_PERMIT_DENIALS, now), now);
+    private Choice choose(long now) {
+        Choice choice = context.chooser().choose(choiceRequest(permitDenials < MAX_PERMIT_DENIALS, now), now);
         if (choice.endpoint().isPresent() || permitDenials < MAX_PERMIT_DENIALS || permitDenials >= MAX_COLD_DENIALS) {
             return choice;
         }
-        Choice limited = context.chooser().choose(choiceRequest(excluded, true, now), now);
+        Choice limited = context.chooser().choose(choiceRequest(true, now), now);
         return limited.endpoint().filter(e -> e.rate().isCold()).isPresent() ? limited : choice;
     }
 
-    private ChoiceRequest choiceRequest(Set<String> excluded, boolean limitedEndpoints, long now) {
+    private ChoiceRequest choiceRequest(boolean limitedEndpoints, long now) {
         return new ChoiceRequest(
                 request.service(),
                 request.prompt(),
                 request.route().objectiveMs(),
                 Math.max(0, (request.expiryNanos() - now) / NANOS_PER_MS),
-                excluded,
+                attempts.failedEndpoints(),
+                avoidedEndpoints(),
                 limitedEndpoints,
                 origin);
     }
 
+    /** A stream that may be taken up should begin at a version that the store names. */
+    private Set<String> avoidedEndpoints() {
+        boolean begins = request.route().streaming() && request.route().resumable() && origin.isEmpty();
+        return begins ? context.origins().unnamedEndpoints(request.service().name()) : Set.of();
+    }
+
     private void onPermitDecided(Choice choice, PermitDecision decision) {
         if (cancelled) {
             return;
--- a/core/src/test/java/org/dragonflygw/core/dispatch/RestartDoubtTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/RestartDoubtTest.java
@@ -35,7 +35,7 @@
     }
 
     private Choice choose(Optional<StreamOrigin> origin, Set<String> excluded, long ms) {
-        ChoiceRequest request = new ChoiceRequest(SERVICE, Prompt.NONE, 800, 15_000, excluded, true, origin);
+        ChoiceRequest request = new ChoiceRequest(SERVICE, Prompt.NONE, 800, 15_000, excluded, Set.of(), true, origin);
         return chooser.choose(request, NOW + ms * NANOS_PER_MS);
     }
 
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
@@ -12,6 +12,7 @@
 import org.dragonflygw.core.catalog.RouteKind;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.evacuation.Evacuations;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.ratelimit.ColdPeriod;
@@ -273,6 +274,22 @@
             assertThat(sentTo()).isEqualTo("new");
         }
 
+        /** Guards against many streams at the last endpoint of a version that the store names, beside idle ones. */
+        @Test
+        void aStreamBeginsAtAnotherVersionRatherThanAboveTheLoadBound() {
+            addUnnamedVersion();
+            f.loads.onUpdated(endpoint("new-2", "v2"));
+            f.versions.onUpdated(endpoint("new-2", "v2"));
+            f.loads.onRemoved(ExchangeFixture.endpoint("e2"));
+            f.loads.onRemoved(ExchangeFixture.endpoint("e3"));
+            EndpointLoadState last = f.loads.get("e1").orElseThrow();
+            for (int i = 0; i < 9; i++) {
+                f.loads.onSent(last, Prompt.NONE, 0, f.clock.nanos());
+            }
+            f.start(STREAM);
+            assertThat(sentTo()).startsWith("new");
+        }
+
         /** Guards against callers who name the attempt that took the stream up, not the one that began it. */
         @Test
         void anAttemptThatTookAStreamUpIsAnOriginToo() {
