--- a/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/Choice.java
@@ -12,6 +12,7 @@
  * @param uncachedTokens number of prompt tokens that the endpoint has to read (prefill)
  * @param cacheSource another engine from which the endpoint can fetch uncached parts of the prompt
  * @param loadBound load in requests above which an endpoint of the service is a last resort; 0 if the choice has none
+ * @param preference class of the endpoint among the candidates
  * @param reason why the request cannot be served; {@link UnavailableReason#NONE} if it can
  */
 public record Choice(
@@ -20,8 +21,9 @@
         int uncachedTokens,
         Optional<DiscoveredEndpoint> cacheSource,
         double loadBound,
+        Preference preference,
         UnavailableReason reason) {
     static Choice none(UnavailableReason reason, long expectedMs) {
-        return new Choice(Optional.empty(), expectedMs, 0, Optional.empty(), 0, reason);
+        return new Choice(Optional.empty(), expectedMs, 0, Optional.empty(), 0, Preference.PREFERRED, reason);
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoads.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,7 @@
     private final Map<String, EndpointLoadState> removedRunning = new HashMap<>();
 
     private final Map<String, ServiceTraffic> byService = new HashMap<>();
+    private final Map<Preference, Long> choices = new EnumMap<>(Preference.class);
 
     @Override
     public void onUpdated(DiscoveredEndpoint endpoint) {
@@ -179,6 +181,16 @@
         return leaving.recent(nowNanos);
     }
 
+    /** Counts a choice by which a request is sent. */
+    public void onChosen(Choice choice) {
+        choices.merge(choice.preference(), 1L, Long::sum);
+    }
+
+    /** Returns the number of requests that were sent to endpoints of a class. */
+    public long chosenCount(Preference preference) {
+        return choices.getOrDefault(preference, 0L);
+    }
+
     /**
      * Records a request that is sent to an endpoint.
      *
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -143,6 +143,7 @@
                 best.reading.tokens,
                 best.reading.source,
                 bound,
+                best.preference,
                 UnavailableReason.NONE);
     }
 
@@ -308,18 +309,6 @@
         private static final PromptReading NONE = new PromptReading(0, 0, Optional.empty());
     }
 
-    /** Classes of candidates; one of a later class is chosen only if there is none of the earlier ones, whatever the costs. */
-    private enum Preference {
-        PREFERRED,
-        AVOIDED,
-        TOO_LATE,
-        LAST_RESORT;
-
-        boolean isAbove(Preference other) {
-            return compareTo(other) < 0;
-        }
-    }
-
     /** A candidate with its cost. */
     private record ScoredEndpoint(
             EndpointLoadState endpoint, Preference preference, double cost, double expectedMs, PromptReading reading) {
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
@@ -71,6 +71,11 @@
         return Collections.unmodifiableList(endpoints);
     }
 
+    /** Returns the number of known endpoints of the service, including draining ones. */
+    public int endpointCount() {
+        return endpoints.size();
+    }
+
     void add(EndpointLoadState e) {
         endpoints.add(e);
         meansNanos = Long.MIN_VALUE;
--- a/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/UsableEndpoints.java
@@ -117,6 +117,7 @@
     static Choice choiceOf(ChoiceRequest request, EndpointLoadState e) {
         Prompt prompt = request.prompt();
         int uncached = Math.max(0, prompt.inputTokens() - e.cached().cachedTokens(prompt));
-        return new Choice(Optional.of(e), 0, uncached, Optional.empty(), 0, UnavailableReason.NONE);
+        return new Choice(
+                Optional.of(e), 0, uncached, Optional.empty(), 0, Preference.PREFERRED, UnavailableReason.NONE);
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -109,6 +109,7 @@
         crashes.onSent(endpoint.entry(), now);
         silence.restart(now);
         log.dispatched(choice, attempts.nextAttempt(), remainingMs(now), now);
+        context.loads().onChosen(choice);
         context.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
         boolean readsPrompt = request.service().hasModelEngines()
                 && choice.cacheSource().isEmpty()
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -75,6 +75,8 @@
                         request.resumption().map(Resumption::originAttempt).orElse(null))
                 .with("loadTenths", (long) (endpoint.load(nowNanos) * 10))
                 .with("boundTenths", (long) (choice.loadBound() * 10))
+                .with("preference", choice.preference().name())
+                .with("serviceEndpoints", endpoint.traffic().endpointCount())
                 .with("loadAgeMs", endpoint.loadAgeMs(nowNanos))
                 .with("workPercent", endpoint.workPercent(nowNanos))
                 .with("speedAgeMs", endpoint.speedAgeMs(nowNanos))
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -26,6 +26,7 @@
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.dispatch.FleetSizeSampler;
+import org.dragonflygw.core.dispatch.Preference;
 import org.dragonflygw.core.dispatch.RoundRobinChooser;
 import org.dragonflygw.core.dispatch.ServiceRoom;
 import org.dragonflygw.core.dispatch.TwoChoicesChooser;
@@ -233,6 +234,8 @@
         metrics.registerGauge("evacuated_zones", loads.evacuated()::count);
         metrics.registerGauge("requests_in_evacuated_zones", loads::requestsInEvacuatedZones);
         metrics.registerGauge("endpoints_cold", loads.rates()::coldCount);
+        metrics.registerGauge("requests_sent_last_resort_total", () -> loads.chosenCount(Preference.LAST_RESORT));
+        metrics.registerGauge("requests_sent_avoided_total", () -> loads.chosenCount(Preference.AVOIDED));
         metrics.registerGauge("load_spread_percent", () -> loads.maxSpreadPercent(System.nanoTime()));
         metrics.registerGauge("load_knowledge_age_ms", () -> loads.maxKnowledgeAgeMs(System.nanoTime()));
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
