Do not count new endpoints with the mean load in the load bound

Cause: an endpoint that no report names yet is taken to have the mean load, so that not all hosts choose it at once; in the load bound this kept the mean at that of the busy ones (bound 58 instead of 20) until the next reports. For the bound an endpoint that has appeared since the peers' reports now has what this host sent there, and the others in proportion to their traffic; costs are as before.

Ruled out: counting it as idle for the bound only, as all hosts would fill it past the bound until the next reports.

LoadBoundTest.WhenEnginesAppear failed before (e1 with 30 requests instead of an idle engine).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -284,6 +284,32 @@
         return Math.max(load(nowNanos), recent ? inFlight + otherRequestsAtReport : 0);
     }
 
+    /** Returns the load that counts for the load bound: the highest one that is known. */
+    double boundedLoad(long nowNanos) {
+        return isNew(nowNanos) ? loadIfNew(nowNanos) : highestLoad(nowNanos);
+    }
+
+    /** Returns the load that counts in the mean of the service for the load bound. */
+    double meanedLoad(long nowNanos) {
+        return isNew(nowNanos) ? loadIfNew(nowNanos) : load(nowNanos);
+    }
+
+    /** Returns whether the endpoint has appeared since the last reports of the peers. */
+    boolean isNew(long nowNanos) {
+        return peerLoadNanos == Long.MIN_VALUE && reportNanos == Long.MIN_VALUE && traffic.hearsPeers(nowNanos);
+    }
+
+    /** The others are taken to have sent as many requests to a new endpoint as this host, each in proportion to its traffic. */
+    private double loadIfNew(long nowNanos) {
+        double own = traffic.ownPerEndpoint(nowNanos);
+        return own == 0 ? inFlight : inFlight * (1 + traffic.othersPerEndpoint(nowNanos) / own);
+    }
+
+    /** Returns whether the load that peers put on the endpoint was heard recently. */
+    boolean hasPeerLoad(long nowNanos) {
+        return isFresh(peerLoadNanos, nowNanos);
+    }
+
     /** Returns the estimated number of prompt tokens of all hosts that the endpoint has not read yet. */
     public double estimatedUnreadTokens(long nowNanos) {
         double remaining = Math.exp(-peerLoadAgeNanos(nowNanos) / UNREAD_NANOS);
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -206,10 +206,23 @@
     /** The mean is that of the service or of the candidates, whichever is lower: others may run few requests. */
     private double loadBound(ChoiceRequest request, List<EndpointLoadState> candidates, long nowNanos) {
         List<EndpointLoadState> all = loads.ofService(request.service().name());
-        double mean = Math.min(UsableEndpoints.meanLoad(candidates, nowNanos), UsableEndpoints.meanLoad(all, nowNanos));
+        double mean = Math.min(meanLoad(candidates, nowNanos), meanLoad(all, nowNanos));
         return LOAD_BOUND_SHARE * settings.get().capFactor() * mean + LOAD_BOUND_SLACK_REQUESTS;
     }
 
+    private static double meanLoad(List<EndpointLoadState> endpoints, long nowNanos) {
+        return endpoints.stream()
+                .mapToDouble(e -> e.meanedLoad(nowNanos))
+                .average()
+                .orElse(0);
+    }
+
+    /** Returns the load that is compared with the bound; the one that was drawn counts only where there is knowledge. */
+    private static double countedLoad(EndpointLoadState e, double drawnLoad, long nowNanos) {
+        double known = e.boundedLoad(nowNanos);
+        return e.isNew(nowNanos) ? known : Math.max(drawnLoad, known);
+    }
+
     private ScoredEndpoint score(
             ChoiceRequest request, EndpointLoadState e, int rank, PromptSources sources, double bound, long nowNanos) {
         double load = drawnLoad(e, nowNanos);
@@ -227,7 +240,7 @@
         if (!settings.get().zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_PENALTY_MS;
         }
-        boolean overBound = Math.max(load, e.highestLoad(nowNanos)) + 1 > bound;
+        boolean overBound = countedLoad(e, load, nowNanos) + 1 > bound;
         if (overBound) {
             cost += OVER_BOUND_PENALTY_MS;
         }
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
@@ -54,6 +54,8 @@
     private long meansNanos = Long.MIN_VALUE;
     private double othersPerEndpoint;
     private double unreadPerEndpoint;
+    private double ownPerEndpoint;
+    private boolean hearsPeers;
     private double meanAgeNanos;
 
     /**
@@ -163,6 +165,18 @@
         return othersPerEndpoint;
     }
 
+    /** Returns the mean number of requests that this host has in flight at an endpoint. */
+    double ownPerEndpoint(long nowNanos) {
+        refresh(nowNanos);
+        return ownPerEndpoint;
+    }
+
+    /** Returns whether the load that peers put on some endpoint was heard recently. */
+    boolean hearsPeers(long nowNanos) {
+        refresh(nowNanos);
+        return hearsPeers;
+    }
+
     /** Returns the mean number of prompt tokens of other hosts that an endpoint has not read yet. */
     double unreadPerEndpoint(long nowNanos) {
         refresh(nowNanos);
@@ -201,6 +215,8 @@
         double others = 0;
         double unread = 0;
         double ages = 0;
+        int own = 0;
+        hearsPeers = false;
         int known = 0;
         for (EndpointLoadState e : endpoints) {
             if (isOpen(e) && e.isKnown(nowNanos)) {
@@ -208,10 +224,13 @@
                 others += e.othersReported(nowNanos);
                 unread += e.othersUnreadTokens(nowNanos);
                 ages += e.ageNanos(nowNanos);
+                own += e.inFlight();
+                hearsPeers |= e.hasPeerLoad(nowNanos);
             }
         }
         othersPerEndpoint = known == 0 ? 0 : others / known;
         unreadPerEndpoint = known == 0 ? 0 : unread / known;
+        ownPerEndpoint = known == 0 ? 0 : own / (double) known;
         meanAgeNanos = known == 0 ? 0 : ages / known;
     }
 
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
@@ -128,4 +129,34 @@
             assertThat(engine(0).inFlight()).isEqualTo(0);
         }
     }
+
+    /** New engines were taken to hold the mean load, which kept the bound up while all new requests went to the old ones. */
+    @Nested
+    final class WhenEnginesAppear {
+        private static final int OTHERS_LOAD = 25;
+
+        /** Two engines with load, after a report of the other hosts. */
+        private void hearOfLoad(int engines) {
+            for (int i = 0; i < engines; i++) {
+                engine(i).onPeerLoad(new PeerLoad(OTHERS_LOAD, 0, 0, 50), NOW);
+                load(engine(i), OTHERS_LOAD / 5);
+            }
+        }
+
+        @Test
+        void theyLowerTheMeanBeforeAnyReportNamesThem() {
+            Set<String> appearing = Set.of("e2", "e3", "e4", "e5");
+            for (int i = 2; i < ENGINE_COUNT; i++) {
+                loads.onRemoved(entry(i, false));
+            }
+            hearOfLoad(2);
+            for (int i = 2; i < ENGINE_COUNT; i++) {
+                loads.onUpdated(entry(i, false));
+            }
+            ChoiceRequest request =
+                    new ChoiceRequest(SERVICE, PROMPT, 800, 15_000, Set.of(), appearing, true, Optional.empty());
+            EndpointLoadState chosen = chooser.choose(request, NOW).endpoint().orElseThrow();
+            assertThat(appearing).contains(chosen.entry().id());
+        }
+    }
 }
