Count requests that were given up while their endpoints may work on them

Callers who leave make room in the hosts' counts at once, but an engine works on for a while (it "holds" what it runs and lets wait, also what its sender has given up). While many callers leave, hosts sent 6 to 9 requests to engines where they counted 3 or 4. Cause: a request left the count with its caller; the endpoint's own load report shows it only to the host that got the response, for half a second. Requests given up (caller left, deadline, silence) now count for the usual time of a request, 1.5 s at most, also in what hosts tell each other: the number in the report means requests with which the endpoint may be busy. Old builds read it as before.

Ruled out: a constant time, which would hold plain requests of some milliseconds for too long; a new field, as the number is used in the same way.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -38,11 +38,15 @@
     /** Estimated load of other hosts below which an engine counts as idle. */
     private static final double MAX_IDLE_LOAD = 0.5;
 
+    /** Longest time for which an endpoint is expected to go on with a request that was given up, in nanoseconds. */
+    private static final double MAX_LINGER_NANOS = 1.5e9;
+
     private static final LoadReport NO_REPORT = new LoadReport(0, 0, 0);
 
     private final ServiceTraffic traffic;
     private final EndpointSpeeds speeds;
     private final CachedParts cached;
+    private final RecentTimes abandoned = new RecentTimes();
     private final RestartDoubt restartDoubt = new RestartDoubt();
     private final QuietTime quiet;
     private final EndpointRate rate;
@@ -139,6 +143,17 @@
         ownTokens = inFlight == 0 ? 0 : Math.max(0, ownTokens - traffic.tokensOf(prompt));
     }
 
+    /** Records that this host gives up a request that has not ended; the endpoint may go on with it for a while. */
+    public void onAbandoned(long nowNanos) {
+        abandoned.add(nowNanos);
+    }
+
+    /** Returns the number of this host's requests with which the endpoint may be busy: in flight, or given up lately. */
+    public int held(long nowNanos) {
+        long lingerNanos = (long) Math.min(MAX_LINGER_NANOS, traffic.requestNanos());
+        return inFlight + abandoned.countAfter(nowNanos - lingerNanos);
+    }
+
     /**
      * Returns whether the memory of the engine is expected to hold one more request beside those of all hosts. An engine
      * without requests takes any, so that long prompts are not starved.
@@ -164,7 +179,7 @@
             return;
         }
         lastReport = report;
-        otherRequestsAtReport = Math.max(0, report.running() + report.waiting() - inFlight);
+        otherRequestsAtReport = Math.max(0, report.running() + report.waiting() - held(nowNanos));
         reportNanos = nowNanos;
         estimateNanos = Long.MIN_VALUE;
     }
@@ -203,7 +218,7 @@
      */
     public double load(long nowNanos) {
         estimate(nowNanos);
-        return inFlight + estimatedOthers;
+        return held(nowNanos) + estimatedOthers;
     }
 
     /** Returns the standard deviation of the load about its estimate, as requests arrived and ended since the report. */
@@ -281,7 +296,7 @@
      */
     double highestLoad(long nowNanos) {
         boolean recent = reportNanos != Long.MIN_VALUE && nowNanos - reportNanos < RECENT_REPORT_NANOS;
-        return Math.max(load(nowNanos), recent ? inFlight + otherRequestsAtReport : 0);
+        return Math.max(load(nowNanos), recent ? held(nowNanos) + otherRequestsAtReport : 0);
     }
 
     /** Returns the load that counts for the load bound: the highest one that is known. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -304,7 +304,7 @@
     /** Replaces an attempt that may still be answered; the caller has taken the retry for it. */
     private void replaceSilentAttempt(long now) {
         logFailure(AttemptFailure.SILENT.name(), 0, now);
-        endAttempt();
+        abandonAttempt(now);
         crashes.onUnfinished(now);
         giveUpAttempt(AttemptFailure.SILENT, now);
         retryOrFail(RejectReason.ENDPOINT_FAILED, true);
@@ -429,7 +429,7 @@
         logFailure("timeout", 0, now);
         endpoint.onFailure(0.5, now);
         crashes.onUnfinished(now);
-        endAttempt();
+        abandonAttempt(now);
         out.cancelAttempt();
         failAfterRun(RejectReason.TIMED_OUT);
     }
@@ -454,8 +454,9 @@
             return;
         }
         if (phase != Phase.CHOOSING) {
-            crashes.onCallerLeft(now());
-            endAttempt();
+            long now = now();
+            crashes.onCallerLeft(now);
+            abandonAttempt(now);
             out.cancelAttempt();
         }
         end("caller left", 0);
@@ -497,6 +498,12 @@
         out.wakeAt(wakeNanos);
     }
 
+    /** Ends an attempt whose endpoint may work on, as it is this host that gives it up. */
+    private void abandonAttempt(long now) {
+        endpoint.onAbandoned(now);
+        endAttempt();
+    }
+
     private void endAttempt() {
         if (!firstPartSeen) {
             firstPartSeen = true;
--- a/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/FleetLoads.java
@@ -176,9 +176,10 @@
         SumOfLoads sum = new SumOfLoads();
         for (EndpointLoadState e : loads.all()) {
             double failures = e.ownFailureScore(now);
-            if (e.inFlight() > 0 || failures >= MIN_REPORTED_FAILURE_SCORE) {
+            int held = e.held(now);
+            if (held > 0 || failures >= MIN_REPORTED_FAILURE_SCORE) {
                 int endpoint = ShortHash.of(e.idHash());
-                sum.add(List.of(new EndpointSum(endpoint, e.inFlight(), e.unreadTokens(), failures)));
+                sum.add(List.of(new EndpointSum(endpoint, held, e.unreadTokens(), failures)));
             }
         }
         List<SharedPrefix> prefixes = holdings.stream()
--- a/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
+++ b/core/src/main/java/org/dragonflygw/core/peers/HostReportFactory.java
@@ -132,8 +132,9 @@
         long now = clock.nanos();
         for (EndpointLoadState e : loads.all()) {
             double failureScore = e.ownFailureScore(now);
-            if (e.inFlight() > 0 || failureScore >= MIN_REPORTED_FAILURE_SCORE) {
-                uses.add(new EndpointUse(e.entry().id(), e.inFlight(), e.unreadTokens(), failureScore));
+            int held = e.held(now);
+            if (held > 0 || failureScore >= MIN_REPORTED_FAILURE_SCORE) {
+                uses.add(new EndpointUse(e.entry().id(), held, e.unreadTokens(), failureScore));
             }
         }
         return uses;
--- a/wire/src/main/thrift/hosts.thrift
+++ b/wire/src/main/thrift/hosts.thrift
@@ -3,7 +3,7 @@
 /** Load that one host places on one endpoint. */
 struct EndpointUseMessage {
   1: required string endpoint
-  /** Requests in flight. */
+  /** Requests in flight, and those given up lately. */
   2: required i32 inFlight
   /** Prompt tokens of these requests that the endpoint has not read yet. */
   3: required i64 unreadTokens
