Expect the other hosts to prefer what this host prefers

Six hosts choose by the same numbers, 0.1 to 0.4 s old, and fill the same engine before a report shows it: one that stayed below each host's bound held up to three times the mean. Cause: what the others have sent since their reports was taken to be their mean, also at an endpoint that this host has just sent several requests to. For the load bound their requests there are now expected to exceed the mean as this host's do, weighed with the mean like a gamma-distributed popularity, so that one request says little in a large fleet.

LoadBoundTest.WhileReportsAge failed before (90 requests where 53 are allowed).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -38,6 +38,12 @@
     /** Estimated load of other hosts below which an engine counts as idle. */
     private static final double MAX_IDLE_LOAD = 0.5;
 
+    /**
+     * Weight of the mean of the service beside this host's own requests, in requests, when the other hosts' latest requests
+     * to an endpoint are estimated.
+     */
+    private static final double MEAN_WEIGHT_REQUESTS = 0.2;
+
     /** Longest time for which an endpoint is expected to go on with a request that was given up, in nanoseconds. */
     private static final double MAX_LINGER_NANOS = 1.5e9;
 
@@ -46,6 +52,7 @@
     private final ServiceTraffic traffic;
     private final EndpointSpeeds speeds;
     private final CachedParts cached;
+    private final RecentTimes sends = new RecentTimes();
     private final RecentTimes abandoned = new RecentTimes();
     private final RestartDoubt restartDoubt = new RestartDoubt();
     private final QuietTime quiet;
@@ -109,6 +116,7 @@
 
     void onSent(Prompt prompt, long uncachedTokens, long nowNanos) {
         inFlight++;
+        sends.add(nowNanos);
         ownTokens += traffic.tokensOf(prompt);
         traffic.onTokens(traffic.tokensOf(prompt));
         unreadTokens += uncachedTokens;
@@ -299,9 +307,25 @@
         return Math.max(load(nowNanos), recent ? held(nowNanos) + otherRequestsAtReport : 0);
     }
 
-    /** Returns the load that counts for the load bound: the highest one that is known. */
+    /**
+     * Returns the load that counts for the load bound: the highest one that is known, and what the others are expected to
+     * have sent since the newest report beyond their usual share. They choose by the same reports as this host, so an
+     * endpoint that this host prefers gets more of their requests, too.
+     */
     double boundedLoad(long nowNanos) {
-        return isNew(nowNanos) ? loadIfNew(nowNanos) : highestLoad(nowNanos);
+        return isNew(nowNanos) ? loadIfNew(nowNanos) : highestLoad(nowNanos) + unusualArrivals(nowNanos);
+    }
+
+    private double unusualArrivals(long nowNanos) {
+        if (!isKnown(nowNanos)) {
+            return 0;
+        }
+        double ageNanos = ageNanos(nowNanos);
+        double arrivingShare = level * (1 - traffic.remainingShare(ageNanos));
+        double ownExpected = arrivingShare * traffic.ownPerEndpoint(nowNanos);
+        double ownUnusual = Math.max(0, sends.countAfter(nowNanos - (long) ageNanos) - ownExpected);
+        double othersExpected = arrivingShare * traffic.othersPerEndpoint(nowNanos);
+        return othersExpected * ownUnusual / (MEAN_WEIGHT_REQUESTS + ownExpected);
     }
 
     /** Returns the load that counts in the mean of the service for the load bound. */
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
@@ -159,4 +159,32 @@
             assertThat(appearing).contains(chosen.entry().id());
         }
     }
+
+    /** Several hosts filled the same engine between two reports, each of them by the same old numbers. */
+    @Nested
+    final class WhileReportsAge {
+        private static final int OTHER_HOSTS = 5;
+        private static final int OWN_LOAD = 2;
+        private static final long REPORT_AGE_MS = 200;
+
+        @Test
+        void theOtherHostsAreTakenToPreferTheSameEngine() {
+            for (EndpointLoadState e : loads.ofService(ENGINES)) {
+                load(e, OWN_LOAD);
+                e.onPeerLoad(new PeerLoad(OTHER_HOSTS * OWN_LOAD, 0, 0, 0), NOW);
+            }
+            long later = NOW + REPORT_AGE_MS * 1_000_000;
+            Set<String> others = Set.of("e1", "e2", "e3", "e4", "e5");
+            ChoiceRequest request =
+                    new ChoiceRequest(SERVICE, SMALL, 800, 15_000, Set.of(), others, true, Optional.empty());
+            int sent = 0;
+            while (chooser.choose(request, later).endpoint().orElseThrow() == engine(0)) {
+                loads.onSent(engine(0), SMALL, 0, later);
+                sent++;
+            }
+            int allHosts = 1 + OTHER_HOSTS;
+            double total = allHosts * (ENGINE_COUNT * OWN_LOAD + sent);
+            assertThat(allHosts * (OWN_LOAD + sent)).isAtMost((int) (CAP_FACTOR * total / ENGINE_COUNT + CAP_SLACK));
+        }
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/AbandonedRequestTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/AbandonedRequestTest.java
@@ -26,8 +26,7 @@
     }
 
     private List<EndpointUse> reported() {
-        return new HostReportFactory(
-                        "h", new HostAddress("h", 1), 1, f.loads, f.crashes, f.crashingParts, f.clock)
+        return new HostReportFactory("h", new HostAddress("h", 1), 1, f.loads, f.crashes, f.crashingParts, f.clock)
                 .next(1, StoreNews.NONE)
                 .uses();
     }
