Choose the least loaded endpoint where all are above the load bound

Callers' chats stayed at the fullest engine as long as it had their prompt, if the few that took requests were all above the bound, as while most of a service drains. Cause: being above the bound cost the same whatever the excess, so caches decided. The cost now grows with the excess; endpoints to which connections fail still come after all of them.

LoadBoundTest.WhenAllAreAboveTheBound failed before (the engine with 31 requests instead of that with 16).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -71,11 +71,11 @@
     /** Share of the configured multiple of the mean that is used, as load reports are delayed. */
     private static final double LOAD_BOUND_SHARE = 0.85;
 
-    /** Cost of an endpoint above the load bound, in milliseconds, among those that are chosen only as a last resort. */
-    private static final double OVER_BOUND_PENALTY_MS = 3_000;
+    /** Cost per request above the load bound, in milliseconds; higher than what any prompt costs elsewhere. */
+    private static final double OVER_BOUND_MS_PER_REQUEST = 3_000;
 
-    /** Cost of an endpoint to which connections failed recently, in milliseconds. */
-    private static final double BLOCKED_PENALTY_MS = 20_000;
+    /** Cost of an endpoint to which connections failed recently, in milliseconds; higher than that of any load. */
+    private static final double BLOCKED_PENALTY_MS = 10_000_000;
 
     /** Time after which a request that only an evacuated zone could serve may be repeated, in milliseconds. */
     private static final long EVACUATED_RETRY_MS = 1_000;
@@ -240,14 +240,12 @@
         if (!settings.get().zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_PENALTY_MS;
         }
-        boolean overBound = countedLoad(e, load, nowNanos) + 1 > bound;
-        if (overBound) {
-            cost += OVER_BOUND_PENALTY_MS;
-        }
+        double excess = Math.max(0, countedLoad(e, load, nowNanos) + 1 - bound);
+        cost += excess * OVER_BOUND_MS_PER_REQUEST;
         if (e.isBlocked(nowNanos)) {
             cost += BLOCKED_PENALTY_MS;
         }
-        Preference preference = overBound || e.isBlocked(nowNanos)
+        Preference preference = excess > 0 || e.isBlocked(nowNanos)
                 ? Preference.LAST_RESORT
                 : preferenceWithinBound(request, e, expected);
         return new ScoredEndpoint(e, preference, cost, expected, reading);
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
@@ -187,4 +187,24 @@
             assertThat(allHosts * (OWN_LOAD + sent)).isAtMost((int) (CAP_FACTOR * total / ENGINE_COUNT + CAP_SLACK));
         }
     }
+
+    /** Where all were above the bound, the fullest engine was chosen as long as it had the prompt. */
+    @Nested
+    final class WhenAllAreAboveTheBound {
+        @Test
+        void theLeastLoadedOneIsChosen() {
+            EndpointLoadState home = choose(PROMPT);
+            loads.onSent(home, PROMPT, 11_000, NOW);
+            home.onPromptRead(11_000);
+            load(home, 30);
+            EndpointLoadState other = engine(home == engine(0) ? 1 : 0);
+            load(other, 16);
+            for (int i = 0; i < ENGINE_COUNT; i++) {
+                if (engine(i) != home && engine(i) != other) {
+                    loads.onUpdated(entry(i, true));
+                }
+            }
+            assertThat(choose(PROMPT)).isSameInstanceAs(other);
+        }
+    }
 }
