Draw plain endpoints only among those below the load bound

In fleets of more than 16 hosts a plain endpoint was drawn at random by its load, also one above the bound while others were below it. Cause: the bound was looked at only after the draw, when one candidate was left. The draw now has the best class of endpoints that are not full.

FleetSizeSamplerTest.largeFleetDrawsNoEndpointAboveTheLoadBound failed before (14 requests where the mean is 4.25).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -1,11 +1,14 @@
 package org.dragonflygw.core.dispatch;
 
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 
@@ -128,7 +131,7 @@
             List<EndpointLoadState> open = usable.notFull(request, nowNanos);
             candidates = brittle.admit(open, candidates.get(0).traffic(), nowNanos);
         } else if (!request.service().hasModelEngines()) {
-            candidates = sampler.sample(usable.notFull(request, nowNanos), nowNanos);
+            candidates = sampler.sample(mostPreferred(request, bound, nowNanos), nowNanos);
         }
         ScoredEndpoint best = best(request, candidates, bound, nowNanos);
         if (best == null) {
@@ -210,6 +213,24 @@
         return LOAD_BOUND_SHARE * settings.get().capFactor() * mean + LOAD_BOUND_SLACK_REQUESTS;
     }
 
+    /** Returns the endpoints that are not full and of the best class among these, by load and not by time. */
+    private List<EndpointLoadState> mostPreferred(ChoiceRequest request, double bound, long nowNanos) {
+        Map<Preference, List<EndpointLoadState>> classes = usable.notFull(request, nowNanos).stream()
+                .collect(Collectors.groupingBy(
+                        e -> preference(request, e, e.load(nowNanos), bound, nowNanos),
+                        () -> new EnumMap<>(Preference.class),
+                        Collectors.toList()));
+        return classes.isEmpty() ? List.of() : classes.values().iterator().next();
+    }
+
+    private static Preference preference(
+            ChoiceRequest request, EndpointLoadState e, double load, double bound, long nowNanos) {
+        if (countedLoad(e, load, nowNanos) + 1 > bound || e.isBlocked(nowNanos)) {
+            return Preference.LAST_RESORT;
+        }
+        return request.avoided().contains(e.entry().id()) ? Preference.AVOIDED : Preference.PREFERRED;
+    }
+
     private static double meanLoad(List<EndpointLoadState> endpoints, long nowNanos) {
         return endpoints.stream()
                 .mapToDouble(e -> e.meanedLoad(nowNanos))
@@ -240,22 +261,15 @@
         if (!settings.get().zone().equals(e.entry().zone())) {
             cost += OTHER_ZONE_PENALTY_MS;
         }
-        double excess = Math.max(0, countedLoad(e, load, nowNanos) + 1 - bound);
-        cost += excess * OVER_BOUND_MS_PER_REQUEST;
+        cost += Math.max(0, countedLoad(e, load, nowNanos) + 1 - bound) * OVER_BOUND_MS_PER_REQUEST;
         if (e.isBlocked(nowNanos)) {
             cost += BLOCKED_PENALTY_MS;
         }
-        Preference preference = excess > 0 || e.isBlocked(nowNanos)
-                ? Preference.LAST_RESORT
-                : preferenceWithinBound(request, e, expected);
-        return new ScoredEndpoint(e, preference, cost, expected, reading);
-    }
-
-    private static Preference preferenceWithinBound(ChoiceRequest request, EndpointLoadState e, double expectedMs) {
-        if (expectedMs > request.remainingMs()) {
-            return Preference.TOO_LATE;
+        Preference preference = preference(request, e, load, bound, nowNanos);
+        if (preference != Preference.LAST_RESORT && expected > request.remainingMs()) {
+            preference = Preference.TOO_LATE;
         }
-        return request.avoided().contains(e.entry().id()) ? Preference.AVOIDED : Preference.PREFERRED;
+        return new ScoredEndpoint(e, preference, cost, expected, reading);
     }
 
     private static double loadCostMs(EndpointLoadState e, long nowNanos) {
--- a/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizeSamplerTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/FleetSizeSamplerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -70,6 +71,23 @@
         }
     }
 
+    /** Guards against a plain endpoint that is drawn at random though it holds a multiple of the mean load. */
+    @Test
+    void largeFleetDrawsNoEndpointAboveTheLoadBound() {
+        EndpointLoads loads = loads();
+        List<EndpointLoadState> all = loads.ofService("app");
+        for (int i = 0; i < ENDPOINTS; i++) {
+            all.get(i).onPeerLoad(new PeerLoad(i == 0 ? 14 : 1, 0, 0), NOW);
+        }
+        FleetSizeSampler sampler = new FleetSizeSampler(() -> OptionalInt.of(60), new SplittableRandom(1));
+        ExpectedTimeChooser chooser = new ExpectedTimeChooser(loads, () -> new DispatchSettings("a", 2), sampler);
+        CatalogService service = new CatalogService("app", "/", 96, 6, 0, 0);
+        ChoiceRequest request = new ChoiceRequest(service, Prompt.NONE, 150, 600, Set.of());
+        for (int i = 0; i < 500; i++) {
+            assertThat(chooser.choose(request, NOW).endpoint()).isNotEqualTo(Optional.of(all.get(0)));
+        }
+    }
+
     /** An engine accepts requests but never responds. Peers have reported its failures. */
     @Test
     void largeFleetRarelyChoosesAFailingEndpoint() {
