Let hosts learn sooner that a new version is named

During a release to newer software the other hosts kept new streams to the old endpoints for 0.5 to 1.5 s, until they read the row that the writer had made within 0.2 s: all traffic then meets at the few old endpoints that take requests. They read it 0.25 to 0.6 s after they see the version now; the number of reads stays one for each host (at most 11 for 12 hosts in the test).

VersionKeeperTest.Writing.allHostsKnowWithinASecondThatANewVersionIsNamed failed before.

--- a/core/src/main/java/org/dragonflygw/core/resume/VersionKeeper.java
+++ b/core/src/main/java/org/dragonflygw/core/resume/VersionKeeper.java
@@ -25,9 +25,9 @@
     private static final long START_MS = 3_000;
 
     /** Least and greatest time after which a host looks whether another one has written; the writer needs a fraction. */
-    private static final long LOOK_MIN_MS = 500;
+    private static final long LOOK_MIN_MS = 250;
 
-    private static final long LOOK_MAX_MS = 1_500;
+    private static final long LOOK_MAX_MS = 600;
 
     /** Least and greatest time after which a host writes for which another one should have written. */
     private static final long TAKE_OVER_MIN_MS = 2_000;
--- a/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
+++ b/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
@@ -109,6 +109,18 @@
             assertThat(fleet.store.writes).isAtLeast(3);
         }
 
+        /** Guards against hosts that keep to the few old endpoints for long during a release. */
+        @Test
+        void allHostsKnowWithinASecondThatANewVersionIsNamed() {
+            VersionFleet many = new VersionFleet(12);
+            many.enter("e", "v1").run(10_000);
+            int readsBefore = many.store.reads;
+            many.enter("f", "v2").run(1_000);
+            many.hosts.forEach(h ->
+                    assertThat(h.versions.unnamedEndpoints(VersionFleet.SERVICE)).isEmpty());
+            assertThat(many.store.reads - readsBefore).isAtMost(11);
+        }
+
         private Set<String> namedByStore() {
             Set<String> named = new TreeSet<>();
             fleet.store.rows.forEach((key, versions) -> {
