--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -42,7 +42,7 @@
      * Weight of the mean of the service beside this host's own requests, in requests, when the other hosts' latest requests
      * to an endpoint are estimated.
      */
-    private static final double MEAN_WEIGHT_REQUESTS = 0.2;
+    private static final double MEAN_WEIGHT_REQUESTS = 0.05;
 
     /** Longest time for which an endpoint is expected to go on with a request that was given up, in nanoseconds. */
     private static final double MAX_LINGER_NANOS = 1.5e9;
