Move the gauges of endpoints out of EdgeNode; compute the mean load once

The load bound went over the service twice for each request, also where all of its endpoints are candidates. No behaviour changes.

--- a/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ExpectedTimeChooser.java
@@ -209,7 +209,10 @@
     /** The mean is that of the service or of the candidates, whichever is lower: others may run few requests. */
     private double loadBound(ChoiceRequest request, List<EndpointLoadState> candidates, long nowNanos) {
         List<EndpointLoadState> all = loads.ofService(request.service().name());
-        double mean = Math.min(meanLoad(candidates, nowNanos), meanLoad(all, nowNanos));
+        double mean = meanLoad(all, nowNanos);
+        if (candidates.size() < all.size()) {
+            mean = Math.min(mean, meanLoad(candidates, nowNanos));
+        }
         return LOAD_BOUND_SHARE * settings.get().capFactor() * mean + LOAD_BOUND_SLACK_REQUESTS;
     }
 
--- a/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
+++ b/core/src/test/java/org/dragonflygw/core/resume/VersionKeeperTest.java
@@ -116,8 +116,8 @@
             many.enter("e", "v1").run(10_000);
             int readsBefore = many.store.reads;
             many.enter("f", "v2").run(1_000);
-            many.hosts.forEach(h ->
-                    assertThat(h.versions.unnamedEndpoints(VersionFleet.SERVICE)).isEmpty());
+            many.hosts.forEach(h -> assertThat(h.versions.unnamedEndpoints(VersionFleet.SERVICE))
+                    .isEmpty());
             assertThat(many.store.reads - readsBefore).isAtMost(11);
         }
 
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -26,7 +26,6 @@
 import org.dragonflygw.core.dispatch.EndpointLoads;
 import org.dragonflygw.core.dispatch.ExpectedTimeChooser;
 import org.dragonflygw.core.dispatch.FleetSizeSampler;
-import org.dragonflygw.core.dispatch.Preference;
 import org.dragonflygw.core.dispatch.RoundRobinChooser;
 import org.dragonflygw.core.dispatch.ServiceRoom;
 import org.dragonflygw.core.dispatch.TwoChoicesChooser;
@@ -66,6 +65,7 @@
 import org.dragonflygw.edge.front.RelayContext;
 import org.dragonflygw.edge.log.GuardedTask;
 import org.dragonflygw.edge.ops.EdgeMetrics;
+import org.dragonflygw.edge.ops.EndpointGauges;
 import org.dragonflygw.edge.ops.OpsServer;
 import org.dragonflygw.edge.peers.LoadExchange;
 import org.dragonflygw.edge.peers.PeerMessages;
@@ -218,6 +218,7 @@
      * @param metricsPort port of this host that serves the metrics
      */
     public void start(int metricsPort) {
+        new EndpointGauges(loads, System::nanoTime).register(metrics);
         metrics.registerGauge("open_requests", frontState::openCalls);
         metrics.registerGauge("caller_connections", frontState::connectionCount);
         metrics.registerGauge("config_version", catalogs::version);
@@ -228,16 +229,7 @@
         metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
         metrics.registerGauge("crashing_parts", crashingParts::count);
         metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
-        metrics.registerGauge("services_brittle", () -> loads.brittleCount(System.nanoTime()));
         metrics.registerGauge("services_out_of_reach", paths::lostCount);
-        metrics.registerGauge("endpoint_limits", loads.rates()::limitedCount);
-        metrics.registerGauge("evacuated_zones", loads.evacuated()::count);
-        metrics.registerGauge("requests_in_evacuated_zones", loads::requestsInEvacuatedZones);
-        metrics.registerGauge("endpoints_cold", loads.rates()::coldCount);
-        metrics.registerGauge("requests_sent_last_resort_total", () -> loads.chosenCount(Preference.LAST_RESORT));
-        metrics.registerGauge("requests_sent_avoided_total", () -> loads.chosenCount(Preference.AVOIDED));
-        metrics.registerGauge("load_spread_percent", () -> loads.maxSpreadPercent(System.nanoTime()));
-        metrics.registerGauge("load_knowledge_age_ms", () -> loads.maxKnowledgeAgeMs(System.nanoTime()));
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
         metrics.registerGauge("permit_requests_unanswered_total", permits::unansweredCount);
