--- a/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
+++ b/wire/src/test/java/org/dragonflygw/wire/codec/HostReportCodecTest.java
@@ -7,38 +7,18 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.Set;
 import java.util.SplittableRandom;
-import org.dragonflygw.core.catalog.CallerLimits;
-import org.dragonflygw.core.catalog.CatalogChange;
-import org.dragonflygw.core.catalog.CatalogRoute;
-import org.dragonflygw.core.catalog.CatalogService;
-import org.dragonflygw.core.catalog.CatalogTeam;
-import org.dragonflygw.core.catalog.RouteKind;
-import org.dragonflygw.core.catalog.WeightedService;
-import org.dragonflygw.core.crash.CrashReport;
-import org.dragonflygw.core.crash.CrashSuspect;
 import org.dragonflygw.core.crash.CrashSuspects;
 import org.dragonflygw.core.crash.CrashingParts;
-import org.dragonflygw.core.crash.EndpointLosses;
-import org.dragonflygw.core.crash.PartReport;
-import org.dragonflygw.core.crash.PartSuspect;
-import org.dragonflygw.core.crash.SoundPart;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.LeavingEndpoint;
-import org.dragonflygw.core.dispatch.PromptPart;
 import org.dragonflygw.core.evacuation.EvacuationNews;
 import org.dragonflygw.core.log.NoOpEventLog;
 import org.dragonflygw.core.peers.EndpointUse;
 import org.dragonflygw.core.peers.HostReport;
-import org.dragonflygw.core.peers.PromptHolding;
 import org.dragonflygw.core.ratelimit.RateNotice;
 import org.dragonflygw.core.ratelimit.RateReport;
-import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.storenews.CatalogUpdate;
 import org.dragonflygw.core.storenews.ConfigurationNews;
 import org.dragonflygw.core.storenews.EndpointChange;
 import org.dragonflygw.core.storenews.StoreNews;
@@ -53,72 +33,9 @@
 
     private final HostReportCodec codec = new HostReportCodec();
 
-    private static CatalogUpdate update() {
-        CatalogRoute route = new CatalogRoute(
-                "r",
-                "h",
-                "/p/",
-                RouteKind.STREAMING,
-                3_000,
-                500,
-                1,
-                List.of(new WeightedService("s", 3), new WeightedService("t", 1)),
-                2,
-                true,
-                false,
-                true,
-                400);
-        CatalogChange change = new CatalogChange(
-                7,
-                new CallerLimits(1, 2, 3, 4),
-                true,
-                List.of(route),
-                List.of("gone"),
-                List.of(
-                        new CatalogService("s", "/h", 1, 2, 3, 4),
-                        new CatalogService("cold", "/h", 1, 2, 3, 4, 20_000, 2.5)),
-                List.of("t"),
-                Map.of("k1", new CatalogTeam("a", OptionalInt.of(2)), "k2", new CatalogTeam("b", OptionalInt.empty())),
-                List.of("k3"));
-        return new CatalogUpdate(5, 9, change);
-    }
-
-    private static HostReport report() {
-        DiscoveredEndpoint e = new DiscoveredEndpoint("i-1", "s", "10.0.0.1", 80, "a", 8, true, 0, 4, "v1");
-        StoreNews news = new StoreNews(
-                0,
-                true,
-                9,
-                20,
-                3,
-                List.of(new EndpointChange("i-1", Optional.of(e), 8), new EndpointChange("i-2", Optional.empty(), 9)),
-                new ConfigurationNews(9, 0, 30, List.of(update())),
-                new EvacuationNews(77, List.of("zone-a", "zone-b")));
-        return new HostReport(
-                "h1",
-                new HostAddress("10.0.0.2", 7_000),
-                1,
-                2,
-                List.of(new EndpointUse("i-1", 3, 4, 0.25)),
-                List.of(new PromptHolding("i-1", List.of(new PromptPart(5, 6)))),
-                new CrashReport(
-                        List.of(new CrashSuspect(77, Set.of("i-1", "i-2"), 1_500)),
-                        List.of(new EndpointLosses("i-3", List.of(80L, -81L), 200)),
-                        List.of(78L, -79L)),
-                new PartReport(
-                        List.of(new PartSuspect(91, Map.of("i-4#1", new PartSuspect.Loss(900, 300)))),
-                        List.of(new SoundPart(-92, 40))),
-                List.of(new LeavingEndpoint("i-3", 17, 250)),
-                List.of(
-                        new RateReport("i-4", 18, RateNotice.limited(2.5), 400, 300),
-                        new RateReport("i-5", 19, RateNotice.UNLIMITED, 40, 30),
-                        new RateReport("i-6", 20, RateNotice.UNREADABLE, 60, 50, 7_000, 2.5)),
-                news);
-    }
-
     @Test
     void decodedReportEqualsTheEncodedOne() {
-        assertThat(codec.decode(codec.encode(report()))).isEqualTo(report());
+        assertThat(codec.decode(codec.encode(MessageSamples.report()))).isEqualTo(MessageSamples.report());
     }
 
     /** Guards against reports of many losses that do not fit into a datagram. */
@@ -139,7 +56,7 @@
             parts.onLostAtBeginning(List.of((long) i % 100, random.nextLong()), endpoint, 0, 1);
             parts.onEndpointEnded(endpoint, 1);
         }
-        HostReport empty = report();
+        HostReport empty = MessageSamples.report();
         HostReport full = new HostReport(
                 empty.host(),
                 empty.address(),
@@ -209,7 +126,7 @@
 
     @Test
     void truncatedReportIsRejectedAtEveryLength() {
-        byte[] whole = codec.encode(report());
+        byte[] whole = codec.encode(MessageSamples.report());
         for (int length = 0; length < whole.length; length++) {
             byte[] truncated = Arrays.copyOf(whole, length);
             assertThrows(WireException.class, () -> codec.decode(truncated));
@@ -218,7 +135,7 @@
 
     @Test
     void reportWithUnknownRouteKindIsRejected() {
-        byte[] whole = codec.encode(report());
+        byte[] whole = codec.encode(MessageSamples.report());
         String text = new String(whole, StandardCharsets.ISO_8859_1);
         byte[] changed = text.replace("STREAMING", "TELEPATHY").getBytes(StandardCharsets.ISO_8859_1);
         assertThrows(WireException.class, () -> codec.decode(changed));
