Learn the configuration in force also from hosts that have not read since the store came back

It waits until all others were heard before it trusts the copy, but news that name an earlier era were ignored as a whole, with the version of the configuration that the others have in force, and for up to a read's interval all others still name the earlier era. Versions of rows are another era's; the operator's versions hold, and are compared now.

StoreNewsApplierTest.NewsFromBeforeTheStoreCameBack.tellWhichConfigurationIsInForce failed before.

--- a/core/src/main/java/org/dragonflygw/core/storenews/CatalogUpdateTarget.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/CatalogUpdateTarget.java
@@ -6,7 +6,8 @@
     long rowVersion();
 
     /**
-     * Records the version of the configuration that another host has in force beside the same row.
+     * Records the version of the configuration that another host has in force beside the same row, or by a row that the
+     * store may have lost.
      *
      * @return whether this host has the newest configuration that it knows of in force, so that its keys can be confirmed
      */
--- a/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
+++ b/core/src/main/java/org/dragonflygw/core/storenews/StoreNewsApplier.java
@@ -55,6 +55,9 @@
             CatalogUpdateTarget catalog) {
         boolean sameEra = era.onSeen(news.era(), "report") && news.era() == era.current();
         if (!sameEra) {
+            // Versions of rows are those of another era, but the operator's versions hold: the store may have lost this
+            // one.
+            catalog.onVersionInForce(news.configuration().configVersion());
             return;
         }
         applyEndpoints(news, arrivedAfterNanos, endpoints);
--- a/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
+++ b/core/src/test/java/org/dragonflygw/core/storenews/StoreNewsApplierTest.java
@@ -128,6 +128,34 @@
         }
     }
 
+    /** A host that has started after the store came back from a copy hears others that have not read since. */
+    @Nested
+    final class NewsFromBeforeTheStoreCameBack {
+        private void applyOfEra(long era) {
+            ConfigurationNews news = new ConfigurationNews(8, 20, 10, List.of());
+            apply(new StoreNews(era, true, 14, 20, 8, List.of(), news, EvacuationNews.UNKNOWN));
+        }
+
+        /** Guards against a revoked key that is accepted because the news of its revocation were ignored. */
+        @Test
+        void tellWhichConfigurationIsInForce() {
+            applyOfEra(4);
+            catalog.versionInForce = 0;
+            applyOfEra(3);
+            assertThat(catalog.versionInForce).isEqualTo(20);
+        }
+
+        @Test
+        void changeNothingElse() {
+            applyOfEra(4);
+            int reads = configuration.reads;
+            endpoints.version = 10;
+            applyOfEra(3);
+            assertThat(configuration.reads).isEqualTo(reads);
+            assertThat(endpoints.version).isEqualTo(10);
+        }
+    }
+
     @Nested
     final class ConfigurationVersions {
         @Test
@@ -248,9 +276,11 @@
 
         private long rowVersion = 5;
         private int appliedCount;
+        private long versionInForce;
 
         @Override
         public boolean onVersionInForce(long configVersion) {
+            versionInForce = configVersion;
             return true; // ConfigurationFeedTest covers what follows from it.
         }
 
