Estimate the others' requests at new endpoints by all known ones

Cause: the proportion of the others' traffic was taken from known endpoints that take requests, of which there are none then. It is taken from all known endpoints now, draining ones as well.

LoadBoundTest.WhenAllEnginesAreReplaced failed before (24 requests where 19 are allowed).

--- a/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/EndpointLoadState.java
@@ -340,8 +340,7 @@
 
     /** The others are taken to have sent as many requests to a new endpoint as this host, each in proportion to its traffic. */
     private double loadIfNew(long nowNanos) {
-        double own = traffic.ownPerEndpoint(nowNanos);
-        return own == 0 ? inFlight : inFlight * (1 + traffic.othersPerEndpoint(nowNanos) / own);
+        return inFlight * (1 + traffic.othersPerOwn(nowNanos));
     }
 
     /** Returns whether the load that peers put on the endpoint was heard recently. */
--- a/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
+++ b/core/src/main/java/org/dragonflygw/core/dispatch/ServiceTraffic.java
@@ -55,6 +55,7 @@
     private double othersPerEndpoint;
     private double unreadPerEndpoint;
     private double ownPerEndpoint;
+    private double othersPerOwn;
     private boolean hearsPeers;
     private double meanAgeNanos;
 
@@ -171,6 +172,12 @@
         return ownPerEndpoint;
     }
 
+    /** Returns the requests of the other hosts for each of this host's, at all known endpoints; 0 if this host has none. */
+    double othersPerOwn(long nowNanos) {
+        refresh(nowNanos);
+        return othersPerOwn;
+    }
+
     /** Returns whether the load that peers put on some endpoint was heard recently. */
     boolean hearsPeers(long nowNanos) {
         refresh(nowNanos);
@@ -216,22 +223,30 @@
         double unread = 0;
         double ages = 0;
         int own = 0;
+        int open = 0;
+        double othersOfAll = 0;
+        int ownOfAll = 0;
         hearsPeers = false;
-        int known = 0;
         for (EndpointLoadState e : endpoints) {
-            if (isOpen(e) && e.isKnown(nowNanos)) {
-                known++;
+            if (!e.isKnown(nowNanos)) {
+                continue;
+            }
+            hearsPeers |= e.hasPeerLoad(nowNanos);
+            othersOfAll += e.othersReported(nowNanos);
+            ownOfAll += e.inFlight();
+            if (isOpen(e)) {
+                open++;
                 others += e.othersReported(nowNanos);
                 unread += e.othersUnreadTokens(nowNanos);
                 ages += e.ageNanos(nowNanos);
                 own += e.inFlight();
-                hearsPeers |= e.hasPeerLoad(nowNanos);
             }
         }
-        othersPerEndpoint = known == 0 ? 0 : others / known;
-        unreadPerEndpoint = known == 0 ? 0 : unread / known;
-        ownPerEndpoint = known == 0 ? 0 : own / (double) known;
-        meanAgeNanos = known == 0 ? 0 : ages / known;
+        othersPerOwn = ownOfAll == 0 ? 0 : othersOfAll / ownOfAll;
+        othersPerEndpoint = open == 0 ? 0 : others / open;
+        unreadPerEndpoint = open == 0 ? 0 : unread / open;
+        ownPerEndpoint = open == 0 ? 0 : own / (double) open;
+        meanAgeNanos = open == 0 ? 0 : ages / open;
     }
 
     private static boolean isOpen(EndpointLoadState e) {
--- a/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
+++ b/core/src/test/java/org/dragonflygw/core/dispatch/LoadBoundTest.java
@@ -160,6 +160,31 @@
         }
     }
 
+    /** All engines that take requests were new, and each host counted its own requests only. */
+    @Nested
+    final class WhenAllEnginesAreReplaced {
+        private static final int OTHER_HOSTS = 5;
+
+        @Test
+        void theOtherHostsAreTakenToFillTheNewOnesToo() {
+            for (int i = 0; i < 3; i++) {
+                engine(i).onPeerLoad(new PeerLoad(OTHER_HOSTS * 10, 0, 0, 50), NOW);
+                load(engine(i), 10);
+                loads.onUpdated(entry(i, true));
+            }
+            ChoiceRequest request = new ChoiceRequest(
+                    SERVICE, SMALL, 800, 15_000, Set.of(), Set.of("e4", "e5"), true, Optional.empty());
+            long later = NOW + 50_000_000;
+            int sent = 0;
+            while (chooser.choose(request, later).endpoint().orElseThrow() == engine(3)) {
+                loads.onSent(engine(3), SMALL, 0, later);
+                sent++;
+            }
+            double total = (1 + OTHER_HOSTS) * (double) sent;
+            assertThat(total).isAtMost(CAP_FACTOR * total / 3 + CAP_SLACK);
+        }
+    }
+
     /** Several hosts filled the same engine between two reports, each of them by the same old numbers. */
     @Nested
     final class WhileReportsAge {
