--- a/edge/src/test/java/org/dragonflygw/edge/soak/FreePorts.java
+++ b/edge/src/test/java/org/dragonflygw/edge/process/FreePorts.java
@@ -1,11 +1,11 @@
-package org.dragonflygw.edge.soak;
+package org.dragonflygw.edge.process;
 
 import org.dragonflygw.standins.loopback.LoopbackPorts;
 
 /** Finds free ports for edge processes. */
-final class FreePorts {
+public final class FreePorts {
     /** Number of ports reserved for each host; not all are used. */
-    static final int PORTS_PER_HOST = 10;
+    public static final int PORTS_PER_HOST = 10;
 
     private static final int FIRST_PORT = 23_000;
     private static final int LAST_PORT = 31_000;
@@ -13,7 +13,7 @@
     private FreePorts() {}
 
     /** Returns the first port of a free range for the given number of hosts. */
-    static int first(int hosts) {
+    public static int first(int hosts) {
         int count = hosts * PORTS_PER_HOST;
         for (int first = FIRST_PORT; first < LAST_PORT; first += count) {
             if (LoopbackPorts.areFree(first, count)) {
--- a/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/Soak.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.dragonflygw.edge.process.EdgeProcess;
+import org.dragonflygw.edge.process.FreePorts;
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 import org.dragonflygw.standins.loopback.LoopbackConfiguration;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakCaller.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakCaller.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.dragonflygw.edge.process.HttpHead;
 
 /**
  * Caller that sends one request after the other over persistent connections, one per host, and takes up streams that were
@@ -149,7 +150,7 @@
 
     private Outcome read(Socket socket, AttemptFacts facts, long sentNanos, StringBuilder body) throws IOException {
         InputStream in = new BufferedInputStream(socket.getInputStream());
-        SoakEndpoint.HttpHead head = SoakEndpoint.HttpHead.read(in);
+        HttpHead head = HttpHead.read(in);
         if (head == null) {
             throw new IOException("closed without an answer");
         }
@@ -172,13 +173,13 @@
     private static boolean readChunks(InputStream in, StringBuilder body) throws IOException {
         try {
             while (true) {
-                String size = SoakEndpoint.HttpHead.line(in);
+                String size = HttpHead.line(in);
                 if (size == null) {
                     return false;
                 }
                 int length = Integer.parseInt(size, 16);
                 body.append(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
-                if (SoakEndpoint.HttpHead.line(in) == null) {
+                if (HttpHead.line(in) == null) {
                     return false;
                 }
                 if (length == 0) {
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakEndpoint.java
@@ -10,14 +10,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import org.dragonflygw.edge.process.HttpHead;
 
 /** Test endpoint that records the requests it executes and can be made to fail. */
 final class SoakEndpoint implements AutoCloseable {
@@ -286,50 +285,4 @@
             throw new UncheckedIOException(e);
         }
     }
-
-    /** Head of an HTTP message: the first line, and the header fields by their names in lower case. */
-    record HttpHead(String firstLine, Map<String, String> fields) {
-        static HttpHead read(InputStream in) throws IOException {
-            String first = line(in);
-            if (first == null || first.isEmpty()) {
-                return null;
-            }
-            Map<String, String> fields = new TreeMap<>();
-            for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
-                int colon = line.indexOf(':');
-                fields.put(
-                        line.substring(0, colon).toLowerCase(Locale.ROOT),
-                        line.substring(colon + 1).strip());
-            }
-            return new HttpHead(first, fields);
-        }
-
-        static String line(InputStream in) throws IOException {
-            StringBuilder line = new StringBuilder();
-            int b = in.read();
-            while (b >= 0 && b != '\n') {
-                if (b != '\r') {
-                    line.append((char) b);
-                }
-                b = in.read();
-            }
-            return b < 0 ? null : line.toString();
-        }
-
-        String field(String name) {
-            return fields.getOrDefault(name, "");
-        }
-
-        String target() {
-            return firstLine.split(" ", -1)[1];
-        }
-
-        int status() {
-            return Integer.parseInt(firstLine.split(" ", -1)[1]);
-        }
-
-        int contentLength() {
-            return Integer.parseInt(fields.getOrDefault("content-length", "0"));
-        }
-    }
 }
--- a/edge/src/test/java/org/dragonflygw/edge/soak/SoakTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/soak/SoakTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.file.Path;
+import org.dragonflygw.edge.process.FreePorts;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
