Show with a real process what heads of very many short lines cost

The bounds are those of the issue: the process lives, its memory stays far under the machine's and its descriptors under the limit, and an ordinary request is answered afterwards.

--- a/edge/src/test/java/org/dragonflygw/edge/process/EdgeProcess.java
+++ b/edge/src/test/java/org/dragonflygw/edge/process/EdgeProcess.java
@@ -7,10 +7,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.dragonflygw.edge.EdgeMain;
 import org.dragonflygw.standins.loopback.EdgeSettingsFile;
 
@@ -83,6 +85,32 @@
         return settings.firstPort();
     }
 
+    /** Returns the port of the readiness check. */
+    public int readinessPort() {
+        return settings.firstPort() + 1;
+    }
+
+    /** Whether the process runs. */
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Returns the resident memory of the process in kB. */
+    public long residentKb() throws IOException {
+        return Files.readAllLines(Path.of("/proc", String.valueOf(process.pid()), "status")).stream()
+                .filter(l -> l.startsWith("VmRSS:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")))
+                .findFirst()
+                .orElse(0);
+    }
+
+    /** Returns the number of open file descriptors of the process. */
+    public int descriptors() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("/proc", String.valueOf(process.pid()), "fd"))) {
+            return (int) files.count();
+        }
+    }
+
     /** Whether the readiness check answers with 200. */
     public boolean isReady() {
         try (Socket s = new Socket()) {
