Copy small parts of request bodies instead of keeping the buffers they came in

Parts under 4 kB are copied. The test with such chunks (HeaderCrowdProcessTest) passed before, as it checks only that the process lives; it guards what it did.

--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -52,6 +52,9 @@
     /** Open requests that this host takes from other hosts, beside those of its own callers. */
     private static final int MAX_RELAYED_CALLS = 256;
 
+    /** Least size of a part of a body that is kept in the buffer in which it was received, in bytes; smaller ones are copied. */
+    private static final int MIN_KEPT_BYTES = 4_096;
+
     private final FrontHandler connection;
     private final FrontContext front;
     private final String method;
@@ -103,7 +106,7 @@
         if (!front.state().tryReserveBytes(bytes.readableBytes())) {
             return false;
         }
-        body.addComponent(true, bytes.retain());
+        body.addComponent(true, bytes.readableBytes() < MIN_KEPT_BYTES ? Unpooled.copiedBuffer(bytes) : bytes.retain());
         return true;
     }
 
