Ask further endpoints before refusals show that a host is cut off

Cause: three probes of endpoints drawn at random, all of which had just ended and were still listed, counted as lost paths; all hosts were so at once.

As long as all that were asked refuse, three further ones are asked, twelve in all; probes that hang count as before, so a host whose connections hang notices as soon. EndpointPathsTest.surviveEndsOfMostEndpoints failed before (lost twice in 10 s with six of eight endpoints ended). A service that is down costs at most twelve probes a host at first.

Ruled out: bytes on old connections as a sign of sound paths (EndpointPathsTest.areNotHiddenByAnOpenConnection).

--- a/core/src/main/java/org/dragonflygw/core/paths/EndpointPaths.java
+++ b/core/src/main/java/org/dragonflygw/core/paths/EndpointPaths.java
@@ -22,7 +22,10 @@
  */
 public final class EndpointPaths {
     /** Endpoints that are probed at once on a suspicion. */
-    private static final int PROBES_PER_ROUND = 3;
+    private static final int PROBES_AT_ONCE = 3;
+
+    /** Endpoints that are probed in one round at most, as long as all refuse connections: all may have ended but one. */
+    private static final int MAX_PROBES_PER_ROUND = 12;
 
     /** Endpoints that are probed at once while the paths are lost; a whole fleet may do so when a service is down. */
     private static final int PROBES_WHILE_LOST = 1;
@@ -123,13 +126,17 @@
         paths.onRoundStarted(now);
         List<EndpointLoadState> endpoints = new ArrayList<>(loads.ofService(service));
         Collections.shuffle(endpoints, random);
-        int asked = Math.min(paths.isLost() ? PROBES_WHILE_LOST : PROBES_PER_ROUND, endpoints.size());
-        if (asked == 0) {
+        int most = Math.min(paths.isLost() ? PROBES_WHILE_LOST : MAX_PROBES_PER_ROUND, endpoints.size());
+        if (most == 0) {
             return; // Nothing is known of a path to no endpoint.
         }
-        ProbeRound round = new ProbeRound(reason, asked, now);
+        ProbeRound round = new ProbeRound(reason, endpoints.subList(0, most), now);
         rounds.put(service, round);
-        for (EndpointLoadState e : endpoints.subList(0, asked)) {
+        ask(service, round);
+    }
+
+    private void ask(String service, ProbeRound round) {
+        for (EndpointLoadState e : round.next(PROBES_AT_ONCE)) {
             probe.probe(e.entry(), result -> onResult(service, round, result));
         }
     }
@@ -137,6 +144,8 @@
     private void onResult(String service, ProbeRound round, EndpointProbe.Result result) {
         if (round.add(result)) {
             end(service, round);
+        } else if (round.mayAskMore()) {
+            ask(service, round);
         }
     }
 
--- a/core/src/main/java/org/dragonflygw/core/paths/ProbeRound.java
+++ b/core/src/main/java/org/dragonflygw/core/paths/ProbeRound.java
@@ -1,25 +1,56 @@
 package org.dragonflygw.core.paths;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.exchange.EndpointProbe;
 
-/** One round of probes of endpoints of a service. Not thread-safe. */
+/**
+ * One round of probes of endpoints of a service. Endpoints that refuse connections may have ended, so further ones are asked
+ * before the round shows anything. Not thread-safe.
+ */
 final class ProbeRound {
     /** Probes without an answer from which a round shows that the paths are lost, if it asked so many. */
     private static final int MIN_FAILED = 2;
 
     private final long startNanos;
     private final ServicePaths.Suspicion reason;
-    private final int asked;
+    private final Deque<EndpointLoadState> further;
+    private int asked;
     private int failed;
+    private boolean allRefused = true;
     private boolean reached;
     private boolean ended;
 
-    ProbeRound(ServicePaths.Suspicion reason, int asked, long startNanos) {
+    /**
+     * Creates a round that has asked no endpoint.
+     *
+     * @param endpoints the endpoints that may be asked, in order
+     */
+    ProbeRound(ServicePaths.Suspicion reason, Collection<EndpointLoadState> endpoints, long startNanos) {
         this.reason = reason;
-        this.asked = asked;
+        this.further = new ArrayDeque<>(endpoints);
         this.startNanos = startNanos;
     }
 
+    /** Returns the next endpoints to ask, at most so many. */
+    List<EndpointLoadState> next(int count) {
+        List<EndpointLoadState> next = new ArrayList<>();
+        while (next.size() < count && !further.isEmpty()) {
+            next.add(further.poll());
+        }
+        asked += next.size();
+        return next;
+    }
+
+    /** Whether all endpoints that were asked have refused, and there are more. */
+    boolean mayAskMore() {
+        return !ended && !reached && failed == asked && allRefused && !further.isEmpty();
+    }
+
     long startNanos() {
         return startNanos;
     }
@@ -45,8 +76,9 @@
             reached = true;
         } else {
             failed++;
+            allRefused &= result == EndpointProbe.Result.ENDED;
         }
-        return reached || failed == asked;
+        return reached || (failed == asked && !mayAskMore());
     }
 
     void end() {
--- a/core/src/test/java/org/dragonflygw/core/paths/EndpointPathsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/paths/EndpointPathsTest.java
@@ -143,6 +143,19 @@
             assertThat(changes).contains("regained llm");
         }
 
+        /** Guards against a whole fleet that connects to all endpoints of a large service that is down. */
+        @Test
+        void areNoticedAfterABoundedNumberOfRefusals() {
+            for (int i = 8; i < 300; i++) {
+                loads.onUpdated(entry("llm", i));
+            }
+            cutAll();
+            paths.onConnectionFailed(entry("llm", 0));
+            run(600);
+            assertThat(paths.isLost("llm")).isTrue();
+            assertThat(probed.stream().filter(e -> e.startsWith("llm")).count()).isAtMost(14);
+        }
+
         @Test
         void areProbedAtABoundedRate() {
             cutAll();
@@ -164,6 +177,19 @@
             assertThat(changes).isEmpty();
         }
 
+        /** Guards against a host that takes itself for cut off while endpoints that have just ended are still listed. */
+        @Test
+        void surviveEndsOfMostEndpoints() {
+            for (int i = 0; i < 6; i++) {
+                unreachable.add("llm" + i);
+            }
+            for (int i = 0; i < 20; i++) {
+                paths.onConnectionFailed(entry("llm", i % 6));
+                run(500);
+            }
+            assertThat(changes).isEmpty();
+        }
+
         @Test
         void surviveEndpointsThatAreSilentForAWhile() {
             paths.onSent(entry("llm", 0));
--- a/edge/src/test/java/org/dragonflygw/edge/process/PromptFleet.java
+++ b/edge/src/test/java/org/dragonflygw/edge/process/PromptFleet.java
@@ -43,6 +43,8 @@
     /** Answers that a host gives itself because of a prompt's parts, by the code in their bodies. */
     private static final String BLOCKED = "CRASHING_PROMPT_PART";
 
+    private static final String UNREACHABLE = "UNREACHABLE";
+
     private final SplittableRandom random;
     private final EndpointEnding ending;
     private final int firstWaitMs;
@@ -57,6 +59,7 @@
     private final AtomicInteger soundSent = new AtomicInteger();
     private final AtomicInteger soundServed = new AtomicInteger();
     private final List<String> soundBlocked = new CopyOnWriteArrayList<>();
+    private final AtomicInteger soundUnreachable = new AtomicInteger();
     private final AtomicInteger startedEndpoints = new AtomicInteger();
     private volatile boolean stopping;
 
@@ -201,6 +204,8 @@
                 soundServed.incrementAndGet();
             } else if (body.contains(BLOCKED)) {
                 soundBlocked.add(parts);
+            } else if (body.contains(UNREACHABLE)) {
+                soundUnreachable.incrementAndGet();
             }
         } catch (IOException e) {
             // Not served.
@@ -234,6 +239,11 @@
         return soundServed.get();
     }
 
+    /** Returns how many sound prompts were refused because their host reached no endpoint. */
+    int soundUnreachable() {
+        return soundUnreachable.get();
+    }
+
     /** Returns the parts of the sound prompts that were refused because of one of them. */
     List<String> soundBlocked() {
         return List.copyOf(soundBlocked);
