Judge bursts of ends by the last seconds, and malformed responses not as losses

Found by a run by hand on real processes: with no part that ends endpoints, and one sound prompt in 33 ending one by chance, five of 1,000 sound prompts were refused for a part with six losses in 2.6 s. By its CRASHING_PART and ATTEMPT_FAILED lines one of the six was a malformed response at an endpoint that ended half a second later, and the chance of each loss was estimated over ten seconds, while the ends came in a burst.

The chance is now the larger of those over ten and over three seconds; a malformed response counts for no part, as its endpoint answered. The stand-in of the test resumes streams, as the platform's endpoints do.

--- a/core/src/main/java/org/dragonflygw/core/crash/LossChances.java
+++ b/core/src/main/java/org/dragonflygw/core/crash/LossChances.java
@@ -1,6 +1,5 @@
 package org.dragonflygw.core.crash;
 
-import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -8,9 +7,12 @@
  * sound part is hit by chance. Not thread-safe.
  */
 final class LossChances {
-    /** Time that is looked back to, in seconds. */
+    /** Longer time that is looked back to, in seconds. */
     private static final int WINDOW_S = 10;
 
+    /** Shorter time that is looked back to, in seconds: ends may come in a burst. */
+    private static final int BURST_S = 3;
+
     private static final long BUCKET_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     /** Answered prompts that are assumed beside those counted, so that a few prompts show nothing for certain. */
@@ -42,12 +44,24 @@
      */
     double chance(boolean begun, long nowNanos) {
         bucket(nowNanos);
-        double begunCount = Arrays.stream(lostBegun).sum();
-        double unreadCount = Arrays.stream(lostUnread).sum();
-        double total = Arrays.stream(answered).sum() + begunCount + unreadCount + ASSUMED_ANSWERED;
+        return Math.max(chanceIn(WINDOW_S, begun), chanceIn(BURST_S, begun));
+    }
+
+    private double chanceIn(int seconds, boolean begun) {
+        double begunCount = sum(lostBegun, seconds);
+        double unreadCount = sum(lostUnread, seconds);
+        double total = sum(answered, seconds) + begunCount + unreadCount + ASSUMED_ANSWERED;
         return Math.min(1, ((begun ? begunCount : begunCount + unreadCount) + 1) / total);
     }
 
+    private double sum(int[] counts, int seconds) {
+        int sum = 0;
+        for (int i = 0; i < seconds; i++) {
+            sum += counts[Math.floorMod(lastBucket - i, WINDOW_S)];
+        }
+        return sum;
+    }
+
     /** Returns the index of the current bucket, after the buckets that it replaces were emptied. */
     private int bucket(long nowNanos) {
         long bucket = Math.floorDiv(nowNanos, BUCKET_NANOS);
--- a/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
@@ -156,6 +156,12 @@
         onCallerLeft(now);
     }
 
+    /** Called when the endpoint sent something that is not a valid response; it answered, so parts are not suspected. */
+    void onMalformed(long now) {
+        onClosed();
+        context.crashes().onUnfinished(request.fingerprint(), endpoint.instanceKey(), now);
+    }
+
     /** Called when the caller left before the response was complete. Many do, so the endpoint is not probed. */
     void onCallerLeft(long now) {
         if (maySpeakAgainstParts(now)) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -299,6 +299,8 @@
         }
         if (cause == AttemptFailure.CONNECTION_LOST) {
             crashes.onConnectionLost(now);
+        } else if (cause == AttemptFailure.MALFORMED) {
+            crashes.onMalformed(now);
         } else {
             crashes.onUnfinished(now);
         }
--- a/edge/src/test/java/org/dragonflygw/edge/process/PromptEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/process/PromptEndpoint.java
@@ -115,27 +115,30 @@
         }
         if (ends.test(head)) {
             if (ending.headWritten()) {
-                beginAnswer(requestId, out);
+                beginAnswer(requestId, 1, out);
             }
             Thread.sleep(ending.delayMs());
             end();
             return;
         }
         Thread.sleep(firstWaitMs);
-        beginAnswer(requestId, out);
-        for (int i = 2; i <= EVENTS; i++) {
+        String after = head.field("last-event-id");
+        int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
+        beginAnswer(requestId, first, out);
+        for (int i = first + 1; i <= EVENTS; i++) {
             Thread.sleep(EVENT_PAUSE_MS);
             write(out, event(i));
         }
         write(out, "0\r\n\r\n");
     }
 
-    private void beginAnswer(String requestId, OutputStream out) throws IOException, InterruptedException {
+    private void beginAnswer(String requestId, int firstEvent, OutputStream out)
+            throws IOException, InterruptedException {
         write(
                 out,
                 "HTTP/1.1 200 OK\r\nDragonflygw-Attempt-Id: " + requestId
                         + "\r\nDragonflygw-Response-Signature: by-endpoint\r\nContent-Type: text/event-stream\r\n"
-                        + "Transfer-Encoding: chunked\r\n\r\n" + event(1));
+                        + "Transfer-Encoding: chunked\r\n\r\n" + event(firstEvent));
     }
 
     private static String event(int number) {
