Do not take a response that fell silent at once for one that settled

By the ATTEMPT_FAILED lines the prompts with the part were given up as SILENT after 1 s with progress SETTLED, though one event was read.

Cause: how far a response had come was judged by the time since its first part, also when nothing followed, so such prompts were held against no part. It is now judged by the last part that was read. The stand-in resumes streams under the part too.

--- a/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
@@ -26,6 +26,7 @@
     /** When the first part of the response was read; 0 if none was. */
     private long begunNanos;
 
+    private long lastPartNanos;
     private PromptAttempt attempt;
     private boolean soundRecorded;
     private boolean stallRecorded;
@@ -87,20 +88,21 @@
         if (begunNanos == 0) {
             begunNanos = now;
         }
-        if (progress(now) == ResponseProgress.SETTLED) {
+        lastPartNanos = now;
+        if (progress() == ResponseProgress.SETTLED) {
             recordSound(now);
         }
     }
 
-    /** Returns how far the response has come. */
-    ResponseProgress progress(long now) {
+    /** Returns how far the response has come; time without a part of it does not count. */
+    ResponseProgress progress() {
         if (head == null) {
             return ResponseProgress.NONE;
         }
         if (begunNanos == 0) {
             return ResponseProgress.HEAD;
         }
-        return now - begunNanos < SETTLED_NANOS ? ResponseProgress.BEGUN : ResponseProgress.SETTLED;
+        return lastPartNanos - begunNanos < SETTLED_NANOS ? ResponseProgress.BEGUN : ResponseProgress.SETTLED;
     }
 
     /**
@@ -140,7 +142,7 @@
     /** Called when the connection to the endpoint was lost before the response was complete. */
     void onConnectionLost(long now) {
         context.crashes().onConnectionLost(request.fingerprint(), endpoint.instanceKey(), now);
-        if (!maySpeakAgainstParts(now)) {
+        if (!maySpeakAgainstParts()) {
             onClosed();
             return;
         }
@@ -150,7 +152,7 @@
 
     /** Called when the attempt ended otherwise; the endpoint may be ending under the request, which shows only later. */
     void onUnfinished(long now) {
-        if (isBeginning(now)) {
+        if (isBeginning()) {
             probe();
         }
         onCallerLeft(now);
@@ -164,7 +166,7 @@
 
     /** Called when the caller left before the response was complete. Many do, so the endpoint is not probed. */
     void onCallerLeft(long now) {
-        if (maySpeakAgainstParts(now)) {
+        if (maySpeakAgainstParts()) {
             context.crashingParts().onGivenUp(attempt, now);
         } else {
             onClosed();
@@ -173,8 +175,8 @@
     }
 
     /** Whether an end of the endpoint now may be due to a part of the prompt. */
-    private boolean maySpeakAgainstParts(long now) {
-        return !soundRecorded && !parts.isEmpty() && (head == null || isBeginning(now));
+    private boolean maySpeakAgainstParts() {
+        return !soundRecorded && !parts.isEmpty() && (head == null || isBeginning());
     }
 
     /** Looks whether the endpoint has ended, before its entry in the store says so. */
@@ -193,8 +195,8 @@
         }
     }
 
-    private boolean isBeginning(long now) {
-        ResponseProgress progress = progress(now);
+    private boolean isBeginning() {
+        ResponseProgress progress = progress();
         return (progress == ResponseProgress.HEAD || progress == ResponseProgress.BEGUN)
                 && head.isSuccess()
                 && !parts.isEmpty();
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -318,7 +318,7 @@
     }
 
     private void logFailure(String outcome, int status, long now) {
-        log.attemptFailed(endpoint, outcome, status, now - attemptStartNanos, crashes.progress(now));
+        log.attemptFailed(endpoint, outcome, status, now - attemptStartNanos, crashes.progress());
     }
 
     private void giveUpAttempt(AttemptFailure cause, long now) {
--- a/edge/src/test/java/org/dragonflygw/edge/process/PromptEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/process/PromptEndpoint.java
@@ -113,17 +113,17 @@
                             + "\r\nDragonflygw-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return;
         }
+        String after = head.field("last-event-id");
+        int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
         if (ends.test(head)) {
             if (ending.headWritten()) {
-                beginAnswer(requestId, 1, out);
+                beginAnswer(requestId, first, out);
             }
             Thread.sleep(ending.delayMs());
             end();
             return;
         }
         Thread.sleep(firstWaitMs);
-        String after = head.field("last-event-id");
-        int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
         beginAnswer(requestId, first, out);
         for (int i = first + 1; i <= EVENTS; i++) {
             Thread.sleep(EVENT_PAUSE_MS);
