End a response without a length only where its connection has ended in order

Callers saw: an endpoint answered a long upload at once, without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the decoder takes every end of a connection for the end of such a response, and only a failed read was excepted, by a flag in EndpointConnection. While a part of the request waits to be written, the reset shows as a failed write, which closes the channel without that flag. A close by this process looked the same.

Now ResponseChannel notes when the end of the other side was read, and StrictResponseDecoder ends a response without a length only then. Whatever else ends the connection leaves the response without an end, so the attempt fails as a lost connection. The flag goes: there is one place that decides.

Ruled out: looking at the outcome of the write, as a write also fails where the endpoint has ended its side in order before it read the upload (ResetDuringUploadTest, withoutALengthBeforeTheBodyIsRead); half-closed channels of the library, which tell a failed read as the end of the input too.

--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -76,9 +76,6 @@
     private boolean headReceived;
     private boolean reusable = true;
 
-    /** Whether reading failed, so that the end of the connection does not end a response without a length. */
-    private boolean reset;
-
     private boolean responseComplete;
     private boolean abandoned;
     private boolean closing;
@@ -317,10 +314,6 @@
         if (attempt == null) {
             return;
         }
-        if (last && reset) {
-            fail(AttemptFailure.CONNECTION_LOST);
-            return;
-        }
         if (content.content().isReadable()) {
             skippedByteLimit.reset();
             attempt.onBody(ByteBufUtil.getBytes(content.content()));
@@ -392,7 +385,6 @@
             failMalformed(cause.getMessage());
             return;
         }
-        reset = true;
         failConnectionLost();
     }
 
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnectionPool.java
@@ -1,14 +1,11 @@
 package org.dragonflygw.edge.upstream;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
@@ -20,6 +17,7 @@
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.log.EventLog;
 import org.dragonflygw.core.paths.EndpointPaths;
+import org.dragonflygw.edge.http.ResponseChannel;
 import org.dragonflygw.edge.memory.HeaderAccount;
 import org.dragonflygw.edge.memory.HeaderBudget;
 import org.dragonflygw.edge.ops.EdgeMetrics;
@@ -84,25 +82,25 @@
         this.unused = new UnusedResponses(log, metrics);
         this.bootstrap = new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channel(ResponseChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .handler(new ChannelInitializer<ResponseChannel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
+                    protected void initChannel(ResponseChannel channel) {
                         initialize(channel);
                     }
                 });
     }
 
-    private void initialize(Channel channel) {
+    private void initialize(ResponseChannel channel) {
         HeaderAccount account = headerBudget.open("endpoint", channel);
         HttpDecoderConfig config = account.decoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
         SkippedByteLimit limit = new SkippedByteLimit(MAX_SKIPPED_BYTES);
-        EndpointResponseDecoder decoder = new EndpointResponseDecoder(config);
+        EndpointResponseDecoder decoder = new EndpointResponseDecoder(channel, config);
         EndpointConnection connection =
                 new EndpointConnection(this, headers, notices, paths, unused, limit, decoder, account);
         channel.pipeline()
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
@@ -6,18 +6,19 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import org.dragonflygw.edge.http.ResponseChannel;
+import org.dragonflygw.edge.http.StrictResponseDecoder;
 
 /**
  * Decodes the responses of an endpoint. The codec of the library takes almost any three words for a status line; here,
  * bytes that are not a status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599 are malformed. So is a head that
  * contains a second status line.
  */
-final class EndpointResponseDecoder extends HttpResponseDecoder {
+final class EndpointResponseDecoder extends StrictResponseDecoder {
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
 
@@ -27,8 +28,8 @@
     private boolean bodiless;
     private boolean insideMessage;
 
-    EndpointResponseDecoder(HttpDecoderConfig config) {
-        super(config);
+    EndpointResponseDecoder(ResponseChannel channel, HttpDecoderConfig config) {
+        super(channel, config);
     }
 
     /** Called when a request was sent; the response to a HEAD request has no body, whatever length it declares. */
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -116,6 +116,11 @@
     private final int relayPort;
 
     EdgeFixture(RawEndpoint... endpoints) {
+        this(HeaderBudget.partOfHeap(), endpoints);
+    }
+
+    /** Runs the data plane with a bound for the heads of all connections, in bytes of heap. */
+    EdgeFixture(long maxHeaderBytes, RawEndpoint... endpoints) {
         CatalogHolder catalogs = new CatalogHolder();
         catalogs.offer(catalog());
         StoreContact contact =
@@ -167,8 +172,7 @@
                 new NoOpEventLog(),
                 System::nanoTime);
         group.next().scheduleWithFixedDelay(paths::check, PATH_CHECK_MS, PATH_CHECK_MS, TimeUnit.MILLISECONDS);
-        HeaderBudget headerBudget =
-                new HeaderBudget(HeaderBudget.partOfHeap(), metrics::onClosedForMemory, new NoOpEventLog());
+        HeaderBudget headerBudget = new HeaderBudget(maxHeaderBytes, metrics::onClosedForMemory, new NoOpEventLog());
         FrontContext front = new FrontContext(
                 catalogs,
                 new RequestResolver(catalogs, contact),
--- a/edge/src/test/java/org/dragonflygw/edge/RawEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/RawEndpoint.java
@@ -25,10 +25,16 @@
 
     private final ServerSocket server;
     private final Script script;
+    private final boolean readsBodies;
     private final List<String> heads = Collections.synchronizedList(new ArrayList<>());
 
     RawEndpoint(Script script) {
+        this(script, true);
+    }
+
+    private RawEndpoint(Script script, boolean readsBodies) {
         this.script = script;
+        this.readsBodies = readsBodies;
         try {
             server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         } catch (IOException e) {
@@ -37,6 +43,11 @@
         start(this::accept);
     }
 
+    /** Returns an endpoint whose script runs once the head of a request was read; the script reads the body, or not. */
+    static RawEndpoint answeringEarly(Script script) {
+        return new RawEndpoint(script, false);
+    }
+
     private static void start(Runnable task) {
         Thread t = new Thread(task, "raw-endpoint");
         t.setDaemon(true);
@@ -69,7 +80,9 @@
             OutputStream out = connection.getOutputStream();
             for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
                 heads.add(head);
-                in.readNBytes(contentLength(head));
+                if (readsBodies) {
+                    in.readNBytes(contentLength(head));
+                }
                 boolean keep = script.answer(head, connection, out);
                 out.flush();
                 if (!keep) {
@@ -94,7 +107,7 @@
         return "";
     }
 
-    private static int contentLength(String head) {
+    static int contentLength(String head) {
         for (String line : head.split("\r\n", -1)) {
             if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                 return Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
--- a/edge/src/test/java/org/dragonflygw/edge/UnframedResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/UnframedResponseTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Nested;
@@ -165,4 +166,33 @@
             }
         }
     }
+
+    /** The router closes the connection to an endpoint that goes on answering, as the heads of all use up their memory. */
+    @Nested
+    final class ClosedByTheRouter {
+        private static final long MAX_HEADER_BYTES = 40_000;
+        private static final String FIELD = "X-Filler: filler\r\n";
+
+        /** Guards against a response that the router itself cuts and that reaches its caller as a complete success. */
+        @Test
+        void areBrokenOff() throws IOException {
+            RawEndpoint.Script script = (head, s, out) -> {
+                if (head.contains("-Id: small")) {
+                    write(out, head(head) + FIELD.repeat(50) + "Content-Length: 4\r\n\r\nfine");
+                    return true;
+                }
+                write(out, head(head) + FIELD.repeat(80) + "\r\nbegun");
+                return s.getInputStream().read() >= 0; // The connection stays open until the router closes it.
+            };
+            try (RawEndpoint e1 = new RawEndpoint(script);
+                    RawEndpoint e2 = new RawEndpoint(script);
+                    EdgeFixture f = new EdgeFixture(MAX_HEADER_BYTES, e1, e2);
+                    Socket large = f.connect()) {
+                EdgeFixture.send(large, request("/once/x", "large"));
+                waitUntilRead();
+                f.exchange(request("/once/x", "small"));
+                assertThat(EdgeFixture.readUntil(large, "\r\n\r\n")).startsWith("HTTP/1.1 502");
+            }
+        }
+    }
 }
