Refuse a response in which a blank or a tab stands in or after the name of a field

"Transfer-Encoding : chunked" even decided how the body was read. The same in heads of failures, interim heads, heads of responses that end with their connection, and trailers.

Cause: the library's codec ends a name at its first blank or tab and drops the rest up to the colon, for responses only. Names with other bytes that are no token were refused before.

The response is malformed: 502, or, where a part was forwarded already, cut.

Ruled out: a check of the decoded names, as the rest of the name is gone by then; the codec's mode for requests, which also changes how a body without a length ends.

--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
@@ -0,0 +1,160 @@
+package org.dragonflygw.edge;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.dragonflygw.edge.EdgeFixture.request;
+
+import java.io.IOException;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The name of a field in an endpoint's response is a token: a response with another name is malformed. */
+final class FieldNameTest {
+    private static final String BODY = "fine";
+    private static final String LENGTH = "Content-Length: 4\r\n";
+    private static final String CHUNKS = "Transfer-Encoding: chunked\r\n";
+
+    static Stream<String> invalidLines() {
+        Stream<String> separators = Stream.of(
+                "X Bad: v",
+                "X\tBad: v",
+                "X-Bad : v",
+                "X-Bad\t: v",
+                "Content Length: 5",
+                "Content-Length : 2",
+                "Transfer-Encoding : chunked",
+                " X-Bad: v",
+                "\tX-Bad: v",
+                "X(Bad: v",
+                "X\"Bad: v",
+                "X/Bad: v",
+                ": v",
+                "X-Bad");
+        Stream<String> controls = Stream.of(0x00, 0x01, 0x0b, 0x0c, 0x0d, 0x1f, 0x7f, 0x80, 0xff)
+                .map(c -> "X" + (char) c.intValue() + "Bad: v");
+        return Stream.concat(separators, controls);
+    }
+
+    static Stream<String> validLines() {
+        return Stream.of(
+                "!#$%&'*+-.^_`|~09azAZ: v", "X-Empty:", "X-Tabs:\tv\t", "X-Blanks:   v  ", "X-High: \u00e9\u00ff");
+    }
+
+    private static String exchange(String path, RawEndpoint.Script script) throws IOException {
+        try (RawEndpoint e = new RawEndpoint(script);
+                EdgeFixture f = new EdgeFixture(e)) {
+            return f.exchange(request(path, "id1"));
+        }
+    }
+
+    private static String exchange(String response) throws IOException {
+        return exchange("/once/x", (head, s, out) -> {
+            RawEndpoint.write(out, response.replace("SIGNED", DataPlaneTest.signatureHeaders(head)));
+            return false;
+        });
+    }
+
+    /** Guards against a response that reaches its caller with a changed field, or with a body that is not the endpoint's. */
+    @Nested
+    final class AnInvalidName {
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void beforeAllFields(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 200 OK\r\n" + line + "\r\nSIGNED" + LENGTH + "\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void afterAllFields(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 200 OK\r\nSIGNED" + LENGTH + line + "\r\n\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void withoutALength(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 200 OK\r\n" + line + "\r\nSIGNED\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void inAFailure(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 404 Not Found\r\nSIGNED" + LENGTH + line + "\r\n\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void inAnInterimResponse(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED" + LENGTH
+                            + "\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void inATrailer(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 200 OK\r\nSIGNED" + CHUNKS + "\r\n4\r\n" + BODY + "\r\n0\r\n" + line
+                            + "\r\n\r\n"))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
+        /** A stream is forwarded as it comes: its caller has the events, and must be able to tell that it broke off. */
+        @Test
+        void inATrailerOfAStream() throws IOException {
+            String event = "id: 1\ndata: one\n\n";
+            String text = exchange("/stream/x", (head, s, out) -> {
+                RawEndpoint.write(
+                        out,
+                        "HTTP/1.1 200 OK\r\n" + DataPlaneTest.signatureHeaders(head) + CHUNKS + "\r\n"
+                                + Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+                RawEndpoint.write(out, "0\r\nX Bad: v\r\n\r\n");
+                return false;
+            });
+            assertThat(text).doesNotContain("0\r\n\r\n");
+        }
+    }
+
+    @Nested
+    final class AValidField {
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        void inAHead(String line) throws IOException {
+            String text = exchange("HTTP/1.1 200 OK\r\nSIGNED" + LENGTH + line + "\r\n\r\n" + BODY);
+            assertThat(text).startsWith("HTTP/1.1 200 ");
+            assertThat(text).endsWith(BODY);
+            assertThat(text).contains("\r\n" + line.substring(0, line.indexOf(':') + 1));
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        void inAnInterimResponse(String line) throws IOException {
+            String text = exchange("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED" + LENGTH
+                    + "\r\n" + BODY);
+            assertThat(text).startsWith("HTTP/1.1 200 ");
+            assertThat(text).endsWith(BODY);
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        void inATrailer(String line) throws IOException {
+            String text = exchange("HTTP/1.1 200 OK\r\nSIGNED" + CHUNKS + "\r\n4;name=value\r\n" + BODY + "\r\n0\r\n"
+                    + line + "\r\n\r\n");
+            assertThat(text).startsWith("HTTP/1.1 200 ");
+            assertThat(text).contains(BODY);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 299 Odd"})
+        void afterAnUnusualStatusLine(String statusLine) throws IOException {
+            String text = exchange(statusLine + "\r\nSIGNED" + LENGTH + "\r\n" + BODY);
+            assertThat(text).startsWith("HTTP/1.1 2");
+            assertThat(text).endsWith(BODY);
+        }
+    }
+}
