--- a/edge/src/test/java/org/dragonflygw/edge/InvalidStatusLineTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/InvalidStatusLineTest.java
@@ -21,6 +21,14 @@
     @ValueSource(
             strings = {
                 "HTTP/1.1 7 ",
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 099 OK",
+                "HTTP/1.1 001 OK",
+                "HTTP/1.1 00 OK",
+                "HTTP/1.1 20x OK",
+                "HTTP/1.1 -20 OK",
+                "HTTP/1.1 2 00 OK",
+                "HTTP/1.1 \u0660\u0660\u0660 OK",
                 "HTTP/1.1 0 OK",
                 "HTTP/1.1 02 OK",
                 "HTTP/1.1 020 OK",
