Refuse a head with a line that continues the one before it

Callers saw: a line that begins with a blank or a tab, after the signature of an endpoint's response, was joined to the signature, and the caller got a success with a signature that is not the endpoint's. The like for any other value.

Cause: the library joins folded lines, and does not tell. HTTP/1.1 forbids servers to send them, and lets a proxy answer 502.

Now StrictResponseDecoder looks at the beginning of each line of a head. It also takes over what was read since the last response, which the decoder of endpoints had kept for itself.

Ruled out: telling joined values by their type (the library uses the same for others; JoinedResponseTest and others failed in a first form), and a check of the values (a joined one looks like any other).

--- a/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
@@ -2,18 +2,25 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Decodes responses, of which the codec of the library takes some for valid that are broken. Here, a response with neither
- * a length nor chunks is complete only if its connection has ended in order, and a field whose name is not directly followed
- * by a colon is malformed, in any head or trailer.
+ * a length nor chunks is complete only if its connection has ended in order. A field whose name is not directly followed by
+ * a colon is malformed, in any head or trailer, and so is a head with a line that continues the one before it.
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
     private final ResponseChannel channel;
+    private final FoldedLines foldedLines = new FoldedLines();
+    private boolean insideMessage;
+    private boolean insideBody;
 
     /** Creates the decoder of one connection. */
     public StrictResponseDecoder(ResponseChannel channel, HttpDecoderConfig config) {
@@ -21,6 +28,39 @@
         this.channel = channel;
     }
 
+    /** Whether bytes were received since the end of the last response. */
+    public final boolean isInsideMessage() {
+        return insideMessage;
+    }
+
+    /** Returns why a decoded head is malformed; empty if it is valid. */
+    protected Optional<String> problemOf(HttpResponse head) {
+        return foldedLines.found() ? Optional.of("a line that begins with a blank") : Optional.empty();
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        int from = in.readerIndex();
+        super.decode(ctx, in, out);
+        if (!insideBody) {
+            foldedLines.check(in, from, in.readerIndex());
+        }
+        out.forEach(this::onDecoded);
+        insideMessage = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+    }
+
+    private void onDecoded(Object message) {
+        if (message instanceof HttpResponse response) {
+            problemOf(response)
+                    .ifPresent(p -> response.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(p))));
+            insideBody = true;
+        }
+        if (message instanceof LastHttpContent) {
+            foldedLines.reset();
+            insideBody = false;
+        }
+    }
+
     /** The library drops what stands between the first blank or tab of a name and its colon. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
@@ -1,14 +1,10 @@
 package org.dragonflygw.edge.upstream;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.LastHttpContent;
-import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 import org.dragonflygw.edge.http.ResponseChannel;
 import org.dragonflygw.edge.http.StrictResponseDecoder;
@@ -26,7 +22,6 @@
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ");
 
     private boolean bodiless;
-    private boolean insideMessage;
 
     EndpointResponseDecoder(ResponseChannel channel, HttpDecoderConfig config) {
         super(channel, config);
@@ -37,18 +32,6 @@
         bodiless = head;
     }
 
-    /** Whether bytes were received since the end of the last response. */
-    boolean isInsideMessage() {
-        return insideMessage;
-    }
-
-    @Override
-    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        super.decode(ctx, in, out);
-        out.forEach(EndpointResponseDecoder::rejectJoinedHead);
-        insideMessage = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
-    }
-
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         if (!VERSION.matcher(statusLine[0]).matches()
@@ -61,21 +44,15 @@
         return super.createMessage(statusLine);
     }
 
-    /**
-     * Marks a head as malformed if a field contains a status line: it is the beginning of one response, which broke off, and
-     * the rest of another.
-     */
-    private static void rejectJoinedHead(Object message) {
-        if (!(message instanceof HttpResponse response)) {
-            return;
-        }
-        for (Map.Entry<String, String> field : response.headers()) {
+    /** A head with a status line in a field is the beginning of one response, which broke off, and the rest of another. */
+    @Override
+    protected Optional<String> problemOf(HttpResponse head) {
+        for (Map.Entry<String, String> field : head.headers()) {
             if (STATUS_LINE.matcher(field.getValue()).find()) {
-                response.setDecoderResult(DecoderResult.failure(
-                        new IllegalArgumentException("status line in the field " + field.getKey())));
-                return;
+                return Optional.of("status line in the field " + field.getKey());
             }
         }
+        return super.problemOf(head);
     }
 
     @Override
--- a/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
@@ -120,6 +120,52 @@
         }
     }
 
+    /** Guards against a line that begins with a blank and changes the value of the field before it, such as the signature. */
+    @Nested
+    final class AFoldedLine {
+        @ParameterizedTest
+        @ValueSource(strings = {" X-Bad: v", "\tX-Bad: v", " more", "  ", " HTTP/1.1 200 OK"})
+        void afterTheSignature(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 200 OK\r\n" + LENGTH + "SIGNED" + line + "\r\n\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {" X-Bad: v", "\tX-Bad: v", " more"})
+        void inAnInterimResponse(String line) throws IOException {
+            assertThat(exchange("HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n" + line + "\r\n\r\n"
+                            + "HTTP/1.1 200 OK\r\nSIGNED" + LENGTH + "\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+    }
+
+    /** Bytes of a body are no lines of a head, wherever they begin. */
+    @Nested
+    final class ABlankInABody {
+        private static final String TEXT = "one\r\n two\r\n\tthree\n four";
+
+        private void assertPasses(String fields, String body) throws IOException {
+            String text = exchange("HTTP/1.1 200 OK\r\nSIGNED" + fields + "\r\n" + body);
+            assertThat(text).startsWith("HTTP/1.1 200 ");
+            assertThat(text).contains(TEXT);
+        }
+
+        @Test
+        void withALength() throws IOException {
+            assertPasses("Content-Length: " + TEXT.length() + "\r\n", TEXT);
+        }
+
+        @Test
+        void withoutALength() throws IOException {
+            assertPasses("", TEXT);
+        }
+
+        @Test
+        void inChunks() throws IOException {
+            assertPasses(CHUNKS, Integer.toHexString(TEXT.length()) + "\r\n" + TEXT + "\r\n0\r\n\r\n");
+        }
+    }
+
     @Nested
     final class AValidField {
         @ParameterizedTest
