Read the responses of other hosts as those of endpoints are read

Callers would see: a request that was passed to another host came back as a complete success though the response was cut by a reset while the upload was still being written, or with a field whose name held a blank, or with a value joined from two lines.

Cause: the same as for endpoints. RelayClient used the codec of the library, and RelayConnection had a flag of its own for failed reads.

Now relays use ResponseChannel and StrictResponseDecoder; the flag goes. The decoder takes over that responses to HEAD requests have no body, which the codec of relays knew by itself and that of endpoints did by its own.

Ruled out: a second check in RelayConnection, which would stand twice.

--- a/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -19,6 +21,7 @@
 public class StrictResponseDecoder extends HttpResponseDecoder {
     private final ResponseChannel channel;
     private final FoldedLines foldedLines = new FoldedLines();
+    private boolean bodiless;
     private boolean insideMessage;
     private boolean insideBody;
 
@@ -28,6 +31,11 @@
         this.channel = channel;
     }
 
+    /** Called when a request was sent; the response to a HEAD request has no body, whatever length it declares. */
+    public final void onRequest(String method) {
+        bodiless = HttpMethod.HEAD.name().equals(method);
+    }
+
     /** Whether bytes were received since the end of the last response. */
     public final boolean isInsideMessage() {
         return insideMessage;
@@ -70,6 +78,11 @@
         return super.splitHeaderName(line, start, length);
     }
 
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return bodiless || super.isContentAlwaysEmpty(message);
+    }
+
     /** A response that has not ended when its connection was lost stays without an end. */
     @Override
     protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointConnection.java
@@ -148,7 +148,7 @@
         headReceived = false;
         skippingResponse = false;
         skippedByteLimit.reset();
-        decoder.onRequest(HttpMethod.HEAD.name().equals(r.method()));
+        decoder.onRequest(r.method());
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(r.method()),
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
@@ -21,17 +21,10 @@
     /** Beginning of a status line; its status may be cut off. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ");
 
-    private boolean bodiless;
-
     EndpointResponseDecoder(ResponseChannel channel, HttpDecoderConfig config) {
         super(channel, config);
     }
 
-    /** Called when a request was sent; the response to a HEAD request has no body, whatever length it declares. */
-    void onRequest(boolean head) {
-        bodiless = head;
-    }
-
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         if (!VERSION.matcher(statusLine[0]).matches()
@@ -54,9 +47,4 @@
         }
         return super.problemOf(head);
     }
-
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return bodiless || super.isContentAlwaysEmpty(message);
-    }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/RelayClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/RelayClient.java
@@ -6,11 +6,11 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.dragonflygw.core.settings.HostAddress;
+import org.dragonflygw.edge.http.ResponseChannel;
+import org.dragonflygw.edge.http.StrictResponseDecoder;
 import org.dragonflygw.edge.memory.HeaderAccount;
 import org.dragonflygw.edge.memory.HeaderBudget;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
@@ -42,27 +42,26 @@
         this.headers = headers;
         this.bootstrap = new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channel(ResponseChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .handler(new ChannelInitializer<ResponseChannel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(codec(channel, headerBudget));
+                    protected void initChannel(ResponseChannel channel) {
+                        channel.pipeline()
+                                .addLast(decoder(channel, headerBudget))
+                                .addLast(new HttpRequestEncoder());
                     }
                 });
     }
 
-    private static HttpClientCodec codec(SocketChannel channel, HeaderBudget headerBudget) {
+    private static StrictResponseDecoder decoder(ResponseChannel channel, HeaderBudget headerBudget) {
         HeaderAccount account = headerBudget.open("host", channel);
         HttpDecoderConfig config = account.decoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES);
-        return new HttpClientCodec(
-                config,
-                HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST,
-                HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE);
+        return new StrictResponseDecoder(channel, config);
     }
 
     /** Sends a request; the listener receives the outcome later, on the event loop. */
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/RelayConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/RelayConnection.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import org.dragonflygw.core.exchange.HeaderField;
 import org.dragonflygw.core.exchange.ResponseHead;
+import org.dragonflygw.edge.http.StrictResponseDecoder;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
 
 /** A connection to another host for one caller's request. Used by the event loop only. */
@@ -31,7 +32,6 @@
     private ChannelHandlerContext context;
     private boolean skippingResponse;
     private boolean headReceived;
-    private boolean reset;
     private boolean ended;
 
     RelayConnection(RelayRequest request, EndpointHeaders headers, RelayListener listener) {
@@ -66,6 +66,7 @@
             message.headers()
                     .setInt(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         }
+        ctx.pipeline().get(StrictResponseDecoder.class).onRequest(request.method());
         ctx.channel().writeAndFlush(message);
     }
 
@@ -114,10 +115,6 @@
         if (skippingResponse || !headReceived) {
             return;
         }
-        if (last && reset) {
-            fail();
-            return;
-        }
         if (content.content().isReadable()) {
             listener.onRelayedBody(ByteBufUtil.getBytes(content.content()));
         }
@@ -144,7 +141,6 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        reset = true;
         fail();
     }
 
--- a/edge/src/test/java/org/dragonflygw/edge/ResetDuringUploadTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/ResetDuringUploadTest.java
@@ -39,7 +39,7 @@
         }
     }
 
-    private static void reset(Socket connection) throws IOException {
+    static void reset(Socket connection) throws IOException {
         settle();
         connection.setSoLinger(true, 0);
     }
