Refuse invalid status lines in the responses of other hosts too

Callers would see: a status such as 000, 099, 600 or 0200 that another host sent was passed on as an answer. Shown with a stand-in of the other host.

Cause: the check of status lines was part of the decoder of endpoints only.

--- a/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
@@ -12,13 +12,18 @@
 import io.netty.util.AsciiString;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
- * Decodes responses, of which the codec of the library takes some for valid that are broken. Here, a response with neither
- * a length nor chunks is complete only if its connection has ended in order. A field whose name is not directly followed by
+ * Decodes responses, of which the codec of the library takes some for valid that are broken. Here, bytes that are not a
+ * status line of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599 are malformed, and a response with neither a length nor
+ * chunks is complete only if its connection has ended in order. A field whose name is not directly followed by
  * a colon is malformed, in any head or trailer, and so is a head with a line that continues the one before it.
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
     private final ResponseChannel channel;
     private final FoldedLines foldedLines = new FoldedLines();
     private boolean bodiless;
@@ -69,6 +74,16 @@
         }
     }
 
+    /** The library takes almost any three words for a status line. */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!VERSION.matcher(statusLine[0]).matches()
+                || !STATUS.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException("invalid status line");
+        }
+        return super.createMessage(statusLine);
+    }
+
     /** The library drops what stands between the first blank or tab of a name and its colon. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/edge/src/test/java/org/dragonflygw/edge/RelayedResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/RelayedResponseTest.java
@@ -87,6 +87,15 @@
             assertThat(text).doesNotContain("0\r\n\r\n");
         }
 
+        /** Guards against a status that no endpoint can have given. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 0200 OK", "ICY 200 OK"})
+        void withAnInvalidStatusLineIsRefused(String statusLine) throws Exception {
+            assertThat(relay(statusLine + "\r\nSIGNED" + LENGTH + "\r\n" + BODY))
+                    .startsWith("HTTP/1.1 502 ");
+        }
+
         @Test
         void ofSwitchedProtocolsIsRefused() throws Exception {
             assertThat(relay("HTTP/1.1 101 Switching Protocols\r\nSIGNED\r\n")).startsWith("HTTP/1.1 502 ");
