Fail a call to the store whose response cannot be decoded

What was seen: a response of the store with a control byte in a field, two lengths or an invalid chunk counted with the status of its first line, so a change counted as made, and a read as a whole, by a 200 that was none.

Cause: StoreClient closed the connection on such a response, and handed its status and what there was of its body on all the same.

Now the call fails as malformed, like one whose connection was lost: whether a change was made is unknown.

The client of both tests is built in one place now (StoreCalls).

--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -195,8 +195,13 @@
                 close(); // A response that nobody waits for.
                 return;
             }
+            if (response.decoderResult().isFailure()) {
+                close();
+                completeCall(StoreResponse.failed("malformed response", sentNanos));
+                return;
+            }
             byte[] body = ByteBufUtil.getBytes(response.content());
-            if (!HttpUtil.isKeepAlive(response) || response.decoderResult().isFailure()) {
+            if (!HttpUtil.isKeepAlive(response)) {
                 close();
             }
             long era = StoreApiCodec.era(response.headers()::get);
--- a/edge/src/test/java/org/dragonflygw/edge/RawEndpoint.java
+++ b/edge/src/test/java/org/dragonflygw/edge/RawEndpoint.java
@@ -14,9 +14,9 @@
 import java.util.Locale;
 
 /** An endpoint whose responses are arbitrary bytes that a test's script writes to the connection. */
-final class RawEndpoint implements AutoCloseable {
+public final class RawEndpoint implements AutoCloseable {
     /** Writes the response to one request. */
-    interface Script {
+    public interface Script {
         /** Writes the response; returns false to close the connection afterwards. */
         boolean answer(String requestHead, Socket connection, OutputStream out) throws IOException;
     }
@@ -28,7 +28,8 @@
     private final boolean readsBodies;
     private final List<String> heads = Collections.synchronizedList(new ArrayList<>());
 
-    RawEndpoint(Script script) {
+    /** Starts an endpoint whose script runs once a whole request was read. */
+    public RawEndpoint(Script script) {
         this(script, true);
     }
 
@@ -44,7 +45,7 @@
     }
 
     /** Returns an endpoint whose script runs once the head of a request was read; the script reads the body, or not. */
-    static RawEndpoint answeringEarly(Script script) {
+    public static RawEndpoint answeringEarly(Script script) {
         return new RawEndpoint(script, false);
     }
 
@@ -54,12 +55,13 @@
         t.start();
     }
 
-    int port() {
+    /** Returns the port on the loopback address. */
+    public int port() {
         return server.getLocalPort();
     }
 
     /** Returns the heads of the requests received so far. */
-    List<String> heads() {
+    public List<String> heads() {
         return List.copyOf(heads);
     }
 
@@ -107,7 +109,8 @@
         return "";
     }
 
-    static int contentLength(String head) {
+    /** Returns the length of a request's body in bytes. */
+    public static int contentLength(String head) {
         for (String line : head.split("\r\n", -1)) {
             if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                 return Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
@@ -116,7 +119,8 @@
         return 0;
     }
 
-    static void write(OutputStream out, String text) throws IOException {
+    /** Writes text, one byte a character, and flushes it. */
+    public static void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
     }
--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreClientTest.java
@@ -2,10 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.codahale.metrics.MetricRegistry;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -14,13 +10,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.core.settings.HostBounds;
-import org.dragonflygw.core.settings.HostIdentity;
-import org.dragonflygw.core.settings.HostSettings;
-import org.dragonflygw.core.settings.RetryBounds;
-import org.dragonflygw.core.settings.SettingsHolder;
-import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -30,11 +19,11 @@
     private static final long TIMEOUT_MS = 400;
     private static final int MAX_WRITTEN_BYTES = 64_000_000;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private StoreCalls calls;
 
     @AfterEach
     void stop() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        calls.close();
     }
 
     private interface Script {
@@ -49,14 +38,8 @@
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Thread serverThread = new Thread(() -> serve(server, script));
             serverThread.start();
-            HostAddress address = new HostAddress("127.0.0.1", server.getLocalPort());
-            HostIdentity identity = new HostIdentity("h", "127.0.0.1", "z", address, address, 1);
-            HostBounds bounds = new HostBounds(1, 1, 1, 1, new RetryBounds(1, 1, 1), 1, 1, 0, false);
-            SettingsHolder settings = new SettingsHolder(new HostSettings(identity, 0, address, bounds));
-            StoreClient client = new StoreClient(group, settings, new EdgeMetrics(new MetricRegistry()));
-            CompletableFuture<StoreResponse> future = new CompletableFuture<>();
-            group.next().execute(() -> client.get("/rows", TIMEOUT_MS, future::complete));
-            StoreResponse response = future.get(30, TimeUnit.SECONDS);
+            calls = new StoreCalls(server.getLocalPort(), TIMEOUT_MS);
+            StoreResponse response = calls.get();
             serverThread.interrupt();
             serverThread.join();
             return response;
--- /dev/null
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
@@ -0,0 +1,97 @@
+package org.dragonflygw.edge.store;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import org.dragonflygw.edge.RawEndpoint;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The store, or what answers in its place, sends broken responses; odd ones that are proper must be read. */
+final class StoreResponseTest {
+    private static final long TIMEOUT_MS = 1_000;
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String LENGTH = "Content-Length: 4\r\n";
+    private static final String CHUNKS = "Transfer-Encoding: chunked\r\n";
+
+    private static StoreResponse get(RawEndpoint store) throws Exception {
+        try (store;
+                StoreCalls calls = new StoreCalls(store.port(), TIMEOUT_MS)) {
+            return calls.get();
+        }
+    }
+
+    private static StoreResponse get(String response) throws Exception {
+        return get(new RawEndpoint((head, s, out) -> {
+            RawEndpoint.write(out, response);
+            return false;
+        }));
+    }
+
+    private static void assertFailed(StoreResponse response) {
+        assertThat(response.isOk()).isFalse();
+        assertThat(response.status()).isEqualTo(0);
+        assertThat(response.failure()).isPresent();
+    }
+
+    private static void assertFine(StoreResponse response) {
+        assertWithMessage(response.problem()).that(response.isOk()).isTrue();
+        assertThat(new String(response.body(), StandardCharsets.ISO_8859_1)).isEqualTo("fine");
+    }
+
+    /** Guards against a call that counts as done, or read, by a response that is none. */
+    @Nested
+    final class ABrokenResponseFailsTheCall {
+
+        @ParameterizedTest
+        @ValueSource(strings = {"X-A: \u0001", "Content-Length: +4", "Content-Length: 4\r\nContent-Length: 5"})
+        void withAnInvalidValue(String lines) throws Exception {
+            assertFailed(get(OK + lines + "\r\n\r\nfine"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"x\r\nfine", "4\r\nfineandmore", "4\r\nfi", "-4\r\nfine"})
+        void withInvalidChunks(String chunks) throws Exception {
+            assertFailed(get(OK + CHUNKS + "\r\n" + chunks));
+        }
+
+        @Test
+        void whenItIsShorterThanItsLength() throws Exception {
+            assertFailed(get(OK + LENGTH + "\r\nfin"));
+        }
+    }
+
+    @Nested
+    final class AProperResponseIsRead {
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        void withAnOddField(String line) throws Exception {
+            assertFine(get(OK + line + "\r\n" + LENGTH + "\r\nfine"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK"})
+        void withAnOddStatusLine(String statusLine) throws Exception {
+            assertFine(get(statusLine + "\r\n" + LENGTH + "\r\nfine"));
+        }
+
+        @Test
+        void inChunksWithExtensionsAndATrailer() throws Exception {
+            assertFine(get(OK + CHUNKS + "\r\n2;a=b\r\nfi\r\n2\r\nne\r\n0\r\nX-After: 1\r\n\r\n"));
+        }
+
+        @Test
+        void whenItEndsWithItsConnection() throws Exception {
+            assertFine(get(OK + "\r\nfine"));
+        }
+
+        @Test
+        void whenItSpeaksOfAnotherStatusLine() throws Exception {
+            assertFine(get(OK + "Via: HTTP/1.1 front\r\n" + LENGTH + "\r\nfine"));
+        }
+    }
+}
