Read the responses of the store as strictly as those of endpoints

What was seen: a response of the store without a length that was cut by a reset counted as whole (a change as made, by an empty body or half of one); so did heads and trailers with a blank in a name, joined lines, and a status such as 0200.

Cause: StoreClient used the codec of the library. It now uses ResponseChannel and StrictResponseDecoder, as the connections to endpoints and other hosts do. What they refuse fails the call.

Odd but proper responses are read as before, one with "Via: HTTP/1.1 front" among them: the check of joined heads stays with endpoints, whose connections carry late copies.

--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -12,14 +12,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -28,6 +27,8 @@
 import java.util.function.Consumer;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.core.settings.SettingsHolder;
+import org.dragonflygw.edge.http.ResponseChannel;
+import org.dragonflygw.edge.http.StrictResponseDecoder;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.platform.adapter.StoreApiCodec;
 
@@ -105,20 +106,21 @@
     private Bootstrap bootstrap() {
         return new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channel(ResponseChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .handler(new ChannelInitializer<ResponseChannel>() {
                     @Override
-                    protected void initChannel(SocketChannel c) {
+                    protected void initChannel(ResponseChannel c) {
                         c.pipeline()
                                 .addLast(
                                         new ReadRateLimiter(settings::linkBytesPerMs),
                                         new ProgressTracker(),
-                                        new HttpClientCodec(),
+                                        new StrictResponseDecoder(c, new HttpDecoderConfig()),
+                                        new HttpRequestEncoder(),
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                         new ResponseHandler());
                     }
--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.dragonflygw.edge.RawEndpoint;
 import org.junit.jupiter.api.Nested;
@@ -14,6 +17,11 @@
 /** The store, or what answers in its place, sends broken responses; odd ones that are proper must be read. */
 final class StoreResponseTest {
     private static final long TIMEOUT_MS = 1_000;
+    private static final long PAUSE_MS = 100;
+
+    /** More than the buffers of two sockets hold, so that the rest of the request waits to be written. */
+    private static final int UPLOAD_BYTES = 4_194_304;
+
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String LENGTH = "Content-Length: 4\r\n";
     private static final String CHUNKS = "Transfer-Encoding: chunked\r\n";
@@ -46,6 +54,30 @@
     /** Guards against a call that counts as done, or read, by a response that is none. */
     @Nested
     final class ABrokenResponseFailsTheCall {
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void withAnInvalidField(String line) throws Exception {
+            assertFailed(get(OK + "X-First: 1\r\n" + line + "\r\n" + LENGTH + "\r\nfine"));
+        }
+
+        @ParameterizedTest
+        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        void withAnInvalidTrailer(String line) throws Exception {
+            assertFailed(get(OK + CHUNKS + "\r\n4\r\nfine\r\n0\r\n" + line + "\r\n\r\n"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"X Bad: v", "X-Bad : v", "X\u0001Bad: v"})
+        void withAnInvalidFieldInAnInterimHead(String line) throws Exception {
+            assertFailed(get("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + OK + LENGTH + "\r\nfine"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 0200 OK", "ICY 200 OK"})
+        void withAnInvalidStatusLine(String statusLine) throws Exception {
+            assertFailed(get(statusLine + "\r\n" + LENGTH + "\r\nfine"));
+        }
 
         @ParameterizedTest
         @ValueSource(strings = {"X-A: \u0001", "Content-Length: +4", "Content-Length: 4\r\nContent-Length: 5"})
@@ -63,6 +95,35 @@
         void whenItIsShorterThanItsLength() throws Exception {
             assertFailed(get(OK + LENGTH + "\r\nfin"));
         }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "fi"})
+        void whenItHasNoLengthAndIsReset(String body) throws Exception {
+            assertFailed(get(new RawEndpoint((head, s, out) -> resetAfter(OK + "\r\n" + body, s, out))));
+        }
+
+        @Test
+        void whenItHasNoLengthAndIsResetDuringTheUpload() throws Exception {
+            try (RawEndpoint store = RawEndpoint.answeringEarly((head, s, out) -> resetAfter(OK + "\r\nfi", s, out));
+                    StoreCalls calls = new StoreCalls(store.port(), TIMEOUT_MS)) {
+                assertFailed(calls.post(new byte[UPLOAD_BYTES]));
+            }
+        }
+
+        private boolean resetAfter(String response, Socket connection, OutputStream out) throws IOException {
+            RawEndpoint.write(out, response);
+            pause();
+            connection.setSoLinger(true, 0);
+            return false;
+        }
+
+        private void pause() throws IOException {
+            try {
+                Thread.sleep(PAUSE_MS);
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        }
     }
 
     @Nested
