Wait for the response of the store that follows an interim one

What was seen: a 100, 102 or 103 before the response of the store was taken for the outcome of the call, which failed, and the response that followed was given to the next call on that connection: a read got another read's rows. Shown with a stand-in.

Cause: StoreClient took the first head for the response. Now it passes over interim heads, a hundred at most in a call, so that heads without end do not keep a call open; 101 fails it.

Evidence: StoreResponseTest, 3 of 3 proper responses after an interim one failed before, none after; interim heads without end failed the call as status 102 before, and fail it after the bound now.

--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -47,6 +49,8 @@
 
     private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+    private static final int MAX_INTERIM_RESPONSES = 100;
+
     private static final byte[] NO_BYTES = {};
 
     private final EventLoopGroup group;
@@ -59,6 +63,7 @@
     private ScheduledFuture<?> timeout;
     private long sentNanos;
     private long lastProgressNanos;
+    private int interimResponses;
 
     StoreClient(EventLoopGroup group, SettingsHolder settings, EdgeMetrics metrics) {
         this.group = group;
@@ -135,6 +140,7 @@
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
             request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         }
+        interimResponses = 0;
         channel.writeAndFlush(request);
         lastProgressNanos = System.nanoTime();
         scheduleTimeout(timeoutMs, TimeUnit.MILLISECONDS.toNanos(timeoutMs));
@@ -198,8 +204,11 @@
                 return;
             }
             if (response.decoderResult().isFailure()) {
-                close();
-                completeCall(StoreResponse.failed("malformed response", sentNanos));
+                fail("malformed response");
+                return;
+            }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                onInterim(response.status());
                 return;
             }
             byte[] body = ByteBufUtil.getBytes(response.content());
@@ -210,6 +219,19 @@
             completeCall(new StoreResponse(response.status().code(), era, body, sentNanos, Optional.empty()));
         }
 
+        /** The response to the call follows, unless the connection is to go on in another protocol. */
+        private void onInterim(HttpResponseStatus status) {
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES || status.equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                fail("status " + status.code());
+            }
+        }
+
+        private void fail(String reason) {
+            close();
+            completeCall(StoreResponse.failed(reason, sentNanos));
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (ctx.channel() == channel) {
--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
@@ -154,5 +154,29 @@
         void whenItSpeaksOfAnotherStatusLine() throws Exception {
             assertFine(get(OK + "Via: HTTP/1.1 front\r\n" + LENGTH + "\r\nfine"));
         }
+
+        /** Guards against an interim response that is taken for the outcome of the call. */
+        @ParameterizedTest
+        @ValueSource(ints = {100, 102, 103})
+        void afterAnInterimOne(int status) throws Exception {
+            assertFine(get("HTTP/1.1 " + status + " Interim\r\nX-Early: 1\r\n\r\n" + OK + LENGTH + "\r\nfine"));
+        }
+    }
+
+    @Test
+    void aResponseOfSwitchedProtocolsFailsTheCall() throws Exception {
+        assertFailed(get("HTTP/1.1 101 Switching Protocols\r\n\r\n" + OK + LENGTH + "\r\nfine"));
+    }
+
+    /** Guards against a call that stays open as long as interim responses arrive. */
+    @Test
+    void interimResponsesWithoutEndFailTheCall() throws Exception {
+        assertFailed(get(new RawEndpoint((head, s, out) -> {
+            String block = "HTTP/1.1 102 Processing\r\n\r\n".repeat(1_000);
+            for (int i = 0; i < 2_000; i++) {
+                RawEndpoint.write(out, block);
+            }
+            return false;
+        })));
     }
 }
