Keep bytes after a response of the store out of the response to the next call

What was seen: the beginning of a second copy of a response, in the same packet as the first or while no call was open, stayed in the decoder. The next call then failed, or read the copy's status and length with bytes of its own response, or the whole copy: a call was answered by the response to another one.

Cause: only a whole response that nobody waited for closed the connection. Now bytes that arrive while no call is open close it, and so does a response after which bytes are left; its call counts.

Ruled out: closing after each call (a connection for each is dear). What remains: a copy that arrives after the next call was sent cannot be told from its response, as responses of the store name no call.

--- a/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/http/StrictResponseDecoder.java
@@ -46,6 +46,11 @@
         return insideMessage;
     }
 
+    /** Whether bytes were received after what was decoded last. */
+    public final boolean hasUndecodedBytes() {
+        return actualReadableBytes() > 0;
+    }
+
     /** Returns why a decoded head is malformed; empty if it is valid. */
     protected Optional<String> problemOf(HttpResponse head) {
         return foldedLines.found() ? Optional.of("a line that begins with a blank") : Optional.empty();
--- a/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/store/StoreClient.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -183,9 +184,15 @@
         }
     }
 
+    /** Notes that a response goes on. Bytes while no call is open would become a part of the next response. */
     private final class ProgressTracker extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (ctx.channel() == channel && pendingCallback == null) {
+                ReferenceCountUtil.release(message);
+                close();
+                return;
+            }
             if (ctx.channel() == channel) {
                 lastProgressNanos = System.nanoTime();
             }
@@ -199,10 +206,6 @@
             if (ctx.channel() != channel) {
                 return;
             }
-            if (pendingCallback == null) {
-                close(); // A response that nobody waits for.
-                return;
-            }
             if (response.decoderResult().isFailure()) {
                 fail("malformed response");
                 return;
@@ -212,7 +215,9 @@
                 return;
             }
             byte[] body = ByteBufUtil.getBytes(response.content());
-            if (!HttpUtil.isKeepAlive(response)) {
+            boolean followedByBytes =
+                    ctx.pipeline().get(StrictResponseDecoder.class).hasUndecodedBytes();
+            if (!HttpUtil.isKeepAlive(response) || followedByBytes) {
                 close();
             }
             long era = StoreApiCodec.era(response.headers()::get);
