--- a/edge/src/test/java/org/dragonflygw/edge/BrokenOffResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/BrokenOffResponseTest.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/edge/src/test/java/org/dragonflygw/edge/CrashingRequestDataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/CrashingRequestDataPlaneTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 
 /** A request that ends the endpoints that run it is recognized when it comes again, and refused after the third end. */
--- a/edge/src/test/java/org/dragonflygw/edge/DataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/DataPlaneTest.java
@@ -2,13 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.dragonflygw.edge.EdgeFixture.request;
-import static org.dragonflygw.edge.RawEndpoint.write;
+import static org.dragonflygw.standins.raw.RawEndpoint.write;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.util.Locale;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -72,6 +72,7 @@
 import org.dragonflygw.edge.upstream.RelayClient;
 import org.dragonflygw.platform.adapter.CallerHeaders;
 import org.dragonflygw.platform.adapter.EndpointHeaders;
+import org.dragonflygw.standins.raw.RawEndpoint;
 
 /** Runs the data plane on loopback with a fixed configuration, in front of endpoints that the test scripts. */
 @SuppressWarnings("FutureReturnValueIgnored") // The loop ends with the test.
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeStopTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeStopTest.java
@@ -18,6 +18,7 @@
 import org.dragonflygw.standins.loopback.LoopbackConfiguration;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 import org.dragonflygw.standins.loopback.LoopbackPorts;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/edge/src/test/java/org/dragonflygw/edge/EndlessResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EndlessResponseTest.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 
 /**
--- a/edge/src/test/java/org/dragonflygw/edge/EndpointNoticeDataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EndpointNoticeDataPlaneTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 
 /** What an endpoint says of itself is heard in each of its responses, also when nobody waits for the response any more. */
--- a/edge/src/test/java/org/dragonflygw/edge/EvacuationDataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EvacuationDataPlaneTest.java
@@ -16,6 +16,7 @@
 import org.dragonflygw.standins.loopback.LoopbackConfiguration;
 import org.dragonflygw.standins.loopback.LoopbackPlatform;
 import org.dragonflygw.standins.loopback.LoopbackPorts;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 
 /** A whole router beside the fake platform: from the operator's row to the requests that endpoints get. */
--- a/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.util.stream.Stream;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/edge/src/test/java/org/dragonflygw/edge/GracefulStopTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/GracefulStopTest.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.dragonflygw.edge.EdgeFixture.request;
-import static org.dragonflygw.edge.RawEndpoint.write;
+import static org.dragonflygw.standins.raw.RawEndpoint.write;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 
 final class GracefulStopTest {
--- a/edge/src/test/java/org/dragonflygw/edge/HeadRequestTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/HeadRequestTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 
 /** The response to a HEAD request has no body, whatever length it declares; the next response begins right after it. */
--- a/edge/src/test/java/org/dragonflygw/edge/LateCopyTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/LateCopyTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/edge/src/test/java/org/dragonflygw/edge/LostPathsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/LostPathsTest.java
@@ -2,7 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.dragonflygw.edge.EdgeFixture.request;
-import static org.dragonflygw.edge.RawEndpoint.write;
+import static org.dragonflygw.standins.raw.RawEndpoint.write;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
--- a/edge/src/test/java/org/dragonflygw/edge/RelayMeasurement.java
+++ b/edge/src/test/java/org/dragonflygw/edge/RelayMeasurement.java
@@ -6,6 +6,7 @@
 import java.lang.management.ThreadMXBean;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import org.dragonflygw.standins.raw.RawEndpoint;
 
 /**
  * Measures the CPU time that the event loop spends on each event of a stream. Run by hand. Prints one line: number of
--- a/edge/src/test/java/org/dragonflygw/edge/ResetDuringUploadTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/ResetDuringUploadTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/edge/src/test/java/org/dragonflygw/edge/SlowCallerDataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/SlowCallerDataPlaneTest.java
@@ -3,7 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.dragonflygw.edge.DataPlaneTest.signatureHeaders;
 import static org.dragonflygw.edge.EdgeFixture.request;
-import static org.dragonflygw.edge.RawEndpoint.write;
+import static org.dragonflygw.standins.raw.RawEndpoint.write;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -11,6 +11,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 
 /**
--- a/edge/src/test/java/org/dragonflygw/edge/UnframedResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/UnframedResponseTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
--- a/edge/src/test/java/org/dragonflygw/edge/UnnamedResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/UnnamedResponseTest.java
@@ -4,6 +4,7 @@
 import static org.dragonflygw.edge.EdgeFixture.request;
 
 import java.io.IOException;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
--- a/edge/src/test/java/org/dragonflygw/edge/WaitingDataPlaneTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/WaitingDataPlaneTest.java
@@ -4,7 +4,7 @@
 import static org.dragonflygw.edge.EdgeFixture.readUntil;
 import static org.dragonflygw.edge.EdgeFixture.request;
 import static org.dragonflygw.edge.EdgeFixture.send;
-import static org.dragonflygw.edge.RawEndpoint.write;
+import static org.dragonflygw.standins.raw.RawEndpoint.write;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
--- a/edge/src/test/java/org/dragonflygw/edge/store/NextStoreCallTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/NextStoreCallTest.java
@@ -6,7 +6,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.dragonflygw.edge.RawEndpoint;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
@@ -7,7 +7,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import org.dragonflygw.edge.RawEndpoint;
+import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/edge/src/test/java/org/dragonflygw/edge/RawEndpoint.java
+++ b/standins/src/main/java/org/dragonflygw/standins/raw/RawEndpoint.java
@@ -1,4 +1,4 @@
-package org.dragonflygw.edge;
+package org.dragonflygw.standins.raw;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 
-/** An endpoint whose responses are arbitrary bytes that a test's script writes to the connection. */
+/** An endpoint whose responses are arbitrary bytes that a script writes to the connection. */
 public final class RawEndpoint implements AutoCloseable {
     /** Writes the response to one request. */
     public interface Script {
