Refuse broken heads and trailers of endpoints in the daemon too

What was seen, with a stand-in: the daemon took responses with an invalid name of a field (blanks, control bytes, separators, bytes over 7f), also in interim heads and trailers, with a control byte in a value, the length +4, or a status of 600 or 999. A status of 000 ended the request with an error of the program itself instead of a failed attempt.

Cause: the library's parser of heads is the lax one by default. StrictLineParser takes its place; trailers, which the library reads with a parser of its own, are checked when the body has ended.

Already held: responses without a length that are reset, also during an upload, invalid chunks, two lengths, and other status lines. What remains: lines that continue the one before are joined by a blank, as HTTP/1.1 lets a proxy do; of such heads the daemon forwards the content type only.

--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeoutException;
 import org.apache.hc.client5.http.HttpRoute;
 import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.client5.http.io.ConnectionEndpoint;
@@ -17,6 +18,7 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -62,6 +64,9 @@
         this.connections = PoolingHttpClientConnectionManagerBuilder.create()
                 .setMaxConnTotal(maxConnections)
                 .setMaxConnPerRoute(maxConnections)
+                .setConnectionFactory(ManagedHttpClientConnectionFactory.builder()
+                        .responseParserFactory(new DefaultHttpResponseParserFactory(new StrictLineParser(), null))
+                        .build())
                 .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
                 .setConnPoolPolicy(PoolReusePolicy.LIFO)
                 .setDefaultSocketConfig(
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointExchange.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointExchange.java
@@ -5,8 +5,12 @@
 import org.apache.hc.client5.http.io.ConnectionEndpoint;
 import org.apache.hc.client5.http.io.HttpClientConnectionManager;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.FormattedHeader;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
+import org.apache.hc.core5.http.ParseException;
+import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -60,7 +64,10 @@
      */
     public int read(byte[] target) throws IOException {
         int count = body.read(target);
-        wholeBodyRead = wholeBodyRead || count < 0;
+        if (count < 0) {
+            checkTrailers();
+            wholeBodyRead = true;
+        }
         return count;
     }
 
@@ -76,6 +83,7 @@
                 throw new EndpointException(
                         EndpointCode.ANSWER_TOO_LARGE, endpointId + " sent more than " + maxBytes + " bytes");
             }
+            checkTrailers();
             wholeBodyRead = true;
             return content;
         } catch (IOException e) {
@@ -83,6 +91,20 @@
         }
     }
 
+    /** The library reads trailers with a parser of its own. */
+    private void checkTrailers() throws MalformedChunkCodingException {
+        if (!(body instanceof ChunkedInputStream chunks)) {
+            return;
+        }
+        for (Header trailer : chunks.getFooters()) {
+            try {
+                StrictLineParser.check(((FormattedHeader) trailer).getBuffer());
+            } catch (ParseException e) {
+                throw new MalformedChunkCodingException("invalid trailer: " + e.getMessage());
+            }
+        }
+    }
+
     /** Returns the connection to the pool when the whole body was read; closes it otherwise. */
     @Override
     public void close() {
