Do not reuse a connection of the daemon on which bytes came after a response

What was seen, with a stand-in: a second copy of a response, whole or in part, stayed on the connection, and the next request on it was answered by the copy, by its status and bytes of its own response, or not at all. Plain services echo no id that could tell; requests that may not run twice have connections of their own, and events of streams carry their request.

Cause: the pool gives out a connection without a look at what was received. Now a connection that has bytes to read is closed and opened anew before anything is sent. The look takes 1 ms, the shortest time for which the library waits, for each reused connection.

Ruled out: a look when the connection goes back to the pool (misses what comes later); failing the request (another endpoint would be asked for a fault that a new connection mends).

--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
@@ -7,6 +7,7 @@
 import java.net.SocketTimeoutException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.client5.http.HttpRoute;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
@@ -33,6 +34,8 @@
 import org.apache.hc.core5.pool.PoolReusePolicy;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.wire.settings.RouterSettings;
 
@@ -43,12 +46,19 @@
  */
 @Singleton
 public final class EndpointClient implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(EndpointClient.class);
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long LEASE_TIMEOUT_MILLIS = 1_000;
     private static final long VALIDATE_AFTER_MILLIS = 500;
     private static final long KEEP_ALIVE_MILLIS = 30_000;
     private static final int SPARE_CONNECTIONS = 256;
 
+    /** The shortest time for which the library can wait for bytes. */
+    private static final Timeout CHECK_TIMEOUT = Timeout.ofMilliseconds(1);
+
+    /** Stands for a request where nothing is sent. */
+    private static final ClassicHttpRequest CHECK = new BasicClassicHttpRequest("GET", "/");
+
     private final PoolingHttpClientConnectionManager connections;
     private final HttpRequestExecutor executor = new HttpRequestExecutor();
     private final HttpProcessor processor = HttpProcessorBuilder.create()
@@ -137,7 +147,7 @@
         ConnectionEndpoint connection = lease(endpoint, route);
         boolean connected = false;
         try {
-            if (fresh && connection.isConnected()) {
+            if (connection.isConnected() && (fresh || hasUnreadBytes(connection))) {
                 connection.close(CloseMode.IMMEDIATE);
             }
             if (!connection.isConnected()) {
@@ -155,6 +165,28 @@
         }
     }
 
+    /**
+     * Whether bytes came after the last response on a connection, which would become a part of the next one. A connection that
+     * cannot be read is not used again either.
+     */
+    private static boolean hasUnreadBytes(ConnectionEndpoint connection) {
+        AtomicBoolean unread = new AtomicBoolean();
+        try {
+            connection.execute(
+                    "check",
+                    CHECK,
+                    (request, c, context) -> {
+                        unread.set(c.isDataAvailable(CHECK_TIMEOUT));
+                        return null;
+                    },
+                    HttpCoreContext.create());
+            return unread.get();
+        } catch (IOException | HttpException e) {
+            LOG.debug("an idle connection cannot be used again: {}", e.toString());
+            return true;
+        }
+    }
+
     private ConnectionEndpoint lease(Endpoint endpoint, HttpRoute route) {
         try {
             return connections
--- a/daemon/src/test/java/org/dragonflygw/daemon/endpoint/EndpointResponseTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/endpoint/EndpointResponseTest.java
@@ -8,6 +8,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.daemon.RouterFixture;
@@ -202,4 +204,75 @@
                     .isEqualTo("200 fine");
         }
     }
+
+    /** Guards against a response that is taken, in part or whole, for the response to the next request. */
+    @Nested
+    final class TheNextRequest {
+        private static final String FINE = OK + LENGTH + "\r\nfine";
+        private static final String COPY = OK + LENGTH + "\r\ncopy";
+
+        private String secondOfTwo(RawEndpoint.Script first) throws Exception {
+            AtomicInteger requests = new AtomicInteger();
+            try (RawEndpoint raw = new RawEndpoint((head, s, out) -> {
+                        if (requests.incrementAndGet() == 1) {
+                            return first.answer(head, s, out);
+                        }
+                        RawEndpoint.write(out, FINE);
+                        return true;
+                    });
+                    EndpointClient client = new EndpointClient(4)) {
+                send(client, raw);
+                Thread.sleep(2 * PAUSE_MS);
+                return send(client, raw);
+            }
+        }
+
+        private String send(EndpointClient client, RawEndpoint raw) {
+            Endpoint endpoint = RouterFixture.endpoint("e", RouterFixture.PLAIN, raw.port());
+            EndpointRequest request = EndpointRequest.withoutBody("GET", "/x", List.of());
+            try (EndpointExchange exchange = client.send(endpoint, request, SILENCE_MS, SendOptions.REUSE)) {
+                return new String(exchange.readAll("e", MAX_BYTES), StandardCharsets.ISO_8859_1);
+            }
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {1, 17, 40, 42})
+        void isNotAnsweredByBytesThatCameWithTheFirstResponse(int bytes) throws Exception {
+            String text = secondOfTwo((head, s, out) -> {
+                RawEndpoint.write(out, FINE + COPY.substring(0, bytes));
+                return true;
+            });
+            assertThat(text).isEqualTo("fine");
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {1, 17, 40, 42})
+        void isNotAnsweredByBytesThatCameBetween(int bytes) throws Exception {
+            String text = secondOfTwo((head, s, out) -> {
+                RawEndpoint.write(out, FINE);
+                pause();
+                RawEndpoint.write(out, COPY.substring(0, bytes));
+                return true;
+            });
+            assertThat(text).isEqualTo("fine");
+        }
+
+        @Test
+        void isSentOnTheSameConnectionAfterAWholeResponse() throws Exception {
+            AtomicReference<Socket> connection = new AtomicReference<>();
+            AtomicInteger connections = new AtomicInteger();
+            try (RawEndpoint raw = new RawEndpoint((head, s, out) -> {
+                        if (connection.getAndSet(s) != s) {
+                            connections.incrementAndGet();
+                        }
+                        RawEndpoint.write(out, FINE);
+                        return true;
+                    });
+                    EndpointClient client = new EndpointClient(4)) {
+                assertThat(send(client, raw)).isEqualTo("fine");
+                assertThat(send(client, raw)).isEqualTo("fine");
+                assertThat(connections.get()).isEqualTo(1);
+            }
+        }
+    }
 }
