Refuse broken heads in the daemon's clients of the platform too

What was seen, with a stand-in: the daemon's calls to the platform counted by a response with an invalid name of a field, a control byte in a value or the length +4; a status of 000 ended them with an error that callers of the clients do not expect.

Cause: the lax parser of the library, as in the calls to endpoints. StrictLineParser moves to the platform module, which the daemon uses, and both take it. Already held: other status lines, invalid chunks, a reset without a length.

--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.client5.http.HttpRoute;
 import org.apache.hc.client5.http.config.ConnectionConfig;
-import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.client5.http.io.ConnectionEndpoint;
@@ -19,7 +18,6 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
@@ -37,6 +35,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.platform.http.StrictLineParser;
 import org.dragonflygw.wire.settings.RouterSettings;
 
 /**
@@ -74,9 +73,7 @@
         this.connections = PoolingHttpClientConnectionManagerBuilder.create()
                 .setMaxConnTotal(maxConnections)
                 .setMaxConnPerRoute(maxConnections)
-                .setConnectionFactory(ManagedHttpClientConnectionFactory.builder()
-                        .responseParserFactory(new DefaultHttpResponseParserFactory(new StrictLineParser(), null))
-                        .build())
+                .setConnectionFactory(StrictLineParser.connectionFactory())
                 .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.LAX)
                 .setConnPoolPolicy(PoolReusePolicy.LIFO)
                 .setDefaultSocketConfig(
--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointExchange.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointExchange.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.dragonflygw.platform.http.StrictLineParser;
 
 /** A response of an endpoint whose body has not been read yet, with its connection. Not thread-safe. */
 public final class EndpointExchange implements AutoCloseable {
