--- a/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/dragonflygw/daemon/endpoint/EndpointClient.java
@@ -35,6 +35,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.dragonflygw.core.fleet.Endpoint;
+import org.dragonflygw.platform.http.CleanConnectionExecutor;
 import org.dragonflygw.platform.http.StrictLineParser;
 import org.dragonflygw.wire.settings.RouterSettings;
 
@@ -52,9 +53,6 @@
     private static final long KEEP_ALIVE_MILLIS = 30_000;
     private static final int SPARE_CONNECTIONS = 256;
 
-    /** The shortest time for which the library can wait for bytes. */
-    private static final Timeout CHECK_TIMEOUT = Timeout.ofMilliseconds(1);
-
     /** Stands for a request where nothing is sent. */
     private static final ClassicHttpRequest CHECK = new BasicClassicHttpRequest("GET", "/");
 
@@ -173,7 +171,7 @@
                     "check",
                     CHECK,
                     (request, c, context) -> {
-                        unread.set(c.isDataAvailable(CHECK_TIMEOUT));
+                        unread.set(CleanConnectionExecutor.hasUnreadBytes(c));
                         return null;
                     },
                     HttpCoreContext.create());
