Pass a response whose field only mentions a version of HTTP

Cause: the check of joined heads took "HTTP/1.1 " for the beginning of a second status line, whatever followed. What follows a head that broke off is a whole response, so its status line is whole, and the check asks for the status too.

JoinedResponseTest, which cuts copies at every byte, and LateCopyTest pass unchanged.

--- a/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/EndpointResponseDecoder.java
@@ -14,8 +14,8 @@
  * a second status line is malformed.
  */
 final class EndpointResponseDecoder extends StrictResponseDecoder {
-    /** Beginning of a status line; its status may be cut off. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] ");
+    /** A status line up to its reason phrase. What follows a head that broke off is a whole one. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?![0-9])");
 
     EndpointResponseDecoder(ResponseChannel channel, HttpDecoderConfig config) {
         super(channel, config);
--- a/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
@@ -41,7 +41,14 @@
 
     static Stream<String> validLines() {
         return Stream.of(
-                "!#$%&'*+-.^_`|~09azAZ: v", "X-Empty:", "X-Tabs:\tv\t", "X-Blanks:   v  ", "X-High: \u00e9\u00ff");
+                "!#$%&'*+-.^_`|~09azAZ: v",
+                "X-Empty:",
+                "X-Tabs:\tv\t",
+                "X-Blanks:   v  ",
+                "X-High: \u00e9\u00ff",
+                "Via: HTTP/1.1 front",
+                "X-A: HTTP/1.1 is old",
+                "X-A: HTTP/1.0 2 of 5");
     }
 
     private static String exchange(String path, RawEndpoint.Script script) throws IOException {
