Keep the lines of heads that tests use in one place

The same odd and invalid lines stood in the tests of the edge and of the daemon. They move to the stand-ins unchanged; the daemon's odd but proper ones are now those of the edge, two more than before.

--- a/daemon/src/test/java/org/dragonflygw/daemon/endpoint/EndpointResponseTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/endpoint/EndpointResponseTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Stream;
 import org.dragonflygw.core.fleet.Endpoint;
 import org.dragonflygw.daemon.RouterFixture;
 import org.dragonflygw.standins.raw.RawEndpoint;
@@ -33,27 +32,6 @@
     private static final String LENGTH = "Content-Length: 4\r\n";
     private static final String CHUNKS = "Transfer-Encoding: chunked\r\n";
 
-    static Stream<String> invalidLines() {
-        Stream<String> separators = Stream.of(
-                "X Bad: v",
-                "X\tBad: v",
-                "X-Bad : v",
-                "X-Bad\t: v",
-                "Content Length: 5",
-                "Content-Length : 2",
-                "Transfer-Encoding : chunked",
-                " X-Bad: v",
-                "\tX-Bad: v",
-                "X(Bad: v",
-                "X\"Bad: v",
-                "X/Bad: v",
-                ": v",
-                "X-Bad");
-        Stream<String> controls = Stream.of(0x00, 0x01, 0x0b, 0x0c, 0x0d, 0x1f, 0x7f, 0x80, 0xff)
-                .map(c -> "X" + (char) c.intValue() + "Bad: v");
-        return Stream.concat(separators, controls);
-    }
-
     private static String send(RawEndpoint raw, byte[] body) {
         Endpoint endpoint = RouterFixture.endpoint("e", RouterFixture.PLAIN, raw.port());
         EndpointRequest request = new EndpointRequest("POST", "/x", List.of(), "application/octet-stream", body);
@@ -95,19 +73,19 @@
     @Nested
     final class ABrokenResponseFails {
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.daemon.endpoint.EndpointResponseTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void withAnInvalidField(String line) {
             assertFails(OK + line + "\r\n" + LENGTH + "\r\nfine");
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.daemon.endpoint.EndpointResponseTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void withAnInvalidTrailer(String line) {
             assertFails(OK + CHUNKS + "\r\n4\r\nfine\r\n0\r\n" + line + "\r\n\r\n");
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.daemon.endpoint.EndpointResponseTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void withAnInvalidFieldInAnInterimHead(String line) {
             assertFails("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + OK + LENGTH + "\r\nfine");
         }
@@ -167,15 +145,7 @@
     @Nested
     final class AProperResponseIsRead {
         @ParameterizedTest
-        @ValueSource(
-                strings = {
-                    "!#$%&'*+-.^_`|~09azAZ: v",
-                    "X-Empty:",
-                    "X-Tabs:\tv\t",
-                    "X-Blanks:   v  ",
-                    "X-High: \u00e9\u00ff",
-                    "Via: HTTP/1.1 front"
-                })
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#valid")
         void withAnOddField(String line) {
             assertThat(send(OK + line + "\r\n" + LENGTH + "\r\nfine")).isEqualTo("200 fine");
         }
--- a/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/FieldNameTest.java
@@ -4,7 +4,6 @@
 import static org.dragonflygw.edge.EdgeFixture.request;
 
 import java.io.IOException;
-import java.util.stream.Stream;
 import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -18,39 +17,6 @@
     private static final String LENGTH = "Content-Length: 4\r\n";
     private static final String CHUNKS = "Transfer-Encoding: chunked\r\n";
 
-    static Stream<String> invalidLines() {
-        Stream<String> separators = Stream.of(
-                "X Bad: v",
-                "X\tBad: v",
-                "X-Bad : v",
-                "X-Bad\t: v",
-                "Content Length: 5",
-                "Content-Length : 2",
-                "Transfer-Encoding : chunked",
-                " X-Bad: v",
-                "\tX-Bad: v",
-                "X(Bad: v",
-                "X\"Bad: v",
-                "X/Bad: v",
-                ": v",
-                "X-Bad");
-        Stream<String> controls = Stream.of(0x00, 0x01, 0x0b, 0x0c, 0x0d, 0x1f, 0x7f, 0x80, 0xff)
-                .map(c -> "X" + (char) c.intValue() + "Bad: v");
-        return Stream.concat(separators, controls);
-    }
-
-    static Stream<String> validLines() {
-        return Stream.of(
-                "!#$%&'*+-.^_`|~09azAZ: v",
-                "X-Empty:",
-                "X-Tabs:\tv\t",
-                "X-Blanks:   v  ",
-                "X-High: \u00e9\u00ff",
-                "Via: HTTP/1.1 front",
-                "X-A: HTTP/1.1 is old",
-                "X-A: HTTP/1.0 2 of 5");
-    }
-
     private static String exchange(String path, RawEndpoint.Script script) throws IOException {
         try (RawEndpoint e = new RawEndpoint(script);
                 EdgeFixture f = new EdgeFixture(e)) {
@@ -69,35 +35,35 @@
     @Nested
     final class AnInvalidName {
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void beforeAllFields(String line) throws IOException {
             assertThat(exchange("HTTP/1.1 200 OK\r\n" + line + "\r\nSIGNED" + LENGTH + "\r\n" + BODY))
                     .startsWith("HTTP/1.1 502 ");
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void afterAllFields(String line) throws IOException {
             assertThat(exchange("HTTP/1.1 200 OK\r\nSIGNED" + LENGTH + line + "\r\n\r\n" + BODY))
                     .startsWith("HTTP/1.1 502 ");
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void withoutALength(String line) throws IOException {
             assertThat(exchange("HTTP/1.1 200 OK\r\n" + line + "\r\nSIGNED\r\n" + BODY))
                     .startsWith("HTTP/1.1 502 ");
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void inAFailure(String line) throws IOException {
             assertThat(exchange("HTTP/1.1 404 Not Found\r\nSIGNED" + LENGTH + line + "\r\n\r\n" + BODY))
                     .startsWith("HTTP/1.1 502 ");
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void inAnInterimResponse(String line) throws IOException {
             assertThat(exchange("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED" + LENGTH
                             + "\r\n" + BODY))
@@ -105,7 +71,7 @@
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void inATrailer(String line) throws IOException {
             assertThat(exchange("HTTP/1.1 200 OK\r\nSIGNED" + CHUNKS + "\r\n4\r\n" + BODY + "\r\n0\r\n" + line
                             + "\r\n\r\n"))
@@ -177,7 +143,7 @@
     @Nested
     final class AValidField {
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#valid")
         void inAHead(String line) throws IOException {
             String text = exchange("HTTP/1.1 200 OK\r\nSIGNED" + LENGTH + line + "\r\n\r\n" + BODY);
             assertThat(text).startsWith("HTTP/1.1 200 ");
@@ -186,7 +152,7 @@
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#valid")
         void inAnInterimResponse(String line) throws IOException {
             String text = exchange("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nSIGNED" + LENGTH
                     + "\r\n" + BODY);
@@ -195,7 +161,7 @@
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#valid")
         void inATrailer(String line) throws IOException {
             String text = exchange("HTTP/1.1 200 OK\r\nSIGNED" + CHUNKS + "\r\n4;name=value\r\n" + BODY + "\r\n0\r\n"
                     + line + "\r\n\r\n");
--- a/edge/src/test/java/org/dragonflygw/edge/RelayedResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/RelayedResponseTest.java
@@ -66,7 +66,7 @@
 
         /** Guards against a response that reaches its caller with a changed field, or with another body. */
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void withAnInvalidFieldIsRefused(String line) throws Exception {
             assertThat(relay("HTTP/1.1 200 OK\r\nSIGNED" + line + "\r\n" + LENGTH + "\r\n" + BODY))
                     .startsWith("HTTP/1.1 502 ");
@@ -106,7 +106,7 @@
     @Nested
     final class AProperResponse {
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#valid")
         void withAnOddFieldPasses(String line) throws Exception {
             String text = relay("HTTP/1.1 200 OK\r\nSIGNED" + line + "\r\n" + LENGTH + "\r\n" + BODY);
             assertThat(text).startsWith("HTTP/1.1 200 ");
--- a/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/StoreResponseTest.java
@@ -55,13 +55,13 @@
     @Nested
     final class ABrokenResponseFailsTheCall {
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void withAnInvalidField(String line) throws Exception {
             assertFailed(get(OK + "X-First: 1\r\n" + line + "\r\n" + LENGTH + "\r\nfine"));
         }
 
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#invalidLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#invalid")
         void withAnInvalidTrailer(String line) throws Exception {
             assertFailed(get(OK + CHUNKS + "\r\n4\r\nfine\r\n0\r\n" + line + "\r\n\r\n"));
         }
@@ -129,7 +129,7 @@
     @Nested
     final class AProperResponseIsRead {
         @ParameterizedTest
-        @MethodSource("org.dragonflygw.edge.FieldNameTest#validLines")
+        @MethodSource("org.dragonflygw.standins.raw.FieldLines#valid")
         void withAnOddField(String line) throws Exception {
             assertFine(get(OK + line + "\r\n" + LENGTH + "\r\nfine"));
         }
