Wait for the late bytes themselves in the tests of next calls

The tests slept for twice the time after which the stand-in writes its late bytes, so on a busy machine the next call could have been sent first. They now wait until the bytes are written, and then a moment for them to be read. The checks are as they were. Not seen to fail.

--- a/daemon/src/test/java/org/dragonflygw/daemon/endpoint/EndpointResponseTest.java
+++ b/daemon/src/test/java/org/dragonflygw/daemon/endpoint/EndpointResponseTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.dragonflygw.core.fleet.Endpoint;
@@ -183,16 +184,20 @@
 
         private String secondOfTwo(RawEndpoint.Script first) throws Exception {
             AtomicInteger requests = new AtomicInteger();
+            CountDownLatch written = new CountDownLatch(1);
             try (RawEndpoint raw = new RawEndpoint((head, s, out) -> {
                         if (requests.incrementAndGet() == 1) {
-                            return first.answer(head, s, out);
+                            boolean keep = first.answer(head, s, out);
+                            written.countDown();
+                            return keep;
                         }
                         RawEndpoint.write(out, FINE);
                         return true;
                     });
                     EndpointClient client = new EndpointClient(4)) {
                 send(client, raw);
-                Thread.sleep(2 * PAUSE_MS);
+                written.await();
+                pause();
                 return send(client, raw);
             }
         }
--- a/edge/src/test/java/org/dragonflygw/edge/store/NextStoreCallTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/store/NextStoreCallTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.dragonflygw.standins.raw.RawEndpoint;
 import org.junit.jupiter.api.Test;
@@ -62,16 +63,18 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 9, 15, 17, 38, 40, 42})
     void isNotAnsweredByBytesThatCameBetween(int bytes) throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
         RawEndpoint.Script first = (head, s, out) -> {
             RawEndpoint.write(out, FINE);
             pause();
             RawEndpoint.write(out, COPY.substring(0, bytes));
+            written.countDown();
             return true;
         };
         try (RawEndpoint store = store(first);
                 StoreCalls calls = new StoreCalls(store.port(), TIMEOUT_MS)) {
             assertFine(calls.get());
-            pause();
+            written.await();
             pause();
             assertFine(calls.get());
         }
