Use the stand-in and the wait of LostPathsTest in RelayedResponseTest

Both tests make a host lose its endpoints. RelayedResponseTest had copies, and its wait went on silently where the host had not noticed the loss; the shared one asserts it. Its other checks are as they were.

--- a/edge/src/test/java/org/dragonflygw/edge/LostPathsTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/LostPathsTest.java
@@ -21,7 +21,7 @@
     private static final long POLL_MS = 10;
 
     /** Returns an endpoint whose port refuses connections. */
-    private static RawEndpoint refusing() {
+    static RawEndpoint refusing() {
         RawEndpoint e = new RawEndpoint((head, s, out) -> false);
         e.close();
         return e;
@@ -35,7 +35,7 @@
     }
 
     /** Waits until a host has noticed that it reaches no endpoint. */
-    private static void awaitLost(EdgeFixture host) throws Exception {
+    static void awaitLost(EdgeFixture host) throws Exception {
         host.exchange(request("/again/x", "first"));
         for (int i = 0; i < MAX_POLLS && !host.paths.isLost(EdgeFixture.SERVICE); i++) {
             Thread.sleep(POLL_MS);
--- a/edge/src/test/java/org/dragonflygw/edge/RelayedResponseTest.java
+++ b/edge/src/test/java/org/dragonflygw/edge/RelayedResponseTest.java
@@ -13,8 +13,6 @@
 
 /** A request is passed to another host; what comes back is read as strictly as the response of an endpoint. */
 final class RelayedResponseTest {
-    private static final int MAX_POLLS = 300;
-    private static final long POLL_MS = 10;
     private static final String LENGTH = "Content-Length: 4\r\n";
     private static final String BODY = "fine";
 
@@ -23,20 +21,11 @@
         String run(EdgeFixture host) throws IOException;
     }
 
-    private static RawEndpoint refusing() {
-        RawEndpoint e = new RawEndpoint((head, s, out) -> false);
-        e.close();
-        return e;
-    }
-
     /** Sends a request, by a host that reaches no endpoint, to another host with the given script. */
     private static String relay(RawEndpoint otherHost, Exchange exchange) throws Exception {
         try (otherHost;
-                EdgeFixture cut = new EdgeFixture(refusing(), refusing())) {
-            cut.exchange(request("/again/x", "first"));
-            for (int i = 0; i < MAX_POLLS && !cut.paths.isLost(EdgeFixture.SERVICE); i++) {
-                Thread.sleep(POLL_MS);
-            }
+                EdgeFixture cut = new EdgeFixture(LostPathsTest.refusing(), LostPathsTest.refusing())) {
+            LostPathsTest.awaitLost(cut);
             cut.addHost("b", otherHost.port());
             return exchange.run(cut);
         }
