Drop connections that a stand-in accepts while its port closes

Callers of the product see nothing of it: the fault is in the HTTP listener of the stand-ins.

Cause: closePort stops Jetty's connector, which closes the connections its selectors know. The marked request's client is dropped first and connects again at once. If the acceptor takes that connection while the selectors stop, no selector ever reads it and nobody closes it. The stand-in held an open socket with the request unread, and Jetty had no endpoint for it. The test's call then waits for its 20 s, which is all the time the test has.

Change: the connector of the listener knows all channels it accepted, closes what is left when it has stopped, and refuses what is accepted meanwhile.

Ruled out: a restart that never came (the port was open again and served the next call); another process on the port; a stream cancelled without notice (the request had not been read). The failed test is unchanged.

--- a/standins/src/main/java/org/dragonflygw/standins/http/HttpListener.java
+++ b/standins/src/main/java/org/dragonflygw/standins/http/HttpListener.java
@@ -36,7 +36,7 @@
         server = new Server(threads);
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setSendServerVersion(false);
-        connector = new ServerConnector(server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(configuration));
+        connector = new DroppingConnector(server, ACCEPTORS, SELECTORS, new HttpConnectionFactory(configuration));
         connector.setHost(LOOPBACK);
         connector.setPort(port);
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
