--- a/edge/src/main/java/org/dragonflygw/edge/upstream/Attempt.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Attempt.java
@@ -1,6 +1,6 @@
-package org.dragonflygw.edge.upstream;
+package org.dragonflygw.core.exchange;
 
-/** Handle of a request that is being sent to an endpoint or answered by it. */
+/** Handle of a request that is being sent to an endpoint, or to another host, or answered by it. */
 public interface Attempt {
     /** Closes the connection soon, so that the endpoint stops its work. The listener gets no further events. */
     void cancel();
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/AttemptListener.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/AttemptListener.java
@@ -1,7 +1,4 @@
-package org.dragonflygw.edge.upstream;
-
-import org.dragonflygw.core.exchange.AttemptFailure;
-import org.dragonflygw.core.exchange.ResponseHead;
+package org.dragonflygw.core.exchange;
 
 /**
  * Receives the events of a request to an endpoint, on the event loop. {@link #onComplete} or {@link #onFailed} is the
@@ -11,7 +8,10 @@
     /** Returns whether the request may still be sent, now that a connection to the endpoint was opened. */
     boolean mayStillSend();
 
-    /** Called with the status and headers of the response. */
+    /**
+     * Called with the status and headers of the response. The data plane has checked that the head echoes the id of the
+     * request.
+     */
     void onHead(ResponseHead head);
 
     /** Called with each part of the response body. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
@@ -1,13 +1,12 @@
 package org.dragonflygw.core.exchange;
 
 import java.util.List;
-import java.util.Optional;
 import org.dragonflygw.core.crash.PromptAttempt;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 
 /**
- * Records what the attempts of one request show about crashes of endpoints, of the request as a whole and of the parts of
- * its prompt, and tells whether it is blocked. Not thread-safe.
+ * Records what one attempt shows about crashes of its endpoint, of the request as a whole and of the parts of its prompt.
+ * Not thread-safe.
  */
 final class CrashObserver {
     /** Time after the first part of a response from which its request is not the reason for an end of the endpoint. */
@@ -19,50 +18,25 @@
     private final ExchangeRequest request;
     private final ExchangeContext context;
     private final List<Long> parts;
+    private final DiscoveredEndpoint endpoint;
+    private final PromptAttempt attempt;
 
-    private DiscoveredEndpoint endpoint;
     private ResponseHead head;
 
     /** When the first part of the response was read; 0 if none was. */
     private long begunNanos;
 
     private long lastPartNanos;
-    private PromptAttempt attempt;
     private boolean soundRecorded;
     private boolean stallRecorded;
 
-    CrashObserver(ExchangeRequest request, ExchangeContext context) {
+    /** Creates an observer of an attempt that is sent now. */
+    CrashObserver(ExchangeRequest request, ExchangeContext context, DiscoveredEndpoint endpoint, long now) {
         this.request = request;
         this.context = context;
+        this.endpoint = endpoint;
         this.parts = request.prompt().sharedPartIds();
-    }
-
-    /** Remaining time for which the request is blocked, in nanoseconds; 0 if it may be sent. */
-    long blockNanos(long now) {
-        return Math.max(requestBlockNanos(now), context.crashingParts().remainingBlockNanos(parts, now));
-    }
-
-    private long requestBlockNanos(long now) {
-        return context.crashes().remainingBlockNanos(request.fingerprint(), now);
-    }
-
-    /** Returns why the request is blocked; empty if it may be sent. */
-    Optional<RejectReason> blockedReason(long now) {
-        if (blockNanos(now) == 0) {
-            return Optional.empty();
-        }
-        return Optional.of(
-                requestBlockNanos(now) > 0 ? RejectReason.CRASHES_ENDPOINTS : RejectReason.CRASHING_PROMPT_PART);
-    }
-
-    /** Called when an attempt is sent. */
-    void onSent(DiscoveredEndpoint to, long now) {
-        endpoint = to;
-        attempt = context.crashingParts().onSent(parts, to.instanceKey(), now);
-        head = null;
-        begunNanos = 0;
-        soundRecorded = false;
-        stallRecorded = false;
+        this.attempt = context.crashingParts().onSent(parts, endpoint.instanceKey(), now);
     }
 
     /** Called when bytes of the endpoint were read, of whatever kind. */
@@ -181,17 +155,16 @@
 
     /** Looks whether the endpoint has ended, before its entry in the store says so. */
     private void probe() {
-        DiscoveredEndpoint lost = endpoint;
-        context.probe().probe(lost, result -> onProbed(lost, result));
+        context.probe().probe(endpoint, this::onProbed);
     }
 
-    private void onProbed(DiscoveredEndpoint probed, EndpointProbe.Result result) {
+    private void onProbed(EndpointProbe.Result result) {
         long now = context.clock().nanos();
         if (result == EndpointProbe.Result.ENDED) {
-            context.crashes().onConnectionRefused(probed.instanceKey(), now);
-            context.crashingParts().onEndpointEnded(probed.instanceKey(), now);
+            context.crashes().onConnectionRefused(endpoint.instanceKey(), now);
+            context.crashingParts().onEndpointEnded(endpoint.instanceKey(), now);
         } else if (result == EndpointProbe.Result.ALIVE) {
-            context.crashingParts().onAddressAccepted(probed.instanceKey());
+            context.crashingParts().onAddressAccepted(endpoint.instanceKey());
         }
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -36,7 +36,7 @@
 
     private final ExchangeRequest request;
     private final ExchangeContext context;
-    private final CrashObserver crashes;
+    private final CrashBlock block;
     private final AttemptCounts attempts;
     private final ExchangeLog log;
     private final Listener listener;
@@ -76,13 +76,13 @@
     EndpointSearch(
             ExchangeRequest request,
             ExchangeContext context,
-            CrashObserver crashes,
+            CrashBlock block,
             AttemptCounts attempts,
             ExchangeLog log,
             Listener listener) {
         this.request = request;
         this.context = context;
-        this.crashes = crashes;
+        this.block = block;
         this.attempts = attempts;
         this.log = log;
         this.listener = listener;
@@ -115,7 +115,7 @@
     /** Finds the endpoint of the next attempt. */
     void next() {
         long now = context.clock().nanos();
-        Optional<RejectReason> blocked = crashes.blockedReason(now);
+        Optional<RejectReason> blocked = block.reason(now);
         if (blocked.isPresent()) {
             listener.onNotFound(blocked.get(), 0);
             return;
@@ -247,7 +247,7 @@
 
     private boolean acceptsRequests(EndpointLoadState endpoint) {
         long now = context.clock().nanos();
-        return crashes.blockNanos(now) == 0
+        return block.remainingNanos(now) == 0
                 && !context.loads().isEvacuated(endpoint)
                 && !endpoint.isLeaving()
                 && endpoint.quietNanos(now) == 0;
@@ -272,7 +272,7 @@
 
         @Override
         public Outlook look(long nowNanos) {
-            blocked = crashes.blockedReason(nowNanos);
+            blocked = block.reason(nowNanos);
             if (blocked.isPresent()) {
                 return Outlook.UNSERVABLE;
             }
--- a/core/src/main/java/org/dragonflygw/core/exchange/EventBoundary.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EventBoundary.java
@@ -6,6 +6,19 @@
     private boolean insideEvent;
     private boolean anyEvent;
 
+    EventBoundary() {
+        this(false);
+    }
+
+    /**
+     * Creates a boundary before the first byte of a response.
+     *
+     * @param anyEvent whether the response continues a stream that has events already
+     */
+    EventBoundary(boolean anyEvent) {
+        this.anyEvent = anyEvent;
+    }
+
     /** Follows one byte; returns whether it ends an event. */
     boolean endsEvent(byte b) {
         boolean emptyLine = b == '\n' && lineLength == 0;
@@ -23,10 +36,4 @@
     boolean mayEnd() {
         return anyEvent && !insideEvent;
     }
-
-    /** Continues with a stream of another response, which begins with an event. */
-    void restart() {
-        lineLength = 0;
-        insideEvent = false;
-    }
 }
--- a/core/src/main/java/org/dragonflygw/core/exchange/EventSplitter.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EventSplitter.java
@@ -34,11 +34,10 @@
         return pending.size() > MAX_EVENT_BYTES;
     }
 
-    /** Removes and returns the bytes after the last complete event. */
+    /** Removes and returns the bytes after the last complete event, once no more bytes follow. */
     byte[] drain() {
         byte[] remainder = pending.toByteArray();
         pending.reset();
-        boundary.restart();
         return remainder;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
-import org.dragonflygw.core.dispatch.SpeedSample;
 import org.dragonflygw.core.resume.StreamOrigin;
 import org.dragonflygw.core.retry.RetryDecision;
 
@@ -21,57 +20,39 @@
     /** Least remaining time, in milliseconds, for which a retry is attempted. */
     private static final long MIN_RETRY_REMAINING_MS = 30;
 
-    /**
-     * How long an endpoint gets no requests after a failed connection or a response with status 421, in nanoseconds.
-     * By then its entry in the store shows whether the endpoint is still there.
-     */
-    private static final long ENDPOINT_BLOCK_NANOS = 1_500_000_000L;
-
-    private enum Phase {
-        CHOOSING,
-        SENT,
-        FORWARDING,
-        ENDED
-    }
-
     private final ExchangeRequest request;
     private final ExchangeContext context;
     private final ExchangeOutput out;
-    private final ResponseBuffer response;
+    private final CallerResponse response;
+    private final ResponseTimes times = new ResponseTimes();
     private final AttemptCounts attempts;
-    private final SilenceTimeout silence;
-    private final CrashObserver crashes;
+    private final CrashBlock block;
     private final ExchangeLog log;
     private final EndpointSearch search;
+    private final AttemptOwner owner = new AttemptOwner();
+
+    /** The attempt that is open; null while an endpoint is being searched for, and after the end. */
+    private EndpointAttempt attempt;
 
-    private Phase phase = Phase.CHOOSING;
+    /** The endpoint of the latest attempt, for the log; null before the first. */
     private EndpointLoadState endpoint;
-    private SpeedSample speed;
-    private int uncachedTokens;
-    private boolean firstPartSeen;
-    private boolean ignoreResponse;
+
+    private boolean ended;
     private boolean mayHaveRun;
 
     /** Whether this host does not read the response; what the endpoint does meanwhile is not known. */
     private boolean outputPaused;
 
-    private long attemptStartNanos;
-    private long attemptFirstPartNanos;
-    private long firstPartAtNanos;
-
-    private long longestGapNanos;
-
     /** Creates an exchange, which does nothing until {@link #start} is called. */
     public Exchange(ExchangeRequest request, ExchangeContext context, ExchangeOutput out) {
         this.request = request;
         this.context = context;
         this.out = out;
-        this.response = new ResponseBuffer(request.route(), out, this::onResponseStarting);
+        this.response = new CallerResponse(request.route(), out);
         this.attempts = new AttemptCounts(request.route());
-        this.silence = new SilenceTimeout(request.route());
-        this.crashes = new CrashObserver(request, context);
+        this.block = new CrashBlock(request, context);
         this.log = new ExchangeLog(request, context.log());
-        this.search = new EndpointSearch(request, context, crashes, attempts, log, new Found());
+        this.search = new EndpointSearch(request, context, block, attempts, log, new Found());
     }
 
     /** Sends the request to an endpoint, or rejects it if no endpoint can serve it. */
@@ -80,105 +61,37 @@
         search.first();
     }
 
-    /** Called right before the first part of the response goes to the caller. */
-    private void onResponseStarting() {
-        if (!request.route().streaming()
-                || !request.route().resumable()
-                || !response.head().isSuccess()) {
-            return;
-        }
-        StreamOrigin begun =
-                new StreamOrigin(request.service().name(), endpoint.entry().version());
-        search.goOnAt(begun);
-        context.origins().onBegun(request.id(), begun);
-    }
-
     /** Whether the exchange has ended. */
     public boolean ended() {
-        return phase == Phase.ENDED;
+        return ended;
     }
 
     private void send(Choice choice, long now) {
-        endpoint = choice.endpoint().orElseThrow();
-        uncachedTokens = choice.uncachedTokens();
-        firstPartSeen = false;
-        attemptFirstPartNanos = 0;
-        ignoreResponse = false;
-        phase = Phase.SENT;
-        attemptStartNanos = now;
-        crashes.onSent(endpoint.entry(), now);
-        silence.restart(now);
         log.dispatched(choice, attempts.nextAttempt(), remainingMs(now), now);
-        context.loads().onChosen(choice);
-        context.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
-        boolean readsPrompt = request.service().hasModelEngines()
-                && choice.cacheSource().isEmpty()
-                && response.resumeAfter().isEmpty();
-        speed = new SpeedSample(endpoint, readsPrompt, now);
+        attempt = new EndpointAttempt(request, context, log, times, response, choice, now, owner);
+        endpoint = attempt.endpoint();
         scheduleTimer();
-        out.send(new Dispatch(
-                endpoint.entry(),
-                remainingMs(now),
-                request.priority(),
-                response.resumeAfter(),
-                choice.cacheSource(),
-                !request.route().repeatable()));
-    }
-
-    /**
-     * Called when the head of the endpoint's response was read. The data plane has checked that the head echoes the id
-     * of this request.
-     */
-    public void onHead(ResponseHead head) {
-        if (phase != Phase.SENT) {
-            return;
-        }
-        long now = now();
-        crashes.onHeard(now);
-        if (!head.isMisdirected()) {
-            head.load().ifPresent(load -> endpoint.onLoadReport(load, now));
-        }
-        context.notices().accept(endpoint.entry(), head, request.id(), attemptStartNanos);
-        if (head.notExecuted() || head.isMisdirected()) {
-            onRejected(head, now);
-            return;
-        }
-        mayHaveRun = true;
-        if (head.isSuccess() && (!head.signed() || head.encoded())) {
-            onAttemptFailed(AttemptFailure.MALFORMED);
+        EndpointAttempt sent = attempt;
+        sent.bind(out.send(
+                new Dispatch(
+                        endpoint.entry(),
+                        remainingMs(now),
+                        request.priority(),
+                        response.resumeAfter(),
+                        choice.cacheSource(),
+                        !request.route().repeatable()),
+                sent));
+    }
+
+    /** Right before the first part of the response goes to the caller: later attempts go on where the stream begins. */
+    private void recordOrigin(ResponseHead head) {
+        if (!request.route().streaming() || !request.route().resumable() || !head.isSuccess()) {
             return;
         }
-        silence.restart(now);
-        response.setHead(head);
-        crashes.onHead(head);
-        if (!head.isSuccess()) {
-            onFirstPart(now);
-        }
-        scheduleTimer();
-    }
-
-    /**
-     * Whether the request may still go to the chosen endpoint; asked when a connection was opened, before anything is
-     * sent.
-     */
-    public boolean mayStillSend() {
-        return search.mayStillSend(endpoint);
-    }
-
-    private void onRejected(ResponseHead head, long now) {
-        ignoreResponse = true;
-        attempts.onRejection(endpoint.entry().id());
-        endpoint.onFailure(head.rejectionWeight(), now);
-        logFailure("rejected", head.status(), now);
-        crashes.onClosed();
-        endAttempt();
-        out.cancelAttempt();
-        if (head.isMisdirected()) {
-            endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
-        }
-        retryOrFail(
-                RejectReason.ENDPOINT_REJECTED,
-                attempts.mayRetryRejected() && !isSpared(now) && hasTimeToRetry(now) && takeRetry(now));
+        StreamOrigin begun =
+                new StreamOrigin(request.service().name(), endpoint.entry().version());
+        search.goOnAt(begun);
+        context.origins().onBegun(request.id(), begun);
     }
 
     /** Whether the next endpoint, if it is full as well, would have to reject the request too and bears few rejections. */
@@ -186,146 +99,28 @@
         return context.loads().isBrittle(request.service().name(), now);
     }
 
-    /** Called when a part of the body of the endpoint's response was read. */
-    public void onBody(byte[] body) {
-        if (ignoreResponse || (phase != Phase.SENT && phase != Phase.FORWARDING) || body.length == 0) {
-            return;
-        }
-        long now = now();
-        crashes.onHeard(now);
-        if (firstPartSeen) {
-            longestGapNanos = Math.max(longestGapNanos, now - silence.lastReadNanos());
-        }
-        boolean first = !firstPartSeen;
-        onFirstPart(now);
-        crashes.onPart(now);
-        if (!response.appendBody(body)) {
-            onAttemptFailed(AttemptFailure.MALFORMED);
-            return;
-        }
-        if (first || response.progressed()) {
-            silence.restart(now);
-        }
-        if (response.started()) {
-            phase = Phase.FORWARDING;
-        }
-        scheduleTimer();
-    }
-
-    private void onFirstPart(long now) {
-        if (firstPartSeen) {
-            return;
-        }
-        firstPartSeen = true;
-        attemptFirstPartNanos = now;
-        if (firstPartAtNanos == 0) {
-            firstPartAtNanos = now;
-        }
-        endpoint.onPromptRead(uncachedTokens);
-        if (response.hasHead() && response.head().isSuccess()) {
-            speed.onFirstPart(now);
-        }
-    }
-
-    /** Called when the endpoint's response is complete. */
-    public void onComplete() {
-        if (ignoreResponse || (phase != Phase.SENT && phase != Phase.FORWARDING)) {
-            return;
-        }
-        if (!response.hasHead()) {
-            onAttemptFailed(AttemptFailure.MALFORMED);
-            return;
-        }
-        if (!response.mayBeComplete()) {
-            onAttemptFailed(AttemptFailure.CONNECTION_LOST);
-            return;
-        }
-        long now = now();
-        ResponseHead head = response.head();
-        if (head.isSuccess()) {
-            endpoint.onSuccess(now);
-            crashes.onCompleted(now);
-            speed.onComplete(!request.service().hasModelEngines(), now);
-            endAttempt();
-            response.complete();
-            end("ok", head.status());
-            return;
-        }
-        onErrorResponse(head, now);
-    }
-
-    private void onErrorResponse(ResponseHead head, long now) {
-        endpoint.onFailure(head.status() >= 500 ? 1 : 0, now);
-        logFailure("failure answer", head.status(), now);
-        crashes.onClosed();
-        endAttempt();
-        attempts.onExecuted(endpoint.entry().id());
-        if (head.status() >= 500 && mayRetry(now)) {
-            retryOrFail(RejectReason.ENDPOINT_FAILED, true);
-            return;
-        }
-        forwardErrorResponse(head);
-    }
-
-    private void forwardErrorResponse(ResponseHead head) {
+    private void forwardErrorResponse(EndpointAttempt failed) {
+        ResponseHead head = failed.response().head();
         if (head.impliesNotExecuted() || response.started()) {
             failAfterRun(RejectReason.ENDPOINT_FAILED);
             return;
         }
-        response.complete();
+        failed.response().complete();
         end("endpoint failed", head.status());
     }
 
-    /** Called when the current attempt ended without a complete response. */
-    public void onAttemptFailed(AttemptFailure cause) {
-        if (ignoreResponse || (phase != Phase.SENT && phase != Phase.FORWARDING)) {
-            return;
-        }
-        long now = now();
-        logFailure(cause.name(), 0, now);
-        endAttempt();
-        if (cause.isBeforeSending()) {
-            crashes.onClosed();
-            attempts.onConnectFailure(endpoint.entry().id());
-            endpoint.onFailure(cause.weight(), now);
-            if (cause != AttemptFailure.WITHDRAWN) {
-                endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
-            }
-            if (cause == AttemptFailure.CONNECT_REFUSED) {
-                context.crashes().onConnectionRefused(endpoint.entry().instanceKey(), now);
-            }
-            retryOrFail(RejectReason.UNREACHABLE, attempts.mayRetryConnect() && hasTimeToRetry(now));
-            return;
-        }
-        if (cause == AttemptFailure.CONNECTION_LOST) {
-            crashes.onConnectionLost(now);
-        } else if (cause == AttemptFailure.MALFORMED) {
-            crashes.onMalformed(now);
-        } else {
-            crashes.onUnfinished(now);
-        }
-        giveUpAttempt(cause, now);
-        retryOrFail(RejectReason.ENDPOINT_FAILED, mayRetry(now));
-    }
-
     /** Replaces an attempt that may still be answered; the caller has taken the retry for it. */
     private void replaceSilentAttempt(long now) {
-        logFailure(AttemptFailure.SILENT.name(), 0, now);
-        abandonAttempt(now);
-        crashes.onUnfinished(now);
-        giveUpAttempt(AttemptFailure.SILENT, now);
+        EndpointAttempt silent = attempt;
+        attempt = null;
+        silent.giveUpSilent(now);
+        onMayHaveRun(silent);
         retryOrFail(RejectReason.ENDPOINT_FAILED, true);
     }
 
-    private void logFailure(String outcome, int status, long now) {
-        log.attemptFailed(endpoint, outcome, status, now - attemptStartNanos, crashes.progress());
-    }
-
-    private void giveUpAttempt(AttemptFailure cause, long now) {
-        out.cancelAttempt();
-        endpoint.onFailure(cause.weight(), now);
+    private void onMayHaveRun(EndpointAttempt ended) {
         mayHaveRun = true;
-        attempts.onExecuted(endpoint.entry().id());
+        attempts.onExecuted(ended.endpoint().entry().id());
     }
 
     private void retryOrFail(RejectReason reason, boolean allowed) {
@@ -333,18 +128,17 @@
             refuseOrFail(reason, 0);
             return;
         }
-        response.discardUnsent();
         search.next();
     }
 
-    private boolean isBlocked() {
-        return crashes.blockNanos(now()) > 0;
-    }
-
     private boolean mayRetry(long now) {
         return !isBlocked() && attempts.mayRunAgain(0) && response.canResume() && hasTimeToRetry(now) && takeRetry(now);
     }
 
+    private boolean isBlocked() {
+        return block.remainingNanos(now()) > 0;
+    }
+
     private boolean hasTimeToRetry(long now) {
         return remainingMs(now) >= MIN_RETRY_REMAINING_MS;
     }
@@ -366,7 +160,7 @@
     }
 
     private long retryAfterMs(RejectReason reason, long expectedMs, long remainingMs) {
-        long blockMs = crashes.blockNanos(now()) / NANOS_PER_MS;
+        long blockMs = block.remainingNanos(now()) / NANOS_PER_MS;
         if (blockMs > 0) {
             return blockMs;
         }
@@ -399,11 +193,11 @@
 
     /** Called at the time requested through {@link ExchangeOutput#wakeAt}; earlier calls are harmless. */
     public void onTimer() {
-        if (phase == Phase.CHOOSING) {
-            search.onTimer();
+        if (ended) {
             return;
         }
-        if (phase == Phase.ENDED) {
+        if (attempt == null) {
+            search.onTimer();
             return;
         }
         long now = now();
@@ -412,14 +206,14 @@
             return;
         }
         if (!outputPaused) {
-            crashes.onTimer(silence.lastReadNanos(), now);
+            attempt.checkStall(now);
         }
-        if (mayReplaceIfSilent(now) && now >= silence.expiryNanos(firstPartSeen)) {
+        if (mayReplaceIfSilent(now) && now >= attempt.silentFromNanos()) {
             if (takeRetry(now)) {
                 replaceSilentAttempt(now);
                 return;
             }
-            silence.postpone(now);
+            attempt.silence().postpone(now);
         }
         scheduleTimer();
     }
@@ -433,53 +227,53 @@
     }
 
     private void onTimeout(long now) {
-        logFailure("timeout", 0, now);
-        endpoint.onFailure(0.5, now);
-        crashes.onUnfinished(now);
-        abandonAttempt(now);
-        out.cancelAttempt();
+        attempt.timeOut(now);
+        attempt = null;
         failAfterRun(RejectReason.TIMED_OUT);
     }
 
-    /** Called when the caller reads so slowly that nothing more is read from the endpoint for now. */
+    /** Called when the caller reads so slowly that nothing more is to be read from the endpoint for now. */
     public void onOutputPaused() {
         outputPaused = true;
+        setAutoRead(false);
     }
 
-    /** Called when the endpoint's response is read again. */
+    /** Called when the endpoint's response can be read again. */
     public void onOutputResumed() {
         outputPaused = false;
-        if (phase == Phase.SENT || phase == Phase.FORWARDING) {
-            silence.restart(now());
+        setAutoRead(true);
+        if (attempt != null) {
+            attempt.silence().restart(now());
             scheduleTimer();
         }
     }
 
+    private void setAutoRead(boolean enabled) {
+        if (attempt != null) {
+            attempt.setAutoRead(enabled);
+        }
+    }
+
     /** Called when the caller has closed its connection. */
     public void onCallerDisconnected() {
-        if (phase == Phase.ENDED) {
+        if (ended) {
             return;
         }
-        if (phase != Phase.CHOOSING) {
-            long now = now();
-            crashes.onCallerLeft(now);
-            abandonAttempt(now);
-            out.cancelAttempt();
+        if (attempt != null) {
+            attempt.leave(now());
+            attempt = null;
         }
         end("caller left", 0);
     }
 
     /** Called when the process exits: the request is refused if it was not sent, and fails otherwise. */
     public void onStopping() {
-        if (phase == Phase.ENDED) {
+        if (ended) {
             return;
         }
-        long now = now();
-        if (phase != Phase.CHOOSING) {
-            logFailure("process exits", 0, now);
-            crashes.onCallerLeft(now);
-            endAttempt();
-            out.cancelAttempt();
+        if (attempt != null) {
+            attempt.stop(now());
+            attempt = null;
             mayHaveRun = true;
         }
         refuseOrFail(RejectReason.STOPPING, 0);
@@ -487,46 +281,27 @@
 
     /** Returns what the request waits for, for the log. */
     public String waitingFor() {
-        return switch (phase) {
-            case CHOOSING -> "endpoint";
-            case SENT -> "response";
-            default -> "end of response";
-        };
+        if (attempt == null) {
+            return "endpoint";
+        }
+        return response.started() ? "end of response" : "response";
     }
 
     private void scheduleTimer() {
         long wakeNanos = request.expiryNanos();
         if (mayReplaceIfSilent(now())) {
-            wakeNanos = Math.min(wakeNanos, silence.expiryNanos(firstPartSeen));
+            wakeNanos = Math.min(wakeNanos, attempt.silentFromNanos());
         }
         if (!outputPaused) {
-            wakeNanos = Math.min(wakeNanos, crashes.stallNanos(silence.lastReadNanos()));
+            wakeNanos = Math.min(wakeNanos, attempt.stallNanos());
         }
         out.wakeAt(wakeNanos);
     }
 
-    /** Ends an attempt whose endpoint may work on, as it is this host that gives it up. */
-    private void abandonAttempt(long now) {
-        endpoint.onAbandoned(now);
-        endAttempt();
-    }
-
-    private void endAttempt() {
-        if (!firstPartSeen) {
-            firstPartSeen = true;
-            endpoint.onPromptRead(uncachedTokens);
-        }
-        endpoint.onRequestEnded(request.prompt());
-        phase = Phase.CHOOSING;
-        long firstPartNanos = attemptFirstPartNanos == 0 ? 0 : Math.max(1, attemptFirstPartNanos - attemptStartNanos);
-        context.admission()
-                .onEnded(request.service(), request.route().name(), firstPartNanos, now() - attemptStartNanos);
-    }
-
     private void end(String outcome, int status) {
-        phase = Phase.ENDED;
+        ended = true;
         search.cancel();
-        log.ended(outcome, status, Optional.ofNullable(endpoint), firstPartAtNanos, longestGapNanos, now());
+        log.ended(outcome, status, Optional.ofNullable(endpoint), times, now());
     }
 
     private long remainingMs(long now) {
@@ -537,6 +312,67 @@
         return context.clock().nanos();
     }
 
+    private final class AttemptOwner implements EndpointAttempt.Owner {
+        @Override
+        public boolean mayStillSend(EndpointAttempt sending) {
+            return search.mayStillSend(sending.endpoint());
+        }
+
+        @Override
+        public void onProgress(EndpointAttempt running) {
+            mayHaveRun = true;
+            scheduleTimer();
+        }
+
+        @Override
+        public void onForwarding(EndpointAttempt forwarding) {
+            if (!response.started()) {
+                recordOrigin(forwarding.response().head());
+            }
+        }
+
+        @Override
+        public void onRejected(EndpointAttempt rejected) {
+            attempt = null;
+            attempts.onRejection(rejected.endpoint().entry().id());
+            long now = now();
+            retryOrFail(
+                    RejectReason.ENDPOINT_REJECTED,
+                    attempts.mayRetryRejected() && !isSpared(now) && hasTimeToRetry(now) && takeRetry(now));
+        }
+
+        @Override
+        public void onSuccess(EndpointAttempt succeeded) {
+            attempt = null;
+            succeeded.response().complete();
+            end("ok", succeeded.response().head().status());
+        }
+
+        @Override
+        public void onErrorResponse(EndpointAttempt failed) {
+            attempt = null;
+            onMayHaveRun(failed);
+            if (failed.response().head().status() >= 500 && mayRetry(now())) {
+                retryOrFail(RejectReason.ENDPOINT_FAILED, true);
+                return;
+            }
+            forwardErrorResponse(failed);
+        }
+
+        @Override
+        public void onFailed(EndpointAttempt failed, AttemptFailure cause) {
+            attempt = null;
+            long now = now();
+            if (cause.isBeforeSending()) {
+                attempts.onConnectFailure(failed.endpoint().entry().id());
+                retryOrFail(RejectReason.UNREACHABLE, attempts.mayRetryConnect() && hasTimeToRetry(now));
+                return;
+            }
+            onMayHaveRun(failed);
+            retryOrFail(RejectReason.ENDPOINT_FAILED, mayRetry(now));
+        }
+    }
+
     private final class Found implements EndpointSearch.Listener {
         @Override
         public void onFound(Choice choice) {
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -147,27 +147,17 @@
                 .end();
     }
 
-    /**
-     * Logs the end of the request.
-     *
-     * @param firstPartAtNanos when the first part of a response was read, on the monotonic clock; 0 if none was
-     */
-    void ended(
-            String outcome,
-            int status,
-            Optional<EndpointLoadState> endpoint,
-            long firstPartAtNanos,
-            long longestGapNanos,
-            long nowNanos) {
+    /** Logs the end of the request. */
+    void ended(String outcome, int status, Optional<EndpointLoadState> endpoint, ResponseTimes times, long nowNanos) {
         LogLine line = log.line(LogTopic.END)
                 .with("request", request.id())
                 .with("route", request.route().name())
                 .with("outcome", outcome)
                 .with("status", status)
                 .with("totalMs", (nowNanos - request.arrivedNanos()) / NANOS_PER_MS);
-        if (firstPartAtNanos != 0) {
-            line.with("firstPartMs", (firstPartAtNanos - request.arrivedNanos()) / NANOS_PER_MS);
-            line.with("longestGapMs", longestGapNanos / NANOS_PER_MS);
+        if (times.firstPartNanos() != 0) {
+            line.with("firstPartMs", (times.firstPartNanos() - request.arrivedNanos()) / NANOS_PER_MS);
+            line.with("longestGapMs", times.longestGapNanos() / NANOS_PER_MS);
         }
         endpoint.ifPresent(e -> line.with("endpoint", e.entry().id()));
         line.end();
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeOutput.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeOutput.java
@@ -2,14 +2,11 @@
 
 /**
  * Actions of an {@link Exchange} on the network and the timer. Calls return without waiting; what follows from them is
- * reported to the exchange through its {@code on...} methods.
+ * reported to the exchange through its {@code on...} methods, and to the listener of an attempt.
  */
 public interface ExchangeOutput {
-    /** Starts an attempt: sends the request to an endpoint. */
-    void send(Dispatch dispatch);
-
-    /** Cancels the current attempt by closing its connection, so that the endpoint stops working on the request. */
-    void cancelAttempt();
+    /** Starts an attempt: sends the request to an endpoint. The listener gets the events of the attempt. */
+    Attempt send(Dispatch dispatch, AttemptListener listener);
 
     /** Starts the response to the caller. */
     void forwardHead(ResponseHead head);
--- a/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ResponseBuffer.java
@@ -1,11 +1,10 @@
 package org.dragonflygw.core.exchange;
 
 import java.io.ByteArrayOutputStream;
-import java.util.Optional;
 import org.dragonflygw.core.catalog.CatalogRoute;
 
 /**
- * Buffers the response of an endpoint on its way to the caller. A plain response is held until it is complete, so that
+ * Buffers the response of one endpoint on its way to the caller. A plain response is held until it is complete, so that
  * the request can be retried if the response breaks off. A streamed response is forwarded as it arrives; if its route
  * allows resuming, it is forwarded in complete events only.
  */
@@ -19,28 +18,27 @@
     private static final int STATUS_NO_CONTENT = 204;
 
     private final CatalogRoute route;
-    private final ExchangeOutput out;
-    private final Runnable startListener;
+    private final CallerResponse caller;
+    private final Runnable forwardListener;
     private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
     private final EventSplitter splitter = new EventSplitter();
-    private final EventBoundary boundary = new EventBoundary();
+    private final EventBoundary boundary;
 
     private ResponseHead head;
-    private boolean started;
     private boolean empty = true;
-    private Optional<String> lastEventId = Optional.empty();
-    private boolean forwardedWithoutId;
     private boolean progressed;
 
     /**
      * Creates an empty buffer.
      *
-     * @param startListener called right before the first part of a response is forwarded
+     * @param caller the response to the caller, which this one begins or continues
+     * @param forwardListener called right before each part that is forwarded
      */
-    ResponseBuffer(CatalogRoute route, ExchangeOutput out, Runnable startListener) {
+    ResponseBuffer(CatalogRoute route, CallerResponse caller, Runnable forwardListener) {
         this.route = route;
-        this.out = out;
-        this.startListener = startListener;
+        this.caller = caller;
+        this.forwardListener = forwardListener;
+        this.boundary = new EventBoundary(caller.started());
     }
 
     boolean hasHead() {
@@ -51,21 +49,6 @@
         return head;
     }
 
-    /** Whether the head was forwarded to the caller. */
-    boolean started() {
-        return started;
-    }
-
-    /** Id of the last event that was forwarded, after which another endpoint has to resume; empty if there is none. */
-    Optional<String> resumeAfter() {
-        return started ? lastEventId : Optional.empty();
-    }
-
-    /** Whether the response of another endpoint can still continue what was forwarded to the caller. */
-    boolean canResume() {
-        return !started || (splitsEvents() && lastEventId.isPresent() && !forwardedWithoutId);
-    }
-
     void setHead(ResponseHead newHead) {
         head = newHead;
     }
@@ -86,11 +69,10 @@
         if (!forwardsImmediately()) {
             return hold(body);
         }
-        if (splitsEvents()) {
+        if (caller.splitsEvents()) {
             return forwardEvents(body);
         }
-        forwardHeadOnce();
-        out.forwardBody(body);
+        forward(body);
         return true;
     }
 
@@ -127,70 +109,37 @@
     }
 
     private boolean forwardsImmediately() {
-        return head.isSuccess() && (route.streaming() || started);
-    }
-
-    private boolean splitsEvents() {
-        return route.streaming() && route.resumable();
+        return head.isSuccess() && (route.streaming() || caller.started());
     }
 
     private boolean forwardEvents(byte[] body) {
         for (StreamEvent event : splitter.append(body)) {
-            if (event.id().isPresent() && isRepeated(event.id().get())) {
+            if (caller.isRepeated(event)) {
                 return false;
             }
-            forwardHeadOnce();
-            forwardedWithoutId |= event.id().isEmpty();
-            if (event.id().isPresent()) {
-                lastEventId = event.id();
-            }
-            out.forwardBody(event.bytes());
+            forwardListener.run();
+            caller.forwardHead(head);
+            caller.forwardEvent(event);
         }
         return !splitter.exceedsMaxEventSize();
     }
 
-    private boolean isRepeated(String id) {
-        try {
-            return lastEventId.isPresent() && Long.parseLong(id) <= Long.parseLong(lastEventId.get());
-        } catch (NumberFormatException e) {
-            return false; // Ids that are not numbers have no order that could be checked.
-        }
-    }
-
     private void forwardHeld() {
-        forwardHeadOnce();
-        out.forwardBody(held.toByteArray());
+        byte[] bytes = held.toByteArray();
         held.reset();
+        forward(bytes);
     }
 
-    private void forwardHeadOnce() {
-        if (!started) {
-            started = true;
-            startListener.run();
-            out.forwardHead(head);
-        }
-    }
-
-    /** Discards the head and everything that was not forwarded, before another attempt. */
-    void discardUnsent() {
-        held.reset();
-        splitter.drain();
-        boundary.restart();
-        empty = true;
-        head = null;
+    private void forward(byte[] body) {
+        forwardListener.run();
+        caller.forwardHead(head);
+        caller.forwardBody(body);
     }
 
     /** Forwards what is held and completes the response to the caller. */
     void complete() {
-        forwardHeadOnce();
-        if (held.size() > 0) {
-            out.forwardBody(held.toByteArray());
-            held.reset();
-        }
-        byte[] remainder = splitter.drain();
-        if (remainder.length > 0) {
-            out.forwardBody(remainder);
-        }
-        out.finish();
+        forwardHeld();
+        caller.forwardBody(splitter.drain());
+        caller.finish();
     }
 }
--- a/core/src/main/java/org/dragonflygw/core/exchange/SilenceTimeout.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/SilenceTimeout.java
@@ -19,11 +19,13 @@
     private long lastReadNanos;
     private long recheckNanos;
 
-    SilenceTimeout(CatalogRoute route) {
+    /** Creates the timeout of an attempt that is sent now. */
+    SilenceTimeout(CatalogRoute route, long nowNanos) {
         this.route = route;
+        restart(nowNanos);
     }
 
-    /** Records that the attempt was sent or that data arrived. */
+    /** Records that data arrived. */
     void restart(long nowNanos) {
         lastReadNanos = nowNanos;
         recheckNanos = nowNanos;
--- a/core/src/test/java/org/dragonflygw/core/exchange/AbandonedRequestTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/AbandonedRequestTest.java
@@ -20,7 +20,7 @@
     private final ExchangeFixture f = new ExchangeFixture();
 
     private String startAndLeave() {
-        Exchange x = f.start(PLAIN);
+        StartedExchange x = f.start(PLAIN);
         x.onCallerDisconnected();
         return f.sent.get(f.sent.size() - 1).endpoint().id();
     }
@@ -56,7 +56,7 @@
     final class AfterACompleteResponse {
         @Test
         void nothingCounts() {
-            Exchange x = f.start(PLAIN);
+            StartedExchange x = f.start(PLAIN);
             x.onHead(ExchangeFixture.signedHead(200));
             x.onBody(new byte[] {1});
             x.onComplete();
--- a/core/src/test/java/org/dragonflygw/core/exchange/BrittleEndpointsTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/BrittleEndpointsTest.java
@@ -68,7 +68,7 @@
             return f.loads.isBrittle(ExchangeFixture.SERVICE, f.clock.nanos());
         }
 
-        private Exchange started() {
+        private StartedExchange started() {
             return f.start(ExchangeFixture.route(RouteKind.IDEMPOTENT, false));
         }
 
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
@@ -298,7 +298,7 @@
     }
 
     private final class Engine {
-        private final List<Call> calls = new ArrayList<>();
+        private final List<Sent> open = new ArrayList<>();
         private DiscoveredEndpoint entry;
         private boolean alive = true;
 
@@ -315,51 +315,51 @@
             return alive && entry.equals(expected);
         }
 
-        void receive(Call call) {
-            calls.add(call);
-            if (isMarked(call.prompt)) {
+        void receive(Sent sent) {
+            open.add(sent);
+            if (isMarked(sent.prompt)) {
                 markedSendsMs.add(nowMs);
             }
             boolean byChance = chanceOneIn > 0 && random.nextInt(chanceOneIn) == 0;
-            if (byChance || (endsBeforeHead && isMarked(call.prompt))) {
-                after(BEFORE_HEAD_MS, byChance ? this::end : () -> endUnder(call));
+            if (byChance || (endsBeforeHead && isMarked(sent.prompt))) {
+                after(BEFORE_HEAD_MS, byChance ? this::end : () -> endUnder(sent));
                 return;
             }
-            after(100 + random.nextInt(300), () -> begin(call));
+            after(100 + random.nextInt(300), () -> begin(sent));
         }
 
-        private void begin(Call call) {
-            if (!calls.contains(call)) {
+        private void begin(Sent sent) {
+            if (!open.contains(sent)) {
                 return;
             }
-            call.exchange.onHead(ExchangeFixture.signedHead(200));
-            if (isMarked(call.prompt)) {
-                after(90, () -> endUnder(call));
+            sent.head(ExchangeFixture.signedHead(200));
+            if (isMarked(sent.prompt)) {
+                after(90, () -> endUnder(sent));
                 return;
             }
             if (answersBreakOff && random.nextInt(10) > 0) {
-                after(20, () -> lose(call));
+                after(20, () -> lose(sent));
                 return;
             }
-            after(EVENT_INTERVAL_MS, () -> write(call, 1));
+            after(EVENT_INTERVAL_MS, () -> write(sent, 1));
         }
 
-        private void write(Call call, int event) {
-            if (!calls.contains(call)) {
+        private void write(Sent sent, int event) {
+            if (!open.contains(sent)) {
                 return;
             }
-            call.exchange.onBody(("id: " + event + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8));
+            sent.body(("id: " + event + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8));
             if (event < EVENTS) {
-                after(EVENT_INTERVAL_MS, () -> write(call, event + 1));
+                after(EVENT_INTERVAL_MS, () -> write(sent, event + 1));
                 return;
             }
-            calls.remove(call);
+            open.remove(sent);
             completedSound++;
-            call.exchange.onComplete();
+            sent.complete();
         }
 
-        private void endUnder(Call call) {
-            if (calls.contains(call)) {
+        private void endUnder(Sent sent) {
+            if (open.contains(sent)) {
                 endsMs.add(nowMs);
                 end();
             }
@@ -371,18 +371,18 @@
             }
             alive = false;
             DiscoveredEndpoint ended = entry;
-            List<Call> lost = List.copyOf(calls);
-            calls.clear();
+            List<Sent> lost = List.copyOf(open);
+            open.clear();
             if (!endsSilently) {
-                after(STEP_MS, () -> lost.forEach(c -> c.fail(this, AttemptFailure.CONNECTION_LOST)));
+                after(STEP_MS, () -> lost.forEach(c -> c.fail(AttemptFailure.CONNECTION_LOST)));
             }
             after(ENTRY_EXPIRY_MS, () -> hosts.forEach(h -> h.onRemoved(ended)));
             after(sameAddress ? SAME_ADDRESS_RESTART_MS : RESTART_MS, () -> restart(ended));
         }
 
-        private void lose(Call call) {
-            if (calls.remove(call)) {
-                call.fail(this, AttemptFailure.CONNECTION_LOST);
+        private void lose(Sent sent) {
+            if (open.remove(sent)) {
+                sent.fail(AttemptFailure.CONNECTION_LOST);
             }
         }
 
@@ -426,7 +426,6 @@
         private final boolean marked;
         private final Exchange exchange;
         private long wakeNanos = Long.MAX_VALUE;
-        private Engine engine;
 
         Call(Host host, Prompt prompt, boolean marked) {
             this.prompt = prompt;
@@ -453,30 +452,14 @@
             }
         }
 
-        void fail(Engine from, AttemptFailure failure) {
-            if (engine == from) {
-                engine = null;
-                exchange.onAttemptFailed(failure);
-            }
-        }
-
         @Override
-        public void send(Dispatch dispatch) {
+        public Attempt send(Dispatch dispatch, AttemptListener listener) {
             DiscoveredEndpoint to = dispatch.endpoint();
-            engine = engines.stream().filter(e -> e.runs(to)).findFirst().orElse(null);
-            if (engine == null) {
-                after(STEP_MS, () -> fail(null, AttemptFailure.CONNECT_REFUSED));
-                return;
-            }
-            engine.receive(this);
-        }
-
-        @Override
-        public void cancelAttempt() {
-            if (engine != null) {
-                engine.calls.remove(this);
-                engine = null;
-            }
+            Optional<Engine> engine = engines.stream().filter(e -> e.runs(to)).findFirst();
+            Sent sent = new Sent(prompt, engine, listener);
+            engine.ifPresentOrElse(
+                    e -> e.receive(sent), () -> after(STEP_MS, () -> sent.fail(AttemptFailure.CONNECT_REFUSED)));
+            return sent;
         }
 
         @Override
@@ -503,4 +486,21 @@
         @Override
         public void abort() {}
     }
+    /** A prompt at an engine, which works on it while it is among the engine's open ones; without one, none is there. */
+    private static final class Sent extends SimulatedAttempt {
+        private final Prompt prompt;
+        private final Optional<Engine> engine;
+
+        Sent(Prompt prompt, Optional<Engine> engine, AttemptListener listener) {
+            super(listener);
+            this.prompt = prompt;
+            this.engine = engine;
+        }
+
+        @Override
+        public void cancel() {
+            super.cancel();
+            engine.ifPresent(e -> e.open.remove(this));
+        }
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestFleet.java
@@ -172,18 +172,18 @@
             this.entry = entry;
         }
 
-        void receive(Call call, DiscoveredEndpoint expected) {
+        void receive(SimulatedAttempt sent, DiscoveredEndpoint expected) {
             if (!alive || !entry.equals(expected)) {
                 boolean refused = end != End.SILENT;
                 AttemptFailure failure = refused ? AttemptFailure.CONNECT_REFUSED : AttemptFailure.CONNECT_TIMEOUT;
-                after(refused ? 1 : CONNECT_TIMEOUT_MS, () -> call.fail(this, failure));
+                after(refused ? 1 : CONNECT_TIMEOUT_MS, () -> sent.fail(failure));
                 return;
             }
             sendsMs.add(nowMs);
-            after(RUN_DELAY_MS, () -> endUnder(call));
+            after(RUN_DELAY_MS, () -> endUnder(sent));
         }
 
-        private void endUnder(Call call) {
+        private void endUnder(SimulatedAttempt sent) {
             if (!alive) {
                 return;
             }
@@ -191,7 +191,7 @@
             endsMs.add(nowMs);
             DiscoveredEndpoint ended = entry;
             if (end != End.SILENT) {
-                call.fail(this, end == End.RESET ? AttemptFailure.CONNECTION_LOST : AttemptFailure.MALFORMED);
+                sent.fail(end == End.RESET ? AttemptFailure.CONNECTION_LOST : AttemptFailure.MALFORMED);
                 hosts.forEach(h -> h.loseOthers(ended, othersLostPerHost));
             }
             after(ENTRY_EXPIRY_MS, () -> hosts.forEach(h -> h.onRemoved(ended)));
@@ -248,7 +248,6 @@
     private final class Call implements ExchangeOutput {
         private final Exchange exchange;
         private long wakeNanos = Long.MAX_VALUE;
-        private Engine engine;
 
         Call(Host host) {
             CatalogService service = new CatalogService("app", "/", 100, 64, 0, 0);
@@ -273,26 +272,16 @@
             }
         }
 
-        void fail(Engine from, AttemptFailure failure) {
-            if (engine == from) {
-                engine = null;
-                exchange.onAttemptFailed(failure);
-            }
-        }
-
         @Override
-        public void send(Dispatch dispatch) {
+        public Attempt send(Dispatch dispatch, AttemptListener listener) {
             DiscoveredEndpoint to = dispatch.endpoint();
-            engine = engines.stream()
+            Engine engine = engines.stream()
                     .filter(e -> e.entry.id().equals(to.id()))
                     .findFirst()
                     .orElseGet(() -> new Engine(to));
-            engine.receive(this, to);
-        }
-
-        @Override
-        public void cancelAttempt() {
-            engine = null;
+            SimulatedAttempt sent = new SimulatedAttempt(listener);
+            engine.receive(sent, to);
+            return sent;
         }
 
         @Override
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingRequestTest.java
@@ -161,9 +161,9 @@
 
         private final ExchangeFixture f = new ExchangeFixture();
 
-        private Exchange waitingRequest() {
+        private StartedExchange waitingRequest() {
             f.fingerprint = FINGERPRINT;
-            Exchange waiting = f.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange waiting = f.start(route(RouteKind.IDEMPOTENT, false));
             f.crashes.accept(new CrashSuspect(FINGERPRINT, Set.of("x1", "x2", "x3"), 0), f.clock.nanos());
             return waiting;
         }
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointNoticesTest.java
@@ -43,11 +43,11 @@
     /** Starts many requests at the same time, ends them, and returns the endpoints that got them. */
     private Set<String> endpointsOfManyRequests() {
         int before = f.sent.size();
-        List<Exchange> started = new ArrayList<>();
+        List<StartedExchange> started = new ArrayList<>();
         for (int i = 0; i < MANY; i++) {
             started.add(f.start(route(RouteKind.NON_IDEMPOTENT, false)));
         }
-        started.forEach(Exchange::onCallerDisconnected);
+        started.forEach(StartedExchange::onCallerDisconnected);
         return f.sent.subList(before, f.sent.size()).stream()
                 .map(d -> d.endpoint().id())
                 .collect(Collectors.toSet());
@@ -75,7 +75,7 @@
     @Nested
     final class Leaving {
         private String leavingEndpoint(int status) {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             String id = lastSentTo();
             x.onHead(headWithNotice(status, false, LEAVING));
             x.onBody(bytes("body"));
@@ -97,7 +97,7 @@
 
         @Test
         void streamThatRunsThereGoesOnToItsEnd() {
-            Exchange x = f.start(route(RouteKind.STREAMING, false));
+            StartedExchange x = f.start(route(RouteKind.STREAMING, false));
             x.onHead(headWithNotice(200, false, LEAVING));
             x.onBody(bytes("id: 1\n\n"));
             x.onBody(bytes("id: 2\n\n"));
@@ -146,7 +146,7 @@
     @Nested
     final class Quiet {
         private String quietEndpoint(long ms) {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             String id = lastSentTo();
             x.onHead(headWithNotice(503, true, quiet(ms)));
             x.onCallerDisconnected();
@@ -176,7 +176,7 @@
         /** Guards against a response that arrives while the entry is away, for an exchange that holds the older state. */
         @Test
         void isHeardWhileTheEntryIsAway() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             DiscoveredEndpoint entry = ExchangeFixture.endpoint(lastSentTo());
             f.loads.onRemoved(entry);
             f.loads.onUpdated(entry);
@@ -242,7 +242,7 @@
         /** Guards against a request that was chosen before the response and is sent after it, on a new connection. */
         @Test
         void requestThatWaitsForItsConnectionGoesElsewhere() {
-            Exchange waiting = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange waiting = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             String id = lastSentTo();
             assertThat(waiting.mayStillSend()).isTrue();
             f.loads.onQuiet(ExchangeFixture.endpoint(id), f.clock.nanos() + 1_000_000_000L);
--- a/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/EndpointSearchTest.java
@@ -51,7 +51,7 @@
         /** Guards against a request that waits for its connection while the evacuation begins. */
         @Test
         void aRequestIsNotSentOnAConnectionThatOpensLater() {
-            Exchange x = f.start(PLAIN);
+            StartedExchange x = f.start(PLAIN);
             assertThat(x.mayStillSend()).isTrue();
             evacuate();
             assertThat(x.mayStillSend()).isFalse();
@@ -155,7 +155,7 @@
         @Test
         void aPermitIsVoidAfterAMoment() {
             limitAll();
-            Exchange x = f.start(PLAIN);
+            StartedExchange x = f.start(PLAIN);
             decide(true);
             f.clock.advanceMs(200);
             assertThat(x.mayStillSend()).isTrue();
@@ -177,7 +177,7 @@
         @Test
         void aPermitForACallerWhoLeftIsNotUsed() {
             limitAll();
-            Exchange x = f.start(PLAIN);
+            StartedExchange x = f.start(PLAIN);
             x.onCallerDisconnected();
             decide(true);
             assertThat(f.sent).isEmpty();
@@ -187,7 +187,7 @@
         /** Guards against a request on a connection that was being opened when the endpoint named its limit. */
         @Test
         void aRequestWithoutAPermitIsNotSentToAnEndpointThatHasNamedALimitSince() {
-            Exchange x = f.start(PLAIN);
+            StartedExchange x = f.start(PLAIN);
             assertThat(x.mayStillSend()).isTrue();
             limit(f.loads.get(sentTo()).orElseThrow());
             assertThat(x.mayStillSend()).isFalse();
@@ -196,7 +196,7 @@
         @Test
         void aTimerThatFiresWhileAHostIsAskedChangesNothing() {
             limitAll();
-            Exchange x = f.start(PLAIN);
+            StartedExchange x = f.start(PLAIN);
             f.clock.advanceMs(200);
             x.onTimer();
             decide(true);
@@ -295,7 +295,7 @@
         void anAttemptThatTookAStreamUpIsAnOriginToo() {
             f.origins.onTold("first", new StreamOrigin(ExchangeFixture.SERVICE, "v1"));
             takeUp("first");
-            Exchange x = f.start(STREAM);
+            StartedExchange x = f.start(STREAM);
             x.onHead(ExchangeFixture.signedHead(200));
             x.onBody("id: 8\ndata: x\n\n".getBytes(StandardCharsets.UTF_8));
             assertThat(f.origins.reply("id", ExchangeFixture.SERVICE).origin())
@@ -307,7 +307,7 @@
         void aStreamIsNotSentToAnInstanceThatHasBeenReplaced() {
             f.origins.onTold("first", new StreamOrigin(ExchangeFixture.SERVICE, "v1"));
             takeUp("first");
-            Exchange x = f.start(STREAM);
+            StartedExchange x = f.start(STREAM);
             assertThat(x.mayStillSend()).isTrue();
             f.loads.onRemoved(endpoint(sentTo(), "v1"));
             f.loads.onUpdated(endpoint(sentTo(), "v2"));
@@ -316,7 +316,7 @@
 
         @Test
         void anErrorIsNoBeginningOfAStream() {
-            Exchange x = f.start(STREAM);
+            StartedExchange x = f.start(STREAM);
             x.onHead(ExchangeFixture.signedHead(400));
             x.onBody(new byte[] {1});
             x.onComplete();
@@ -329,12 +329,12 @@
     final class WithWaiting {
         private static final int ROOM = 30;
 
-        private final List<Exchange> running = new ArrayList<>();
+        private final List<StartedExchange> running = new ArrayList<>();
 
         private void fill() {
             f.admission = ExchangeFixture.admission(() -> true, f.loads, f.clock);
             for (int i = 0; i < 60; i++) {
-                Exchange x = f.start(PLAIN);
+                StartedExchange x = f.start(PLAIN);
                 f.clock.advanceMs(10);
                 x.onHead(ExchangeFixture.signedHead(200));
                 x.onBody(new byte[] {1});
@@ -349,7 +349,7 @@
         @Test
         void aFreedSlotIsGivenToTheRequestThatWaits() {
             fill();
-            Exchange waiting = f.start(PLAIN);
+            StartedExchange waiting = f.start(PLAIN);
             assertThat(f.sent).isEmpty();
             assertThat(f.rejections).isEmpty();
             running.get(0).onHead(ExchangeFixture.signedHead(200));
@@ -362,7 +362,7 @@
         @Test
         void nothingIsSentAfterTheCallerHasLeft() {
             fill();
-            Exchange waiting = f.start(PLAIN);
+            StartedExchange waiting = f.start(PLAIN);
             waiting.onCallerDisconnected();
             running.get(0).onHead(ExchangeFixture.signedHead(200));
             running.get(0).onBody(new byte[] {1});
@@ -376,7 +376,7 @@
         @Test
         void aPoolThatVanishesEndsTheWait() {
             fill();
-            Exchange waiting = f.start(PLAIN);
+            StartedExchange waiting = f.start(PLAIN);
             for (int i = 1; i <= 3; i++) {
                 f.loads.onRemoved(f.loads.get("e" + i).orElseThrow().entry());
             }
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -40,7 +40,7 @@
 import org.dragonflygw.core.settings.RetryBounds;
 
 /** Starts exchanges with three endpoints and a manual clock, and records all actions of the exchange. */
-final class ExchangeFixture implements ExchangeOutput {
+final class ExchangeFixture {
     static final String SERVICE = "app";
     /** Grants each permit at once. */
     static final EndpointPermits PERMITS =
@@ -121,11 +121,11 @@
                 400);
     }
 
-    Exchange start(CatalogRoute route) {
+    StartedExchange start(CatalogRoute route) {
         return start(route, 1_500);
     }
 
-    Exchange start(CatalogRoute route, long deadlineMs) {
+    StartedExchange start(CatalogRoute route, long deadlineMs) {
         CatalogService service = new CatalogService(SERVICE, "/", 100, 4, 0, 0);
         ExchangeRequest request = new ExchangeRequest(
                 "id",
@@ -155,9 +155,7 @@
                 retryAfterDelays,
                 new NoOpEventLog(),
                 clock);
-        Exchange exchange = new Exchange(request, context, this);
-        exchange.start();
-        return exchange;
+        return new StartedExchange(this, request, context);
     }
 
     /** A route for streams that may not be resumed. */
@@ -290,43 +288,22 @@
         return finished || aborted || !rejections.isEmpty();
     }
 
-    @Override
-    public void send(Dispatch dispatch) {
+    /** Records that an attempt is sent; returns what it is cancelled by. */
+    Attempt send(Dispatch dispatch) {
         sent.add(dispatch);
+        return new Attempt() {
+            @Override
+            public void cancel() {
+                cancelled++;
+            }
+
+            @Override
+            public void setAutoRead(boolean enabled) {}
+        };
     }
 
-    @Override
-    public void cancelAttempt() {
-        cancelled++;
-    }
-
-    @Override
-    public void forwardHead(ResponseHead h) {
-        head = h;
-    }
-
-    @Override
-    public void forwardBody(byte[] bytes) {
+    /** Records a part of the response that the caller gets. */
+    void onForwarded(byte[] bytes) {
         body.append(new String(bytes, StandardCharsets.UTF_8));
     }
-
-    @Override
-    public void finish() {
-        finished = true;
-    }
-
-    @Override
-    public void abort() {
-        aborted = true;
-    }
-
-    @Override
-    public void reject(Rejection rejection) {
-        rejections.add(rejection);
-    }
-
-    @Override
-    public void wakeAt(long nanos) {
-        wakeNanos = nanos;
-    }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFuzzTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFuzzTest.java
@@ -29,7 +29,7 @@
             @ForAll @IntRange(max = 3) int routeIndex, @ForAll @Size(max = 30) List<Byte> events) {
         ExchangeFixture f = new ExchangeFixture();
         CatalogRoute route = ROUTES.get(routeIndex);
-        Exchange x = f.start(route);
+        StartedExchange x = f.start(route);
         Oracle oracle = new Oracle(f, x);
         events.forEach(oracle::step);
         f.clock.advanceMs(5_000);
@@ -52,7 +52,7 @@
     /** Simulates the network and the endpoints, and counts how often the request ran. */
     private static final class Oracle {
         private final ExchangeFixture f;
-        private final Exchange x;
+        private final StartedExchange x;
         private int runs;
         private int countedSends;
         private int eventId;
@@ -60,7 +60,7 @@
         private boolean callerDisconnected;
         private boolean lastComplete;
 
-        Oracle(ExchangeFixture f, Exchange x) {
+        Oracle(ExchangeFixture f, StartedExchange x) {
             this.f = f;
             this.x = x;
         }
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
@@ -24,7 +24,7 @@
     final class PlainResponses {
         @Test
         void areForwardedOnlyWhenComplete() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onHead(signedHead(200));
             x.onBody(bytes("half"));
             assertThat(f.head).isNull();
@@ -37,7 +37,7 @@
 
         @Test
         void withoutSignatureAreNotForwarded() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onHead(unsignedHead(200));
             assertThat(f.head).isNull();
             assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.ENDPOINT_FAILED);
@@ -45,7 +45,7 @@
 
         @Test
         void withAnErrorStatusAreForwarded() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onHead(signedHead(500));
             x.onBody(bytes("error"));
             x.onComplete();
@@ -55,7 +55,7 @@
 
         @Test
         void withAStatusThatImpliesNotExecutedAreReplaced() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onHead(signedHead(503));
             x.onComplete();
             assertThat(f.rejections.get(0).reason().status()).isEqualTo(502);
@@ -66,7 +66,7 @@
     final class NonIdempotentRequests {
         @Test
         void areNotRetriedAfterALostConnection() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.sent).hasSize(1);
             assertThat(f.rejections.get(0).reason().status()).isEqualTo(502);
@@ -74,7 +74,7 @@
 
         @Test
         void areRetriedAtAnotherEndpointWhenTheConnectionIsRefused() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECT_REFUSED);
             assertThat(f.sent).hasSize(2);
             assertThat(f.sent.get(1).endpoint().id())
@@ -83,14 +83,14 @@
 
         @Test
         void areRetriedWhenTheEndpointDidNotRunThem() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onHead(notExecutedHead(503));
             assertThat(f.sent).hasSize(2);
         }
 
         @Test
         void areRejectedWithARetryTimeWhenEndpointsRejectThem() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
             x.onHead(notExecutedHead(503));
             x.onHead(notExecutedHead(503));
             assertThat(f.rejections.get(0).reason()).isEqualTo(RejectReason.ENDPOINT_REJECTED);
@@ -99,7 +99,7 @@
 
         @Test
         void areAbortedWhenTheirStreamBreaks() {
-            Exchange x = f.start(route(RouteKind.STREAMING, false));
+            StartedExchange x = f.start(route(RouteKind.STREAMING, false));
             x.onHead(signedHead(200));
             x.onBody(bytes("id: 1\n\n"));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
@@ -112,14 +112,14 @@
     final class RepeatableRequests {
         @Test
         void areRetriedAfterALostConnection() {
-            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.sent).hasSize(2);
         }
 
         @Test
         void areNotRetriedBeyondTheMaximumOfAttempts() {
-            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.sent).hasSize(2);
@@ -129,14 +129,14 @@
         @Test
         void areNotRetriedWithoutRetryBudget() {
             ExchangeFixture withoutBudget = new ExchangeFixture(0);
-            Exchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(withoutBudget.sent).hasSize(1);
         }
 
         @Test
         void areRetriedWhenTheEndpointIsSilent() {
-            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
             f.clock.advanceMs(250);
             x.onTimer();
             assertThat(f.cancelled).isEqualTo(1);
@@ -147,7 +147,7 @@
         @Test
         void keepASilentAttemptWhileNoRetryIsLeft() {
             ExchangeFixture withoutBudget = new ExchangeFixture(0);
-            Exchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
             withoutBudget.clock.advanceMs(250);
             x.onTimer();
             assertThat(withoutBudget.cancelled).isEqualTo(0);
@@ -160,7 +160,7 @@
         @Test
         void doNotWakeAgainAtOnceWhileASilentAttemptIsKept() {
             ExchangeFixture withoutBudget = new ExchangeFixture(0);
-            Exchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = withoutBudget.start(route(RouteKind.IDEMPOTENT, false));
             withoutBudget.clock.advanceMs(250);
             x.onTimer();
             assertThat(withoutBudget.wakeNanos - withoutBudget.clock.nanos()).isAtLeast(100_000_000L);
@@ -168,14 +168,14 @@
 
         @Test
         void doNotWakeForSilenceAfterTheLastAttempt() {
-            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.wakeNanos - f.clock.nanos()).isEqualTo(1_500_000_000L);
         }
 
         @Test
         void resumeTheirStreamAfterTheLastCompleteEvent() {
-            Exchange x = f.start(route(RouteKind.STREAMING, true));
+            StartedExchange x = f.start(route(RouteKind.STREAMING, true));
             x.onHead(signedHead(200));
             x.onBody(bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
@@ -189,7 +189,7 @@
 
         @Test
         void doNotForwardAnEventThatTheNextEndpointRepeats() {
-            Exchange x = f.start(route(RouteKind.STREAMING, true));
+            StartedExchange x = f.start(route(RouteKind.STREAMING, true));
             x.onHead(signedHead(200));
             x.onBody(bytes("id: 1\n\nid: 2\n\n"));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
@@ -204,7 +204,7 @@
     final class Deadlines {
         @Test
         void requestIsCancelledAtTheTimeoutOfItsRoute() {
-            Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false), 60_000);
+            StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false), 60_000);
             f.clock.advanceMs(2_000);
             x.onTimer();
             assertThat(f.cancelled).isEqualTo(1);
@@ -213,7 +213,7 @@
 
         @Test
         void retriesGetOnlyTheRemainingTime() {
-            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false), 1_000);
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false), 1_000);
             f.clock.advanceMs(300);
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.sent.get(1).remainingMs()).isEqualTo(700);
@@ -221,7 +221,7 @@
 
         @Test
         void disconnectOfTheCallerCancelsTheAttempt() {
-            Exchange x = f.start(route(RouteKind.STREAMING, false));
+            StartedExchange x = f.start(route(RouteKind.STREAMING, false));
             x.onCallerDisconnected();
             assertThat(f.cancelled).isEqualTo(1);
             assertThat(f.totalInFlight()).isEqualTo(0);
@@ -251,7 +251,7 @@
         private void loseConnectionsToThreeEndpoints() {
             f.fingerprint = 7;
             for (int i = 0; i < 3; i++) {
-                Exchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
+                StartedExchange x = f.start(route(RouteKind.NON_IDEMPOTENT, false));
                 x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
                 f.loads.onRemoved(f.sent.get(i).endpoint());
                 f.loads.onUpdated(f.sent.get(i).endpoint());
@@ -280,7 +280,7 @@
         void areNotRetriedWhenOtherHostsReportedTwoLostEndpoints() {
             f.fingerprint = 7;
             f.crashes.accept(new CrashSuspect(7, Set.of("x1", "x2"), 0), f.clock.nanos());
-            Exchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
             x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.sent).hasSize(1);
         }
--- a/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LimitedEndpointFleet.java
@@ -261,14 +261,13 @@
             }
         }
 
-        void receive(Call call) {
+        void receive(SimulatedAttempt sent) {
             arrivals.add(number, nowMs());
-            int attempt = call.attempt;
-            network.after(HEAD_MS, () -> call.head(attempt, head()));
+            network.after(HEAD_MS, () -> sent.head(head()));
             for (int ms = HEAD_MS; ms < WORK_MS; ms += BODY_PAUSE_MS) {
-                network.after(ms, () -> call.body(attempt));
+                network.after(ms, () -> sent.body(new byte[] {1}));
             }
-            network.after(WORK_MS, () -> call.complete(attempt));
+            network.after(WORK_MS, sent::complete);
         }
 
         private ResponseHead head() {
@@ -346,7 +345,6 @@
         private final Host host;
         private final Exchange exchange;
         private final long startedMs = nowMs();
-        private int attempt;
         private long wakeNanos;
 
         Call(Host host) {
@@ -370,34 +368,17 @@
             exchange = new Exchange(request, host.context, this);
         }
 
-        void head(int toAttempt, ResponseHead head) {
-            if (host.alive && toAttempt == attempt) {
-                exchange.onHead(head);
-            }
-        }
-
-        void body(int toAttempt) {
-            if (host.alive && toAttempt == attempt) {
-                exchange.onBody(new byte[] {1});
-            }
-        }
-
-        void complete(int toAttempt) {
-            if (host.alive && toAttempt == attempt) {
-                exchange.onComplete();
-            }
-        }
-
         @Override
-        public void send(Dispatch dispatch) {
+        public Attempt send(Dispatch dispatch, AttemptListener listener) {
             int number = Integer.parseInt(dispatch.endpoint().id().substring(2));
-            attempt++;
-            engines.get(number).receive(this);
-        }
-
-        @Override
-        public void cancelAttempt() {
-            attempt++;
+            SimulatedAttempt sent = new SimulatedAttempt(listener) {
+                @Override
+                boolean isOpen() {
+                    return super.isOpen() && host.alive;
+                }
+            };
+            engines.get(number).receive(sent);
+            return sent;
         }
 
         @Override
--- a/core/src/test/java/org/dragonflygw/core/exchange/LoadBoundFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LoadBoundFleet.java
@@ -210,7 +210,7 @@
     private void restart(int number) {
         Host old = (Host) network.hosts().get(number);
         old.alive = false;
-        List.copyOf(old.calls).forEach(Call::cancelAttempt);
+        old.calls.forEach(c -> c.sent.forEach(Sent::cancel));
         Host started = new Host(number);
         network.hosts().set(number, started);
         started.learnPeers();
@@ -282,14 +282,14 @@
         }
 
         /** Begins with a request, which ends when it is done or a while after its caller has left. */
-        void receive(Call call, int attempt, Prompt prompt) {
+        void receive(Sent sent) {
+            Call call = sent.call;
             if (call.host.countsFromMs <= network.nowMs()) {
                 counter.onArrival(network.nowMs(), holding, meanLoadWith(this));
             }
             holding++;
-            Work work = new Work(this);
-            call.work = work;
-            double readMs = prompt.parts().stream()
+            sent.work = new Work(this);
+            double readMs = call.prompt.parts().stream()
                             .filter(p -> cached.add(p.id()))
                             .mapToInt(PromptPart::tokens)
                             .sum()
@@ -301,11 +301,11 @@
             int parts = (call.kind.events + EVENTS_PER_PART - 1) / EVENTS_PER_PART;
             for (int i = 0; i < parts; i++) {
                 int number = i + 1;
-                network.after((long) (firstMs + i * EVENTS_PER_PART * eventMs), () -> call.part(attempt, number));
+                network.after((long) (firstMs + i * EVENTS_PER_PART * eventMs), () -> sent.part(number));
             }
             network.after((long) (firstMs + call.kind.events * eventMs), () -> {
-                work.end();
-                call.complete(attempt);
+                sent.work.end();
+                sent.complete();
             });
         }
 
@@ -430,9 +430,7 @@
         private final Kind kind;
         private final Exchange exchange;
         private final Prompt prompt;
-        private Work work;
-        private int attempt;
-        private boolean begun;
+        private final List<Sent> sent = new ArrayList<>();
         private boolean ended;
         private long wakeNanos;
 
@@ -475,55 +473,22 @@
             }
         }
 
-        private boolean isOpen(int ofAttempt) {
-            return host.alive && !ended && ofAttempt == attempt;
-        }
-
-        void part(int ofAttempt, int number) {
-            if (!isOpen(ofAttempt)) {
-                return;
-            }
-            if (!begun) {
-                begun = true;
-                exchange.onHead(work.engine.head());
-            }
-            exchange.onBody(("id: " + number + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8));
-        }
-
-        void complete(int ofAttempt) {
-            if (isOpen(ofAttempt)) {
-                exchange.onComplete();
-            }
-        }
-
         private void end() {
             ended = true;
             host.calls.remove(this);
         }
 
         @Override
-        public void send(Dispatch dispatch) {
-            attempt++;
-            begun = false;
-            int sent = attempt;
+        public Attempt send(Dispatch dispatch, AttemptListener listener) {
+            Sent attempt = new Sent(this, listener);
+            sent.add(attempt);
             Engine engine = engines.get(dispatch.endpoint().id());
             if (engine == null) {
-                network.after(LINK_MS, () -> {
-                    if (isOpen(sent)) {
-                        exchange.onAttemptFailed(AttemptFailure.CONNECT_REFUSED);
-                    }
-                });
-                return;
-            }
-            engine.receive(this, sent, prompt);
-        }
-
-        @Override
-        public void cancelAttempt() {
-            attempt++;
-            if (work != null) {
-                network.after(LINGER_MS, work::end);
+                network.after(LINK_MS, () -> attempt.fail(AttemptFailure.CONNECT_REFUSED));
+            } else {
+                engine.receive(attempt);
             }
+            return attempt;
         }
 
         @Override
@@ -560,6 +525,39 @@
         }
     }
 
+    /** An attempt of a call at an engine, which goes on with it for a while after it is cancelled. */
+    private final class Sent extends SimulatedAttempt {
+        private final Call call;
+        private Work work;
+        private boolean begun;
+
+        Sent(Call call, AttemptListener listener) {
+            super(listener);
+            this.call = call;
+        }
+
+        @Override
+        boolean isOpen() {
+            return super.isOpen() && call.host.alive && !call.ended;
+        }
+
+        private void part(int number) {
+            if (isOpen() && !begun) {
+                begun = true;
+                head(work.engine.head());
+            }
+            body(("id: " + number + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void cancel() {
+            super.cancel();
+            if (work != null) {
+                network.after(LINGER_MS, work::end);
+            }
+        }
+    }
+
     /** Prints figures of runs with random changes; arguments: first seed, number of runs, seconds of each. */
     public static void main(String[] args) {
         long first = Long.parseLong(args[0]);
--- a/core/src/test/java/org/dragonflygw/core/exchange/SlowCallerTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/SlowCallerTest.java
@@ -19,8 +19,8 @@
 
     private final ExchangeFixture f = new ExchangeFixture();
 
-    private Exchange startStream() {
-        Exchange x = f.start(route(RouteKind.STREAMING, true));
+    private StartedExchange startStream() {
+        StartedExchange x = f.start(route(RouteKind.STREAMING, true));
         x.onHead(signedHead(200));
         x.onBody(event(1));
         return x;
@@ -30,7 +30,7 @@
         return ("id: " + id + "\ndata: x\n\n").getBytes(StandardCharsets.UTF_8);
     }
 
-    private void advance(Exchange x) {
+    private void advance(StartedExchange x) {
         f.clock.advanceMs(LONG_MS);
         x.onTimer();
     }
@@ -39,7 +39,7 @@
     final class WhileReadingIsPaused {
         @Test
         void keepsTheStreamOfTheEndpoint() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             x.onOutputPaused();
             advance(x);
             assertThat(f.sent).hasSize(1);
@@ -48,7 +48,7 @@
 
         @Test
         void endsAtTheTimeOfTheRoute() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             x.onOutputPaused();
             f.clock.advanceMs(60_000);
             x.onTimer();
@@ -58,7 +58,7 @@
 
         @Test
         void leavesTheEndpointFreeOfSuspicion() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             x.onOutputPaused();
             advance(x);
             assertThat(f.crashes.count()).isEqualTo(0);
@@ -69,7 +69,7 @@
     final class AfterReadingGoesOn {
         @Test
         void countsSilenceFromThen() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             x.onOutputPaused();
             advance(x);
             x.onOutputResumed();
@@ -82,7 +82,7 @@
 
         @Test
         void replacesAnEndpointThatIsSilentThen() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             x.onOutputPaused();
             x.onOutputResumed();
             advance(x);
--- a/core/src/test/java/org/dragonflygw/core/exchange/SlowStreamTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/SlowStreamTest.java
@@ -24,8 +24,8 @@
 
     private final ExchangeFixture f = new ExchangeFixture();
 
-    private Exchange startStream() {
-        Exchange x = f.start(route(RouteKind.STREAMING, true), DEADLINE_MS);
+    private StartedExchange startStream() {
+        StartedExchange x = f.start(route(RouteKind.STREAMING, true), DEADLINE_MS);
         x.onHead(signedHead(200));
         x.onBody(event(1));
         return x;
@@ -39,7 +39,7 @@
         return bytes("id: " + id + "\ndata: x\n\n");
     }
 
-    private void pass(Exchange x, long ms) {
+    private void pass(StartedExchange x, long ms) {
         f.clock.advanceMs(ms);
         x.onTimer();
     }
@@ -48,7 +48,7 @@
     final class SlowEvents {
         @Test
         void areNotCut() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             pass(x, SLOW_GAP_MS);
             x.onBody(event(2));
             pass(x, SLOW_GAP_MS);
@@ -60,7 +60,7 @@
 
         @Test
         void inPartsAreNotCut() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             for (int id = 2; id < 8; id++) {
                 x.onBody(bytes("id: " + id + "\nda"));
                 pass(x, TRICKLE_MS);
@@ -76,7 +76,7 @@
     final class AStalledStreamThatSendsAByteNowAndThen {
         @Test
         void isReplaced() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             for (int i = 0; i < 6 && f.sent.size() == 1; i++) {
                 x.onBody(bytes("x"));
                 pass(x, TRICKLE_MS);
@@ -87,7 +87,7 @@
 
         @Test
         void endsAtTheDeadlineWhereItCannotBeReplaced() {
-            Exchange x = f.start(route(RouteKind.STREAMING, false), DEADLINE_MS);
+            StartedExchange x = f.start(route(RouteKind.STREAMING, false), DEADLINE_MS);
             x.onHead(signedHead(200));
             for (int i = 0; i < 10; i++) {
                 x.onBody(bytes("x"));
@@ -102,7 +102,7 @@
     final class AnEndpointThatIsMissingFromTheListForAWhile {
         @Test
         void finishesItsRequests() {
-            Exchange x = startStream();
+            StartedExchange x = startStream();
             DiscoveredEndpoint entry = f.sent.get(0).endpoint();
             f.loads.onRemoved(entry);
             x.onBody(event(2));
--- a/core/src/test/java/org/dragonflygw/core/exchange/VersionedStreamFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/VersionedStreamFleet.java
@@ -113,7 +113,7 @@
         for (Engine e : engines.subList(first, end)) {
             e.alive = false;
             e.listed = false;
-            List.copyOf(e.open).forEach(Call::breakOff);
+            List.copyOf(e.open).forEach(Sent::breakOff);
             network.hosts().forEach(h -> ((Host) h).onRemoved(e.entry));
         }
     }
@@ -157,7 +157,7 @@
 
     private final class Engine {
         private final DiscoveredEndpoint entry;
-        private final List<Call> open = new ArrayList<>();
+        private final List<Sent> open = new ArrayList<>();
         private boolean alive = true;
         private boolean listed = true;
 
@@ -165,26 +165,23 @@
             entry = new DiscoveredEndpoint(id, "app", "10.0.0.1", 80, "a", 64, false, 0, 1, version);
         }
 
-        void receive(Call call, int attempt, int after) {
+        void receive(Sent sent, int after) {
             if (!alive) {
-                network.after(1, () -> call.fail(attempt, AttemptFailure.CONNECT_REFUSED));
+                network.after(1, () -> sent.fail(AttemptFailure.CONNECT_REFUSED));
                 return;
             }
-            open.add(call);
-            network.after(FIRST_EVENT_MS / 2, () -> call.head(this, attempt));
+            open.add(sent);
+            network.after(FIRST_EVENT_MS / 2, () -> sent.head(ExchangeFixture.signedHead(200)));
             for (int i = after + 1; i <= EVENTS; i++) {
                 int number = i;
-                network.after(
-                        FIRST_EVENT_MS + (long) (i - after - 1) * EVENT_MS, () -> call.event(this, attempt, number));
+                network.after(FIRST_EVENT_MS + (long) (i - after - 1) * EVENT_MS, () -> sent.event(number));
             }
-            network.after(FIRST_EVENT_MS + (long) (EVENTS - after) * EVENT_MS, () -> call.complete(this, attempt));
+            network.after(FIRST_EVENT_MS + (long) (EVENTS - after) * EVENT_MS, sent::complete);
         }
 
         void crash() {
             alive = false;
-            List<Call> broken = List.copyOf(open);
-            open.clear();
-            broken.forEach(Call::breakOff);
+            List.copyOf(open).forEach(Sent::breakOff);
             network.after(CRASH_RESTART_MS, () -> alive = true);
         }
     }
@@ -293,8 +290,6 @@
         private final String id;
         private final Exchange exchange;
         private final boolean takesUp;
-        private Engine engine;
-        private int attempt;
         private boolean broughtEvent;
         private boolean ended;
         private long wakeNanos;
@@ -321,40 +316,6 @@
             exchange = new Exchange(request, host.context, this);
         }
 
-        private boolean isOpen(int ofAttempt) {
-            return host.alive && !ended && ofAttempt == attempt;
-        }
-
-        private void head(Engine from, int ofAttempt) {
-            if (isOpen(ofAttempt) && from.open.contains(this)) {
-                exchange.onHead(ExchangeFixture.signedHead(200));
-            }
-        }
-
-        private void event(Engine from, int ofAttempt, int number) {
-            if (isOpen(ofAttempt) && from.open.contains(this)) {
-                String text = "id: " + number + "\ndata: " + from.entry.version() + "\n\n";
-                exchange.onBody(text.getBytes(StandardCharsets.UTF_8));
-            }
-        }
-
-        private void complete(Engine from, int ofAttempt) {
-            if (isOpen(ofAttempt) && from.open.remove(this)) {
-                exchange.onComplete();
-            }
-        }
-
-        void fail(int ofAttempt, AttemptFailure failure) {
-            if (isOpen(ofAttempt)) {
-                exchange.onAttemptFailed(failure);
-            }
-        }
-
-        /** The engine has ended. */
-        void breakOff() {
-            fail(attempt, AttemptFailure.CONNECTION_LOST);
-        }
-
         /** The connection between caller and host has broken. */
         void resetByNetwork() {
             if (ended) {
@@ -373,20 +334,15 @@
         }
 
         @Override
-        public void send(Dispatch dispatch) {
-            attempt++;
-            engine = engines.stream()
+        public Attempt send(Dispatch dispatch, AttemptListener listener) {
+            Engine engine = engines.stream()
                     .filter(e -> e.entry.id().equals(dispatch.endpoint().id()))
                     .findFirst()
                     .orElseThrow();
             int after = dispatch.resumeAfter().map(Integer::parseInt).orElse(takesUp ? caller.lastEvent : 0);
-            engine.receive(this, attempt, after);
-        }
-
-        @Override
-        public void cancelAttempt() {
-            attempt++;
-            engine.open.remove(this);
+            Sent sent = new Sent(this, engine, listener);
+            engine.receive(sent, after);
+            return sent;
         }
 
         @Override
@@ -440,4 +396,42 @@
             });
         }
     }
+    /** An attempt of a call at an engine, which works on it while it is among the engine's open ones. */
+    private static final class Sent extends SimulatedAttempt {
+        private final Call call;
+        private final Engine engine;
+
+        Sent(Call call, Engine engine, AttemptListener listener) {
+            super(listener);
+            this.call = call;
+            this.engine = engine;
+        }
+
+        @Override
+        boolean isOpen() {
+            return super.isOpen() && call.host.alive && !call.ended;
+        }
+
+        void event(int number) {
+            body(("id: " + number + "\ndata: " + engine.entry.version() + "\n\n").getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        void complete() {
+            engine.open.remove(this);
+            super.complete();
+        }
+
+        /** The engine has ended. */
+        void breakOff() {
+            engine.open.remove(this);
+            fail(AttemptFailure.CONNECTION_LOST);
+        }
+
+        @Override
+        public void cancel() {
+            super.cancel();
+            engine.open.remove(this);
+        }
+    }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/WaitingFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/WaitingFleet.java
@@ -292,28 +292,28 @@
 
     /** An engine that runs as many requests as it has slots, and the others in order of arrival. */
     final class Engine {
-        private final Deque<Attempt> queue = new ArrayDeque<>();
+        private final Deque<Sent> queue = new ArrayDeque<>();
         private int running;
 
-        void accept(Attempt attempt) {
+        void accept(Sent request) {
             sent++;
             if (running >= slots) {
                 sentToFullEngines++;
-                queue.add(attempt);
+                queue.add(request);
                 return;
             }
-            run(attempt);
+            run(request);
         }
 
-        private void run(Attempt attempt) {
-            if (attempt.cancelled) {
+        private void run(Sent request) {
+            if (!request.isOpen()) {
                 return;
             }
             running++;
-            attempt.runningAt = this;
-            double ms = attempt.caller.kind.serviceMs() * (0.5 + random.nextDouble());
-            at(nowMs + Math.max(1, Math.round(ms / 10)), attempt::begin);
-            at(nowMs + Math.max(2, Math.round(ms)), attempt::finishResponse);
+            request.runningAt = this;
+            double ms = request.visit.caller.kind.serviceMs() * (0.5 + random.nextDouble());
+            at(nowMs + Math.max(1, Math.round(ms / 10)), request::begin);
+            at(nowMs + Math.max(2, Math.round(ms)), request::finishResponse);
         }
 
         void free() {
@@ -332,7 +332,7 @@
         final long startedMs = nowMs;
         private final long number;
         private int attempts;
-        private Attempt current;
+        private Visit current;
         long firstPartMs = -1;
         boolean left;
         boolean done;
@@ -346,7 +346,7 @@
 
         void attempt(long deadlineMs) {
             attempts++;
-            current = new Attempt(this, randomHost(), deadlineMs);
+            current = new Visit(this, randomHost(), deadlineMs);
             current.exchange.start();
         }
 
@@ -373,16 +373,14 @@
     }
 
     /** One attempt of a caller at one host. */
-    final class Attempt implements ExchangeOutput {
+    final class Visit implements ExchangeOutput {
         private final Caller caller;
         private final Exchange exchange;
         private final long arrivedMs = nowMs;
-        private Engine runningAt;
-        private boolean cancelled;
         private long wakeNumber;
         Rejection rejection;
 
-        Attempt(Caller caller, Host host, long deadlineMs) {
+        Visit(Caller caller, Host host, long deadlineMs) {
             this.caller = caller;
             List<PromptPart> parts = List.of(
                     new PromptPart(caller.subject, caller.kind.tokens()),
@@ -401,40 +399,11 @@
             exchange = new Exchange(request, host.context, this);
         }
 
-        private void begin() {
-            if (cancelled) {
-                return;
-            }
-            if (caller.firstPartMs < 0) {
-                caller.firstPartMs = nowMs - arrivedMs;
-            }
-            exchange.onHead(ExchangeFixture.signedHead(200));
-            exchange.onBody(EVENT);
-        }
-
-        private void finishResponse() {
-            if (cancelled) {
-                return;
-            }
-            Engine engine = runningAt;
-            runningAt = null;
-            engine.free();
-            exchange.onComplete();
-        }
-
         @Override
-        public void send(Dispatch dispatch) {
-            engines.get(dispatch.endpoint().id()).accept(this);
-        }
-
-        @Override
-        public void cancelAttempt() {
-            cancelled = true;
-            if (runningAt != null) {
-                Engine engine = runningAt;
-                runningAt = null;
-                engine.free();
-            }
+        public Attempt send(Dispatch dispatch, AttemptListener listener) {
+            Sent request = new Sent(this, listener);
+            engines.get(dispatch.endpoint().id()).accept(request);
+            return request;
         }
 
         @Override
@@ -548,4 +517,44 @@
             return shares;
         }
     }
+    /** The request of a visit at one engine. */
+    private final class Sent extends SimulatedAttempt {
+        private final Visit visit;
+        private Engine runningAt;
+
+        Sent(Visit visit, AttemptListener listener) {
+            super(listener);
+            this.visit = visit;
+        }
+
+        private void begin() {
+            if (!isOpen()) {
+                return;
+            }
+            if (visit.caller.firstPartMs < 0) {
+                visit.caller.firstPartMs = nowMs - visit.arrivedMs;
+            }
+            head(ExchangeFixture.signedHead(200));
+            body(EVENT);
+        }
+
+        private void finishResponse() {
+            leaveEngine();
+            complete();
+        }
+
+        private void leaveEngine() {
+            if (runningAt != null) {
+                Engine engine = runningAt;
+                runningAt = null;
+                engine.free();
+            }
+        }
+
+        @Override
+        public void cancel() {
+            super.cancel();
+            leaveEngine();
+        }
+    }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/front/Call.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/Call.java
@@ -23,7 +23,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.dragonflygw.core.exchange.AttemptFailure;
+import org.dragonflygw.core.exchange.Attempt;
+import org.dragonflygw.core.exchange.AttemptListener;
 import org.dragonflygw.core.exchange.Dispatch;
 import org.dragonflygw.core.exchange.Exchange;
 import org.dragonflygw.core.exchange.ExchangeOutput;
@@ -37,8 +38,6 @@
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.routing.RoutingHash;
 import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.edge.upstream.Attempt;
-import org.dragonflygw.edge.upstream.AttemptListener;
 import org.dragonflygw.edge.upstream.EndpointRequest;
 import org.dragonflygw.edge.upstream.RelayClient;
 import org.dragonflygw.edge.upstream.RelayRequest;
@@ -48,7 +47,7 @@
  * exchange's decisions on the network. Used by the event loop only.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or close is reported as the end of the connection.
-final class Call implements ExchangeOutput, AttemptListener {
+final class Call implements ExchangeOutput {
     /** Open requests that this host takes from other hosts, beside those of its own callers. */
     private static final int MAX_RELAYED_CALLS = 256;
 
@@ -70,7 +69,6 @@
     private Exchange exchange;
     private CallRelay relay;
     private String team = "";
-    private Attempt attempt;
     private ScheduledFuture<?> timer;
     private boolean chunked;
     private boolean sendTried;
@@ -243,9 +241,6 @@
             relay.setAutoRead(writable);
             return;
         }
-        if (attempt != null) {
-            attempt.setAutoRead(writable);
-        }
         if (exchange == null) {
             return;
         }
@@ -257,23 +252,15 @@
     }
 
     @Override
-    public void send(Dispatch dispatch) {
+    public Attempt send(Dispatch dispatch, AttemptListener listener) {
         sendTried = true;
         List<HeaderField> header = front.endpointHeaders().encode(callerFields, dispatch, team);
         front.metrics().onRequestSent();
-        attempt = front.pool()
+        return front.pool()
                 .send(
                         new EndpointRequest(
                                 dispatch, requestHead.attemptId(), method, target, header, body.duplicate()),
-                        this);
-    }
-
-    @Override
-    public void cancelAttempt() {
-        if (attempt != null) {
-            attempt.cancel();
-            attempt = null;
-        }
+                        listener);
     }
 
     @Override
@@ -400,31 +387,4 @@
     private ChannelHandlerContext context() {
         return connection.context();
     }
-
-    @Override
-    public boolean mayStillSend() {
-        return exchange.mayStillSend();
-    }
-
-    @Override
-    public void onHead(ResponseHead head) {
-        exchange.onHead(head);
-    }
-
-    @Override
-    public void onBody(byte[] bytes) {
-        exchange.onBody(bytes);
-    }
-
-    @Override
-    public void onComplete() {
-        attempt = null;
-        exchange.onComplete();
-    }
-
-    @Override
-    public void onFailed(AttemptFailure failure) {
-        attempt = null;
-        exchange.onAttemptFailed(failure);
-    }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/front/CallRelay.java
+++ b/edge/src/main/java/org/dragonflygw/edge/front/CallRelay.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import org.dragonflygw.core.exchange.Attempt;
 import org.dragonflygw.core.exchange.ExchangeOutput;
 import org.dragonflygw.core.exchange.ExchangeRequest;
 import org.dragonflygw.core.exchange.RejectReason;
@@ -17,7 +18,6 @@
 import org.dragonflygw.core.log.LogLine;
 import org.dragonflygw.core.log.LogTopic;
 import org.dragonflygw.core.settings.HostAddress;
-import org.dragonflygw.edge.upstream.Attempt;
 import org.dragonflygw.edge.upstream.RelayListener;
 import org.dragonflygw.edge.upstream.RelayRequest;
 
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/PendingAttempt.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/PendingAttempt.java
@@ -1,6 +1,8 @@
 package org.dragonflygw.edge.upstream;
 
+import org.dragonflygw.core.exchange.Attempt;
 import org.dragonflygw.core.exchange.AttemptFailure;
+import org.dragonflygw.core.exchange.AttemptListener;
 import org.dragonflygw.core.exchange.ResponseHead;
 
 /**
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/RelayClient.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/RelayClient.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import org.dragonflygw.core.exchange.Attempt;
 import org.dragonflygw.core.settings.HostAddress;
 import org.dragonflygw.edge.http.ResponseChannel;
 import org.dragonflygw.edge.http.StrictResponseDecoder;
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/RelayConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/RelayConnection.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.dragonflygw.core.exchange.Attempt;
 import org.dragonflygw.core.exchange.HeaderField;
 import org.dragonflygw.core.exchange.ResponseHead;
 import org.dragonflygw.edge.http.StrictResponseDecoder;
