Keep the attempt at a silent endpoint until another one has taken over

Cause: after 2.5 pauses without an event (twice the objective before the first) Exchange.onTimer took a retry, closed the connection to the endpoint, and only then searched for another one. If the search found nobody, or somebody who turned the request away, nothing was left to go on.

Ruled out: SIGTERM (the same moment without it); the software version alone (no second endpoint at all, and a full one of the same version, do the same); the retry budget (granted in each case); the stop of the process (1.87 s after the signal, of 7.1 s). A route that cannot resume held before, as nothing replaces its attempts.

Change: an endpoint is chosen before a retry is taken; if there is none, the host waits on and looks again after 0.5 s. The silent attempt stays open while the other endpoint is asked. The first that brings the caller a whole event, or a whole plain response, ends the other in the same turn of the event loop, before its bytes go out; so nothing comes twice, is missing or is of two versions. If the other's head is there and no event after 0.3 s, the silent one is given up, as two engines must not work on one stream for long. SILENCE lines and three counters tell what became of silent attempts.

ExchangeTest.areRetriedWhenTheEndpointIsSilent asserted that the silent attempt is cancelled at once, which was the fault. It now asserts that it is open when the second one is sent, and cancelled when that one is complete.

--- a/core/src/main/java/org/dragonflygw/core/exchange/AttemptCounts.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/AttemptCounts.java
@@ -4,7 +4,7 @@
 import java.util.Set;
 import org.dragonflygw.core.catalog.CatalogRoute;
 
-/** Counts the failed attempts of one request by their kind, and decides whether one more attempt is allowed. */
+/** Counts the attempts of one request by how they ended, and decides whether one more is allowed. */
 final class AttemptCounts {
     /** Failed connections after which a request is rejected; each may cost a connect timeout. */
     private static final int MAX_CONNECT_FAILURES = 3;
@@ -13,7 +13,8 @@
     private static final int MAX_REJECTIONS = 2;
 
     private final CatalogRoute route;
-    private final Set<String> failedEndpoints = new HashSet<>();
+    private final Set<String> triedEndpoints = new HashSet<>();
+    private int sent;
     private int runs;
     private int connectFailures;
     private int rejections;
@@ -22,28 +23,27 @@
         this.route = route;
     }
 
-    /** Ids of the endpoints at which an attempt failed. */
-    Set<String> failedEndpoints() {
-        return failedEndpoints;
+    /** Ids of the endpoints that attempts were sent to. */
+    Set<String> triedEndpoints() {
+        return triedEndpoints;
     }
 
-    /** Number of the next attempt, starting at 1. */
-    int nextAttempt() {
-        return runs + rejections + connectFailures + 1;
+    /** Counts an attempt that is sent; returns its number, starting at 1. */
+    int onSent(String endpoint) {
+        triedEndpoints.add(endpoint);
+        return ++sent;
     }
 
-    void onConnectFailure(String endpoint) {
-        failedEndpoints.add(endpoint);
+    void onConnectFailure() {
         connectFailures++;
     }
 
-    void onRejection(String endpoint) {
-        failedEndpoints.add(endpoint);
+    void onRejection() {
         rejections++;
     }
 
-    void onExecuted(String endpoint) {
-        failedEndpoints.add(endpoint);
+    /** Counts an attempt that has ended and may have run. */
+    void onExecuted() {
         runs++;
     }
 
--- a/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
@@ -29,6 +29,7 @@
     private long lastPartNanos;
     private boolean soundRecorded;
     private boolean stallRecorded;
+    private boolean unfinishedRecorded;
 
     /** Creates an observer of an attempt that is sent now. */
     CrashObserver(ExchangeRequest request, ExchangeContext context, DiscoveredEndpoint endpoint, long now) {
@@ -126,16 +127,29 @@
 
     /** Called when the attempt ended otherwise; the endpoint may be ending under the request, which shows only later. */
     void onUnfinished(long now) {
+        onSilent(now);
+        onCallerLeft(now);
+    }
+
+    /** Called when the endpoint has sent nothing for a while; it may be ending under the request, which shows only later. */
+    void onSilent(long now) {
         if (isBeginning()) {
             probe();
         }
-        onCallerLeft(now);
+        recordUnfinished(now);
+    }
+
+    private void recordUnfinished(long now) {
+        if (!unfinishedRecorded) {
+            unfinishedRecorded = true;
+            context.crashes().onUnfinished(request.fingerprint(), endpoint.instanceKey(), now);
+        }
     }
 
     /** Called when the endpoint sent something that is not a valid response; it answered, so parts are not suspected. */
     void onMalformed(long now) {
         onClosed();
-        context.crashes().onUnfinished(request.fingerprint(), endpoint.instanceKey(), now);
+        recordUnfinished(now);
     }
 
     /** Called when the caller left before the response was complete. Many do, so the endpoint is not probed. */
@@ -145,7 +159,7 @@
         } else {
             onClosed();
         }
-        context.crashes().onUnfinished(request.fingerprint(), endpoint.instanceKey(), now);
+        recordUnfinished(now);
     }
 
     /** Whether an end of the endpoint now may be due to a part of the prompt. */
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
@@ -29,10 +29,19 @@
     private final SilenceTimeout silence;
     private final CrashObserver crashes;
     private final SpeedSample speed;
+    private final long permittedNanos;
     private final long sentNanos;
 
     private Attempt handle;
+
+    /** When the head of a success was read; 0 if none was. */
+    private long headNanos;
+
     private long firstPartNanos;
+
+    /** Whether the endpoint was silent for so long that another one was asked. */
+    private boolean silent;
+
     private boolean promptRead;
     private boolean ended;
 
@@ -64,6 +73,7 @@
      * Creates an attempt that is sent now.
      *
      * @param caller the response to the caller, which the response of the endpoint begins or continues
+     * @param permittedNanos when a permit for the endpoint was given; {@link EndpointSearch#NO_PERMIT} without one
      */
     EndpointAttempt(
             ExchangeRequest request,
@@ -72,6 +82,7 @@
             ResponseTimes times,
             CallerResponse caller,
             Choice choice,
+            long permittedNanos,
             long now,
             Owner owner) {
         this.request = request;
@@ -84,6 +95,7 @@
         this.response = new ResponseBuffer(request.route(), caller, () -> owner.onForwarding(this));
         this.silence = new SilenceTimeout(request.route(), now);
         this.crashes = new CrashObserver(request, context, endpoint.entry(), now);
+        this.permittedNanos = permittedNanos;
         this.sentNanos = now;
         context.loads().onChosen(choice);
         context.loads().onSent(endpoint, request.prompt(), uncachedTokens, now);
@@ -110,8 +122,21 @@
         return silence;
     }
 
-    /** Whether a part of the response was read, or the head of an error. */
-    boolean firstPartSeen() {
+    long permittedNanos() {
+        return permittedNanos;
+    }
+
+    /** When the head of a success was read, on the monotonic clock; 0 if none was. */
+    long headNanos() {
+        return headNanos;
+    }
+
+    /** Whether the endpoint was silent for so long that another one was asked. */
+    boolean silent() {
+        return silent;
+    }
+
+    private boolean firstPartSeen() {
         return firstPartNanos != 0;
     }
 
@@ -142,7 +167,9 @@
         silence.restart(now);
         response.setHead(head);
         crashes.onHead(head);
-        if (!head.isSuccess()) {
+        if (head.isSuccess()) {
+            headNanos = now;
+        } else {
             onFirstPart(now);
         }
         owner.onProgress(this);
@@ -275,12 +302,25 @@
         }
     }
 
-    /** Gives the attempt up because its endpoint is silent, though it may still answer. */
-    void giveUpSilent(long now) {
-        logFailure(AttemptFailure.SILENT.name(), 0, now);
-        endpoint.onFailure(AttemptFailure.SILENT.weight(), now);
-        crashes.onUnfinished(now);
-        abandon(now);
+    /** Records that another endpoint is asked because this one is silent; it may still answer. */
+    void onSilent(long now) {
+        if (!silent) {
+            silent = true;
+            endpoint.onFailure(AttemptFailure.SILENT.weight(), now);
+            crashes.onSilent(now);
+        }
+    }
+
+    /**
+     * Gives the attempt up because another one goes on with the response.
+     *
+     * @return whether the request may have run
+     */
+    boolean supersede(long now) {
+        if (silent) {
+            logFailure(AttemptFailure.SILENT.name(), 0, now);
+        }
+        return leave(now);
     }
 
     /** Gives the attempt up because the time for the request is over. */
@@ -291,29 +331,35 @@
         abandon(now);
     }
 
-    /** Gives the attempt up because the process exits. */
-    void stop(long now) {
+    /**
+     * Gives the attempt up because the process exits.
+     *
+     * @return whether the request may have run
+     */
+    boolean stop(long now) {
         logFailure("process exits", 0, now);
-        leave(now);
+        return leave(now);
     }
 
-    /** Gives the attempt up because nobody waits for its response any more. */
-    void leave(long now) {
+    /**
+     * Gives the attempt up because nobody waits for its response any more.
+     *
+     * @return whether the request may have run
+     */
+    boolean leave(long now) {
         crashes.onCallerLeft(now);
-        abandon(now);
+        return abandon(now);
     }
 
     /** Ends the attempt, whose endpoint may work on, as it is this host that gives it up. */
-    private void abandon(long now) {
+    private boolean abandon(long now) {
         endpoint.onAbandoned(now);
         end(now);
-        cancel();
+        return cancel();
     }
 
-    private void cancel() {
-        if (handle != null) {
-            handle.cancel();
-        }
+    private boolean cancel() {
+        return handle != null && handle.cancel();
     }
 
     private void end(long now) {
@@ -321,8 +367,7 @@
         readPrompt();
         endpoint.onRequestEnded(request.prompt());
         long firstPartAfterNanos = firstPartSeen() ? Math.max(1, firstPartNanos - sentNanos) : 0;
-        context.admission()
-                .onEnded(request.service(), request.route().name(), firstPartAfterNanos, now - sentNanos);
+        context.admission().onEnded(request.service(), request.route().name(), firstPartAfterNanos, now - sentNanos);
     }
 
     /** Reads the response on, or not while the caller reads slowly. */
@@ -332,6 +377,11 @@
         }
     }
 
+    /** Returns for how long the endpoint has sent nothing that brings the caller something, in nanoseconds. */
+    long silentNanos(long now) {
+        return now - silence.lastReadNanos();
+    }
+
     /** Returns the monotonic time from which the attempt counts as silent. */
     long silentFromNanos() {
         return silence.expiryNanos(firstPartSeen());
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointSearch.java
@@ -31,6 +31,9 @@
      */
     private static final int MAX_COLD_DENIALS = 12;
 
+    /** Stands for the time of a permit where none was needed. */
+    static final long NO_PERMIT = Long.MIN_VALUE;
+
     /** Time after a permit was given within which the request must be sent, in nanoseconds. */
     private static final long MAX_PERMIT_AGE_NANOS = 250_000_000L;
 
@@ -44,20 +47,22 @@
     /** Where the stream began that the response is part of, once it is known. */
     private Optional<StreamOrigin> origin = Optional.empty();
 
-    /** Whether the endpoint found last names a limit and gave a permit. */
-    private boolean permitted;
-
-    private long permittedNanos;
     /** The wait for room; null if the request does not wait. */
     private Wait wait;
 
     private int permitDenials;
-    private boolean cancelled;
+
+    /** Number of the search that is under way; answers that belong to an earlier one are ignored. */
+    private int round;
 
     /** Receives the result of a search, before the search's method returns or a moment later. */
     interface Listener {
-        /** An endpoint was found; the request must be sent at once. */
-        void onFound(Choice choice);
+        /**
+         * An endpoint was found; the request must be sent at once.
+         *
+         * @param permittedNanos when a permit for the endpoint was given, on the monotonic clock, or {@link #NO_PERMIT}
+         */
+        void onFound(Choice choice, long permittedNanos);
 
         /**
          * No endpoint can serve the request now.
@@ -95,12 +100,16 @@
             next();
             return;
         }
+        int asked = ++round;
         context.origins()
-                .find(resumption.get().originAttempt(), request.service().name(), this::onOriginDecided);
+                .find(
+                        resumption.get().originAttempt(),
+                        request.service().name(),
+                        decision -> onOriginDecided(decision, asked));
     }
 
-    private void onOriginDecided(OriginDecision decision) {
-        if (cancelled) {
+    private void onOriginDecided(OriginDecision decision, int asked) {
+        if (asked != round) {
             return;
         }
         log.originDecided(decision);
@@ -125,7 +134,12 @@
             context.admission().join(waitRequest(), new RoomWaiter()).ifPresent(w -> wait = w);
             return;
         }
-        accept(choice);
+        take(choice);
+    }
+
+    /** Returns the choice of an endpoint for one more attempt now; the search begins only when it is taken. */
+    Choice candidate() {
+        return choose(context.clock().nanos());
     }
 
     private boolean mustWait(Choice choice) {
@@ -138,18 +152,19 @@
                         && admission.isShort(request.service().name()));
     }
 
-    private void accept(Choice choice) {
+    /** Finds the endpoint of the next attempt, beginning with a choice. */
+    void take(Choice choice) {
         if (choice.endpoint().isEmpty()) {
             listener.onNotFound(RejectReason.of(choice.reason()), choice.expectedMs());
             return;
         }
         EndpointLoadState chosen = choice.endpoint().get();
         if (chosen.rate().isLimited()) {
-            context.permits().acquire(chosen.entry(), decision -> onPermitDecided(choice, decision));
+            int asked = ++round;
+            context.permits().acquire(chosen.entry(), decision -> onPermitDecided(choice, decision, asked));
             return;
         }
-        permitted = false;
-        listener.onFound(choice);
+        listener.onFound(choice, NO_PERMIT);
     }
 
     private WaitRequest waitRequest() {
@@ -166,7 +181,7 @@
                 request.prompt().inputTokens(),
                 request.prompt().sharedKey(),
                 request.fingerprint(),
-                origin.isPresent() || !attempts.failedEndpoints().isEmpty());
+                origin.isPresent() || !attempts.triedEndpoints().isEmpty());
     }
 
     /** Called at the time that was requested through {@link Listener#wakeAt}, or earlier. */
@@ -192,7 +207,7 @@
                 request.prompt(),
                 request.route().objectiveMs(),
                 Math.max(0, (request.expiryNanos() - now) / NANOS_PER_MS),
-                attempts.failedEndpoints(),
+                attempts.triedEndpoints(),
                 avoidedEndpoints(),
                 limitedEndpoints,
                 origin);
@@ -204,8 +219,8 @@
         return begins ? context.origins().unnamedEndpoints(request.service().name()) : Set.of();
     }
 
-    private void onPermitDecided(Choice choice, PermitDecision decision) {
-        if (cancelled) {
+    private void onPermitDecided(Choice choice, PermitDecision decision, int asked) {
+        if (asked != round) {
             return;
         }
         EndpointLoadState chosen = choice.endpoint().orElseThrow();
@@ -215,14 +230,12 @@
             next();
             return;
         }
-        permitted = true;
-        permittedNanos = context.clock().nanos();
-        listener.onFound(choice);
+        listener.onFound(choice, context.clock().nanos());
     }
 
-    /** Ends the search because nobody waits for the response any more. */
+    /** Ends the search because its result is not needed any more. */
     void cancel() {
-        cancelled = true;
+        round++;
         if (wait != null) {
             context.admission().leave(wait);
             wait = null;
@@ -234,15 +247,15 @@
         origin = Optional.of(begun);
     }
 
-    /** Whether the request may still be sent to the endpoint that was found. */
-    boolean mayStillSend(EndpointLoadState endpoint) {
+    /** Whether the request may still be sent to an endpoint that was found, with the permit that it had then. */
+    boolean mayStillSend(EndpointLoadState endpoint, long permittedNanos) {
         return acceptsRequests(endpoint)
-                && (hasPermit() || !endpoint.rate().isLimited())
+                && (isValid(permittedNanos) || !endpoint.rate().isLimited())
                 && (origin.isEmpty() || hasVersionOfEntry(endpoint));
     }
 
-    private boolean hasPermit() {
-        return permitted && context.clock().nanos() - permittedNanos <= MAX_PERMIT_AGE_NANOS;
+    private boolean isValid(long permittedNanos) {
+        return permittedNanos != NO_PERMIT && context.clock().nanos() - permittedNanos <= MAX_PERMIT_AGE_NANOS;
     }
 
     private boolean acceptsRequests(EndpointLoadState endpoint) {
@@ -290,7 +303,7 @@
                 listener.onNotFound(blocked.get(), 0);
                 return;
             }
-            accept(found);
+            take(found);
         }
 
         @Override
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -1,6 +1,9 @@
 package org.dragonflygw.core.exchange;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.dragonflygw.core.dispatch.Choice;
 import org.dragonflygw.core.dispatch.EndpointLoadState;
 import org.dragonflygw.core.resume.StreamOrigin;
@@ -13,6 +16,9 @@
  *
  * <p>A request that may have run is retried only if its route is repeatable, and is never rejected with a status that
  * implies it has not run. A response to the caller is completed only after the endpoint's response was complete.
+ *
+ * <p>An attempt at a silent endpoint stays open while another endpoint is asked. The first that brings the caller something
+ * goes on, and the others are given up at once; so the response continues in one place only.
  */
 public final class Exchange {
     private static final long NANOS_PER_MS = 1_000_000;
@@ -20,6 +26,15 @@
     /** Least remaining time, in milliseconds, for which a retry is attempted. */
     private static final long MIN_RETRY_REMAINING_MS = 30;
 
+    /**
+     * Time after the head of a response within which its first part is due, in nanoseconds. Then the silent attempts before it
+     * are given up, since two engines must not work on one stream for long.
+     */
+    private static final long FIRST_PART_NANOS = 300_000_000L;
+
+    /** Reason in the log for keeping a silent attempt: the retry budget of the service is used up. */
+    private static final String RETRY_DENIED = "RETRY_DENIED";
+
     private final ExchangeRequest request;
     private final ExchangeContext context;
     private final ExchangeOutput out;
@@ -31,12 +46,18 @@
     private final EndpointSearch search;
     private final AttemptOwner owner = new AttemptOwner();
 
-    /** The attempt that is open; null while an endpoint is being searched for, and after the end. */
-    private EndpointAttempt attempt;
+    /** The attempts that may still be answered, in the order in which they were sent; all but the last one are silent. */
+    private final List<EndpointAttempt> open = new ArrayList<>(1);
 
-    /** The endpoint of the latest attempt, for the log; null before the first. */
+    /** The endpoint of the latest attempt, or of the one that goes on; for the log; null before the first. */
     private EndpointLoadState endpoint;
 
+    /** Whether an endpoint for one more attempt is being searched for. */
+    private boolean searching;
+
+    /** Why a silent attempt was not replaced when this was looked at last; empty before. */
+    private String keptReason = "";
+
     private boolean ended;
     private boolean mayHaveRun;
 
@@ -58,6 +79,7 @@
     /** Sends the request to an endpoint, or rejects it if no endpoint can serve it. */
     public void start() {
         context.retries().onRequest(request.service().name(), now());
+        searching = true;
         search.first();
     }
 
@@ -66,12 +88,13 @@
         return ended;
     }
 
-    private void send(Choice choice, long now) {
-        log.dispatched(choice, attempts.nextAttempt(), remainingMs(now), now);
-        attempt = new EndpointAttempt(request, context, log, times, response, choice, now, owner);
-        endpoint = attempt.endpoint();
+    private void send(Choice choice, long permittedNanos, long now) {
+        endpoint = choice.endpoint().orElseThrow();
+        log.dispatched(choice, attempts.onSent(endpoint.entry().id()), remainingMs(now), now);
+        EndpointAttempt sent =
+                new EndpointAttempt(request, context, log, times, response, choice, permittedNanos, now, owner);
+        open.add(sent);
         scheduleTimer();
-        EndpointAttempt sent = attempt;
         sent.bind(out.send(
                 new Dispatch(
                         endpoint.entry(),
@@ -83,13 +106,62 @@
                 sent));
     }
 
+    private EndpointAttempt newest() {
+        return open.get(open.size() - 1);
+    }
+
+    /** Removes an attempt that has ended; returns whether nothing is under way that was to take its place. */
+    private boolean close(EndpointAttempt attempt) {
+        boolean last = attempt == newest();
+        open.remove(attempt);
+        return last && !searching;
+    }
+
+    /** Gives up all attempts but one, which goes on with the response. */
+    private void keepOnly(EndpointAttempt kept) {
+        endpoint = kept.endpoint();
+        open.remove(kept);
+        if (searching) {
+            searching = false;
+            search.cancel();
+        }
+        long now = now();
+        for (EndpointAttempt other : open) {
+            countRun(other.supersede(now));
+        }
+        if (kept.silent()) {
+            log.silent(kept.endpoint(), "goes on", kept.silentNanos(now));
+            context.silences().onWentOn();
+        }
+        open.clear();
+        open.add(kept);
+    }
+
+    private void countRun(boolean mayHave) {
+        if (mayHave) {
+            mayHaveRun = true;
+            attempts.onExecuted();
+        }
+    }
+
+    /** A connection that failed after another endpoint was asked counts as a run, so that few endpoints get the request. */
+    private void countConnectFailure(EndpointAttempt attempt) {
+        if (attempt.silent()) {
+            attempts.onExecuted();
+        } else {
+            attempts.onConnectFailure();
+        }
+    }
+
     /** Right before the first part of the response goes to the caller: later attempts go on where the stream begins. */
-    private void recordOrigin(ResponseHead head) {
-        if (!request.route().streaming() || !request.route().resumable() || !head.isSuccess()) {
+    private void recordOrigin(EndpointAttempt begins) {
+        if (!request.route().streaming()
+                || !request.route().resumable()
+                || !begins.response().head().isSuccess()) {
             return;
         }
-        StreamOrigin begun =
-                new StreamOrigin(request.service().name(), endpoint.entry().version());
+        StreamOrigin begun = new StreamOrigin(
+                request.service().name(), begins.endpoint().entry().version());
         search.goOnAt(begun);
         context.origins().onBegun(request.id(), begun);
     }
@@ -109,30 +181,70 @@
         end("endpoint failed", head.status());
     }
 
-    /** Replaces an attempt that may still be answered; the caller has taken the retry for it. */
-    private void replaceSilentAttempt(long now) {
-        EndpointAttempt silent = attempt;
-        attempt = null;
-        silent.giveUpSilent(now);
-        onMayHaveRun(silent);
-        retryOrFail(RejectReason.ENDPOINT_FAILED, true);
+    /** Goes on after an attempt that has ended without a response for the caller. */
+    private void goOnWithout(EndpointAttempt attempt, RejectReason reason, BooleanSupplier mayRetry) {
+        if (!close(attempt)) {
+            scheduleTimer();
+        } else if (mayRetry.getAsBoolean()) {
+            searchNext();
+        } else {
+            waitOrFail(reason, 0);
+        }
     }
 
-    private void onMayHaveRun(EndpointAttempt ended) {
-        mayHaveRun = true;
-        attempts.onExecuted(ended.endpoint().entry().id());
+    private void searchNext() {
+        searching = true;
+        search.next();
     }
 
-    private void retryOrFail(RejectReason reason, boolean allowed) {
-        if (!allowed) {
-            refuseOrFail(reason, 0);
+    /** Waits on for the silent attempts, and ends the request if there are none. */
+    private void waitOrFail(RejectReason reason, long expectedMs) {
+        if (open.isEmpty()) {
+            refuseOrFail(reason, expectedMs);
             return;
         }
-        search.next();
+        keepSilent(reason.name(), now());
+        scheduleTimer();
+    }
+
+    /** Asks another endpoint beside one that is silent, if one can serve and a retry is left. */
+    private void replaceIfSilent(long now) {
+        if (!mayReplaceIfSilent(now) || now < newest().silentFromNanos()) {
+            return;
+        }
+        Choice choice = search.candidate();
+        if (choice.endpoint().isEmpty()) {
+            keepSilent(RejectReason.of(choice.reason()).name(), now);
+            return;
+        }
+        if (!takeRetry(now)) {
+            keepSilent(RETRY_DENIED, now);
+            return;
+        }
+        EndpointAttempt silent = newest();
+        log.silent(silent.endpoint(), "another endpoint is asked", silent.silentNanos(now));
+        context.silences().onReplacing();
+        silent.onSilent(now);
+        searching = true;
+        search.take(choice);
+    }
+
+    /** Waits on for a silent attempt, as nobody else can take over now. */
+    private void keepSilent(String reason, long now) {
+        newest().silence().postpone(now);
+        if (!reason.equals(keptReason)) {
+            keptReason = reason;
+            log.kept(newest().endpoint(), reason, newest().silentNanos(now));
+            context.silences().onKept();
+        }
     }
 
     private boolean mayRetry(long now) {
-        return !isBlocked() && attempts.mayRunAgain(0) && response.canResume() && hasTimeToRetry(now) && takeRetry(now);
+        return !isBlocked()
+                && attempts.mayRunAgain(open.size())
+                && response.canResume()
+                && hasTimeToRetry(now)
+                && takeRetry(now);
     }
 
     private boolean isBlocked() {
@@ -196,7 +308,7 @@
         if (ended) {
             return;
         }
-        if (attempt == null) {
+        if (open.isEmpty()) {
             search.onTimer();
             return;
         }
@@ -206,52 +318,56 @@
             return;
         }
         if (!outputPaused) {
-            attempt.checkStall(now);
+            open.forEach(a -> a.checkStall(now));
         }
-        if (mayReplaceIfSilent(now) && now >= attempt.silentFromNanos()) {
-            if (takeRetry(now)) {
-                replaceSilentAttempt(now);
-                return;
-            }
-            attempt.silence().postpone(now);
+        if (now >= handoverNanos()) {
+            keepOnly(newest());
+        }
+        replaceIfSilent(now);
+        if (!ended && !open.isEmpty()) {
+            scheduleTimer();
         }
-        scheduleTimer();
     }
 
     private boolean mayReplaceIfSilent(long now) {
         return !outputPaused
-                && attempts.mayRunAgain(1)
+                && !searching
+                && attempts.mayRunAgain(open.size())
                 && response.canResume()
                 && !isBlocked()
                 && remainingMs(now) > request.route().objectiveMs();
     }
 
+    /** Returns when the silent attempts are given up for a newer one whose response has begun. */
+    private long handoverNanos() {
+        boolean begun = open.size() > 1 && newest().headNanos() != 0;
+        return begun ? newest().headNanos() + FIRST_PART_NANOS : Long.MAX_VALUE;
+    }
+
     private void onTimeout(long now) {
-        attempt.timeOut(now);
-        attempt = null;
+        open.forEach(a -> a.timeOut(now));
+        open.clear();
         failAfterRun(RejectReason.TIMED_OUT);
     }
 
     /** Called when the caller reads so slowly that nothing more is to be read from the endpoint for now. */
     public void onOutputPaused() {
         outputPaused = true;
-        setAutoRead(false);
+        open.forEach(a -> a.setAutoRead(false));
     }
 
     /** Called when the endpoint's response can be read again. */
     public void onOutputResumed() {
         outputPaused = false;
-        setAutoRead(true);
-        if (attempt != null) {
-            attempt.silence().restart(now());
-            scheduleTimer();
+        if (open.isEmpty()) {
+            return;
         }
-    }
-
-    private void setAutoRead(boolean enabled) {
-        if (attempt != null) {
-            attempt.setAutoRead(enabled);
+        long now = now();
+        for (EndpointAttempt a : open) {
+            a.setAutoRead(true);
+            a.silence().restart(now);
         }
+        scheduleTimer();
     }
 
     /** Called when the caller has closed its connection. */
@@ -259,10 +375,9 @@
         if (ended) {
             return;
         }
-        if (attempt != null) {
-            attempt.leave(now());
-            attempt = null;
-        }
+        long now = now();
+        open.forEach(a -> a.leave(now));
+        open.clear();
         end("caller left", 0);
     }
 
@@ -271,29 +386,31 @@
         if (ended) {
             return;
         }
-        if (attempt != null) {
-            attempt.stop(now());
-            attempt = null;
-            mayHaveRun = true;
+        long now = now();
+        for (EndpointAttempt a : open) {
+            mayHaveRun |= a.stop(now);
         }
+        open.clear();
         refuseOrFail(RejectReason.STOPPING, 0);
     }
 
     /** Returns what the request waits for, for the log. */
     public String waitingFor() {
-        if (attempt == null) {
+        if (open.isEmpty()) {
             return "endpoint";
         }
         return response.started() ? "end of response" : "response";
     }
 
     private void scheduleTimer() {
-        long wakeNanos = request.expiryNanos();
+        long wakeNanos = Math.min(request.expiryNanos(), handoverNanos());
         if (mayReplaceIfSilent(now())) {
-            wakeNanos = Math.min(wakeNanos, attempt.silentFromNanos());
+            wakeNanos = Math.min(wakeNanos, newest().silentFromNanos());
         }
         if (!outputPaused) {
-            wakeNanos = Math.min(wakeNanos, attempt.stallNanos());
+            for (EndpointAttempt a : open) {
+                wakeNanos = Math.min(wakeNanos, a.stallNanos());
+            }
         }
         out.wakeAt(wakeNanos);
     }
@@ -314,79 +431,87 @@
 
     private final class AttemptOwner implements EndpointAttempt.Owner {
         @Override
-        public boolean mayStillSend(EndpointAttempt sending) {
-            return search.mayStillSend(sending.endpoint());
+        public boolean mayStillSend(EndpointAttempt attempt) {
+            return attempt == newest() && search.mayStillSend(attempt.endpoint(), attempt.permittedNanos());
         }
 
         @Override
-        public void onProgress(EndpointAttempt running) {
+        public void onProgress(EndpointAttempt attempt) {
             mayHaveRun = true;
             scheduleTimer();
         }
 
         @Override
-        public void onForwarding(EndpointAttempt forwarding) {
+        public void onForwarding(EndpointAttempt attempt) {
+            if (searching || open.size() > 1) {
+                keepOnly(attempt);
+            }
             if (!response.started()) {
-                recordOrigin(forwarding.response().head());
+                recordOrigin(attempt);
             }
         }
 
         @Override
-        public void onRejected(EndpointAttempt rejected) {
-            attempt = null;
-            attempts.onRejection(rejected.endpoint().entry().id());
-            long now = now();
-            retryOrFail(
-                    RejectReason.ENDPOINT_REJECTED,
-                    attempts.mayRetryRejected() && !isSpared(now) && hasTimeToRetry(now) && takeRetry(now));
+        public void onSuccess(EndpointAttempt attempt) {
+            keepOnly(attempt);
+            open.clear();
+            attempt.response().complete();
+            end("ok", attempt.response().head().status());
         }
 
         @Override
-        public void onSuccess(EndpointAttempt succeeded) {
-            attempt = null;
-            succeeded.response().complete();
-            end("ok", succeeded.response().head().status());
+        public void onRejected(EndpointAttempt attempt) {
+            attempts.onRejection();
+            long now = now();
+            goOnWithout(
+                    attempt,
+                    RejectReason.ENDPOINT_REJECTED,
+                    () -> attempts.mayRetryRejected() && !isSpared(now) && hasTimeToRetry(now) && takeRetry(now));
         }
 
         @Override
-        public void onErrorResponse(EndpointAttempt failed) {
-            attempt = null;
-            onMayHaveRun(failed);
-            if (failed.response().head().status() >= 500 && mayRetry(now())) {
-                retryOrFail(RejectReason.ENDPOINT_FAILED, true);
-                return;
+        public void onErrorResponse(EndpointAttempt attempt) {
+            countRun(true);
+            if (!close(attempt)) {
+                scheduleTimer();
+            } else if (attempt.response().head().status() >= 500 && mayRetry(now())) {
+                searchNext();
+            } else if (open.isEmpty()) {
+                forwardErrorResponse(attempt);
+            } else {
+                waitOrFail(RejectReason.ENDPOINT_FAILED, 0);
             }
-            forwardErrorResponse(failed);
         }
 
         @Override
-        public void onFailed(EndpointAttempt failed, AttemptFailure cause) {
-            attempt = null;
+        public void onFailed(EndpointAttempt attempt, AttemptFailure cause) {
             long now = now();
             if (cause.isBeforeSending()) {
-                attempts.onConnectFailure(failed.endpoint().entry().id());
-                retryOrFail(RejectReason.UNREACHABLE, attempts.mayRetryConnect() && hasTimeToRetry(now));
+                countConnectFailure(attempt);
+                goOnWithout(attempt, RejectReason.UNREACHABLE, () -> attempts.mayRetryConnect() && hasTimeToRetry(now));
                 return;
             }
-            onMayHaveRun(failed);
-            retryOrFail(RejectReason.ENDPOINT_FAILED, mayRetry(now));
+            countRun(true);
+            goOnWithout(attempt, RejectReason.ENDPOINT_FAILED, () -> mayRetry(now));
         }
     }
 
     private final class Found implements EndpointSearch.Listener {
         @Override
-        public void onFound(Choice choice) {
-            send(choice, now());
+        public void onFound(Choice choice, long permittedNanos) {
+            searching = false;
+            send(choice, permittedNanos, now());
         }
 
         @Override
         public void onNotFound(RejectReason reason, long expectedMs) {
-            refuseOrFail(reason, expectedMs);
+            searching = false;
+            waitOrFail(reason, expectedMs);
         }
 
         @Override
         public boolean mayWait() {
-            return !mayHaveRun && !response.started();
+            return open.isEmpty() && !mayHaveRun && !response.started();
         }
 
         @Override
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeContext.java
@@ -25,6 +25,7 @@
  * @param crashes requests that are suspected of crashing endpoints
  * @param crashingParts parts of prompts that are suspected of crashing endpoints
  * @param probe finds out whether an endpoint has ended
+ * @param silences counts what became of attempts at silent endpoints
  * @param retryAfterDelays computes the time after which a rejected caller may retry
  * @param log log of decisions
  * @param clock monotonic clock
@@ -40,6 +41,7 @@
         CrashSuspects crashes,
         CrashingParts crashingParts,
         EndpointProbe probe,
+        SilenceCounts silences,
         RetryAfterDelays retryAfterDelays,
         EventLog log,
         MonotonicClock clock) {}
--- a/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/ExchangeLog.java
@@ -110,6 +110,27 @@
                 .end();
     }
 
+    /** Logs what becomes of an attempt at a silent endpoint. */
+    void silent(EndpointLoadState endpoint, String outcome, long silentNanos) {
+        silence(endpoint, outcome, null, silentNanos);
+    }
+
+    /** Logs why an attempt at a silent endpoint is not replaced. */
+    void kept(EndpointLoadState endpoint, String reason, long silentNanos) {
+        silence(endpoint, "kept", reason, silentNanos);
+    }
+
+    private void silence(EndpointLoadState endpoint, String outcome, String reason, long silentNanos) {
+        log.line(LogTopic.SILENCE)
+                .with("request", request.id())
+                .with("endpoint", endpoint.entry().id())
+                .with("version", endpoint.entry().version())
+                .with("outcome", outcome)
+                .with("reason", reason)
+                .with("silentMs", silentNanos / NANOS_PER_MS)
+                .end();
+    }
+
     /** Returns the ids of prompt parts, separated by spaces; null if there are none. */
     private static String hexIds(List<PromptPart> parts) {
         return parts.isEmpty()
--- a/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
+++ b/core/src/main/java/org/dragonflygw/core/log/LogTopic.java
@@ -40,6 +40,8 @@
     RELAY,
     /** A request was refused before it was sent; the line has the reason. */
     REFUSE,
+    /** An endpoint has sent nothing for a while; the line says what becomes of the attempt there. */
+    SILENCE,
     /** An attempt at an endpoint failed. */
     ATTEMPT_FAILED,
     /** An endpoint sent bytes that reach no caller; the line has the request that was sent last on the connection. */
--- a/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/CrashingPartFleet.java
@@ -498,9 +498,9 @@
         }
 
         @Override
-        public void cancel() {
-            super.cancel();
+        public boolean cancel() {
             engine.ifPresent(e -> e.open.remove(this));
+            return super.cancel();
         }
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeFixture.java
@@ -83,7 +83,7 @@
 
     private long startedRequests;
     private final RetryAfterDelays retryAfterDelays = new RetryAfterDelays(new SplittableRandom(1));
-    private final FleetRetryShare retries;
+    final FleetRetryShare retries;
 
     ExchangeFixture() {
         this(10);
@@ -152,6 +152,7 @@
                 crashes,
                 crashingParts,
                 EndpointProbe.NONE,
+                new SilenceCounts(),
                 retryAfterDelays,
                 new NoOpEventLog(),
                 clock);
@@ -256,6 +257,7 @@
                 crashes,
                 crashingParts,
                 probe,
+                new SilenceCounts(),
                 new RetryAfterDelays(new SplittableRandom(1)),
                 new NoOpEventLog(),
                 clock);
@@ -293,8 +295,9 @@
         sent.add(dispatch);
         return new Attempt() {
             @Override
-            public void cancel() {
+            public boolean cancel() {
                 cancelled++;
+                return true;
             }
 
             @Override
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
@@ -139,8 +139,13 @@
             StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
             f.clock.advanceMs(250);
             x.onTimer();
-            assertThat(f.cancelled).isEqualTo(1);
             assertThat(f.sent).hasSize(2);
+            assertThat(f.cancelled).isEqualTo(0);
+            x.onHead(signedHead(200));
+            x.onBody(bytes("body"));
+            x.onComplete();
+            assertThat(f.finished).isTrue();
+            assertThat(f.cancelled).isEqualTo(1);
         }
 
         /** Guards against callers who lose an answer that was only late, because no retry was left to replace it. */
--- a/core/src/test/java/org/dragonflygw/core/exchange/LoadBoundFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/LoadBoundFleet.java
@@ -374,6 +374,7 @@
                     crashes,
                     parts,
                     EndpointProbe.NONE,
+                    new SilenceCounts(),
                     new RetryAfterDelays(random.split()),
                     new NoOpEventLog(),
                     network.clock);
@@ -550,11 +551,11 @@
         }
 
         @Override
-        public void cancel() {
-            super.cancel();
+        public boolean cancel() {
             if (work != null) {
                 network.after(LINGER_MS, work::end);
             }
+            return super.cancel();
         }
     }
 
--- a/core/src/test/java/org/dragonflygw/core/exchange/SimulatedAttempt.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/SimulatedAttempt.java
@@ -41,8 +41,9 @@
     }
 
     @Override
-    public void cancel() {
+    public boolean cancel() {
         ended = true;
+        return true;
     }
 
     @Override
--- a/core/src/test/java/org/dragonflygw/core/exchange/StreamVersionTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/StreamVersionTest.java
@@ -47,6 +47,52 @@
         }
     }
 
+    /** Guards against streams that hosts cut while their engine is silent and nobody else can go on with them. */
+    @Nested
+    final class AtEnginesThatFallSilent {
+        private static final long SILENCE_MS = 1_400;
+
+        private void assertNoneCut(VersionedStreamFleet fleet) {
+            assertOneVersionEach(fleet);
+            assertThat(fleet.cutStreams()).isEqualTo(0);
+        }
+
+        @ParameterizedTest
+        @CsvSource({"1, 0", "1, 6", "2, 6", "7, 6"})
+        void noneIsCut(int firstVersionEngines, int secondVersionEngines) {
+            VersionedStreamFleet fleet = new VersionedStreamFleet(6, firstVersionEngines, secondVersionEngines, 30);
+            fleet.run(WARM_UP_MS, STREAMS_PER_SECOND);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.silenceEngines(0, 1, SILENCE_MS);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertNoneCut(fleet);
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {31, 32, 33})
+        void noneIsCutWhileAllOthersOfTheirVersionTurnRequestsAway(long seed) {
+            VersionedStreamFleet fleet = started(6, seed);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.silenceEngines(i, i + 1, SILENCE_MS);
+                fleet.fillEngines(0, 6, SILENCE_MS);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertNoneCut(fleet);
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {34, 35, 36})
+        void noneIsCutWhileAllAreSilent(long seed) {
+            VersionedStreamFleet fleet = started(6, seed);
+            for (int i = 0; i < ROUNDS; i++) {
+                fleet.silenceEngines(0, 13, SILENCE_MS);
+                fleet.run(STEP_MS, STREAMS_PER_SECOND);
+            }
+            assertNoneCut(fleet);
+        }
+    }
+
     @Nested
     final class AtAnotherHost {
         /** Guards against callers who come back at a host that does not know where their stream began. */
--- a/core/src/test/java/org/dragonflygw/core/exchange/VersionedStreamFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/VersionedStreamFleet.java
@@ -9,6 +9,7 @@
 import org.dragonflygw.core.catalog.CatalogRoute;
 import org.dragonflygw.core.catalog.CatalogService;
 import org.dragonflygw.core.catalog.RouteKind;
+import org.dragonflygw.core.catalog.WeightedService;
 import org.dragonflygw.core.discovery.DiscoveredEndpoint;
 import org.dragonflygw.core.dispatch.Prompt;
 import org.dragonflygw.core.peers.HostRanking;
@@ -41,6 +42,7 @@
     private int resumesThatWentOn;
     private int refusedResumes;
     private int messages;
+    private int cutStreams;
 
     VersionedStreamFleet(int hostCount, int firstVersionEngines, int secondVersionEngines, long seed) {
         network = new SimulatedNetwork(seed);
@@ -108,6 +110,16 @@
         engines.subList(first, end).forEach(Engine::crash);
     }
 
+    /** Lets engines send nothing for a while, after which they go on. */
+    void silenceEngines(int first, int end, long millis) {
+        engines.subList(first, end).forEach(e -> e.silentUntilMs = network.nowMs() + millis);
+    }
+
+    /** Lets engines turn all new requests away for a while. */
+    void fillEngines(int first, int end, long millis) {
+        engines.subList(first, end).forEach(e -> e.fullUntilMs = network.nowMs() + millis);
+    }
+
     /** Removes engines for good, with their entries. */
     void removeEngines(int first, int end) {
         for (Engine e : engines.subList(first, end)) {
@@ -133,6 +145,11 @@
         return messages;
     }
 
+    /** Returns how many streams a host has cut that had begun. */
+    int cutStreams() {
+        return cutStreams;
+    }
+
     int refusedResumes() {
         return refusedResumes;
     }
@@ -152,7 +169,9 @@
     }
 
     private static CatalogRoute route() {
-        return ExchangeFixture.route(RouteKind.STREAMING, true);
+        List<WeightedService> services = List.of(new WeightedService("app", 1));
+        return new CatalogRoute(
+                "r", "h", "/p/", RouteKind.STREAMING, DEADLINE_MS, 100, 1, services, 2, false, false, true, 400);
     }
 
     private final class Engine {
@@ -160,6 +179,8 @@
         private final List<Sent> open = new ArrayList<>();
         private boolean alive = true;
         private boolean listed = true;
+        private long silentUntilMs;
+        private long fullUntilMs;
 
         Engine(String id, String version) {
             entry = new DiscoveredEndpoint(id, "app", "10.0.0.1", 80, "a", 64, false, 0, 1, version);
@@ -170,13 +191,32 @@
                 network.after(1, () -> sent.fail(AttemptFailure.CONNECT_REFUSED));
                 return;
             }
+            if (network.nowMs() < fullUntilMs) {
+                network.after(1, () -> sent.head(ExchangeFixture.notExecutedHead(503)));
+                return;
+            }
             open.add(sent);
-            network.after(FIRST_EVENT_MS / 2, () -> sent.head(ExchangeFixture.signedHead(200)));
-            for (int i = after + 1; i <= EVENTS; i++) {
-                int number = i;
-                network.after(FIRST_EVENT_MS + (long) (i - after - 1) * EVENT_MS, () -> sent.event(number));
+            network.after(FIRST_EVENT_MS / 2, () -> begin(sent, after));
+        }
+
+        private void begin(Sent sent, int after) {
+            if (network.nowMs() < silentUntilMs) {
+                network.after(silentUntilMs - network.nowMs(), () -> begin(sent, after));
+                return;
+            }
+            sent.head(ExchangeFixture.signedHead(200));
+            network.after(FIRST_EVENT_MS / 2, () -> write(sent, after + 1));
+        }
+
+        private void write(Sent sent, int number) {
+            if (network.nowMs() < silentUntilMs) {
+                network.after(silentUntilMs - network.nowMs(), () -> write(sent, number));
+            } else if (number > EVENTS) {
+                sent.complete();
+            } else {
+                sent.event(number);
+                network.after(EVENT_MS, () -> write(sent, number + 1));
             }
-            network.after(FIRST_EVENT_MS + (long) (EVENTS - after) * EVENT_MS, sent::complete);
         }
 
         void crash() {
@@ -371,6 +411,7 @@
 
         @Override
         public void abort() {
+            cutStreams++;
             end();
             caller.comeBack();
         }
@@ -429,9 +470,9 @@
         }
 
         @Override
-        public void cancel() {
-            super.cancel();
+        public boolean cancel() {
             engine.open.remove(this);
+            return super.cancel();
         }
     }
 }
--- a/core/src/test/java/org/dragonflygw/core/exchange/WaitingFleet.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/WaitingFleet.java
@@ -260,6 +260,7 @@
                     new CrashSuspects(new NoOpEventLog()),
                     new CrashingParts(new NoOpEventLog()),
                     EndpointProbe.NONE,
+                    new SilenceCounts(),
                     new RetryAfterDelays(random.split()),
                     new NoOpEventLog(),
                     clock);
@@ -552,9 +553,10 @@
         }
 
         @Override
-        public void cancel() {
+        public boolean cancel() {
             super.cancel();
             leaveEngine();
+            return true;
         }
     }
 }
--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -34,6 +34,7 @@
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RejectionPauses;
 import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.core.exchange.SilenceCounts;
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.limits.StartupHold;
@@ -120,6 +121,7 @@
     private final WarmupTracker warmups;
     private final FleetRetryShare retries;
     private final CrashSuspects crashes;
+    private final SilenceCounts silences = new SilenceCounts();
     private final CrashingParts crashingParts;
     private final PeerTable peers;
     private final Admission admission;
@@ -246,6 +248,9 @@
         metrics.registerGauge("waits_served_total", admission.counts()::served);
         metrics.registerGauge("waits_refused_total", admission.counts()::refused);
         metrics.registerGauge("waits_left_total", admission.counts()::left);
+        metrics.registerGauge("silent_attempts_replacing_total", silences::replacing);
+        metrics.registerGauge("silent_attempts_kept_total", silences::kept);
+        metrics.registerGauge("silent_attempts_went_on_total", silences::wentOn);
         metrics.registerGauge("stream_origins", origins::size);
         metrics.registerGauge("stream_origins_unknown_total", origins::unknownCount);
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text, headerBudget);
@@ -367,6 +372,7 @@
                 crashes,
                 crashingParts,
                 new ConnectProbe(group, metrics, "after a lost connection", log),
+                silences,
                 new RetryAfterDelays(new SplittableRandom()),
                 log,
                 System::nanoTime);
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/PendingAttempt.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/PendingAttempt.java
@@ -23,14 +23,12 @@
     }
 
     @Override
-    public void cancel() {
-        if (ended) {
-            return;
-        }
-        ended = true;
-        if (connection != null) {
+    public boolean cancel() {
+        if (!ended && connection != null) {
             connection.abandon();
         }
+        ended = true;
+        return connection != null;
     }
 
     @Override
--- a/edge/src/main/java/org/dragonflygw/edge/upstream/RelayConnection.java
+++ b/edge/src/main/java/org/dragonflygw/edge/upstream/RelayConnection.java
@@ -146,11 +146,12 @@
     }
 
     @Override
-    public void cancel() {
+    public boolean cancel() {
         ended = true;
         if (context != null) {
             context.close();
         }
+        return context != null;
     }
 
     @Override
--- a/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/dragonflygw/edge/EdgeFixture.java
@@ -43,6 +43,7 @@
 import org.dragonflygw.core.exchange.EndpointNotices;
 import org.dragonflygw.core.exchange.ExchangeContext;
 import org.dragonflygw.core.exchange.RequestResolver;
+import org.dragonflygw.core.exchange.SilenceCounts;
 import org.dragonflygw.core.lease.SuspensionDetector;
 import org.dragonflygw.core.limits.RetryAfterDelays;
 import org.dragonflygw.core.limits.StartupHold;
@@ -153,6 +154,7 @@
                 new CrashSuspects(new NoOpEventLog()),
                 new CrashingParts(new NoOpEventLog()),
                 new ConnectProbe(group, metrics, "", new NoOpEventLog()),
+                new SilenceCounts(),
                 new RetryAfterDelays(new SplittableRandom(1)),
                 new NoOpEventLog(),
                 System::nanoTime);
