Forward the error of an endpoint when no other one succeeds

What callers saw: where an endpoint had answered an idempotent request with an error such as 500, and nobody else could serve it, the caller got 502 of this host, without the endpoint's body and signature.

Cause, the same as of streams cut at silent endpoints: the complete response was discarded before another endpoint was found, and nothing was left when the search found nobody, or somebody who turned the request away, could not be reached, broke off or was too late.

Change: the latest error is kept while another endpoint is asked, and forwarded if the request would fail otherwise. One whose status says "not run" is still replaced by 502, as the request may have run.

Evidence: ExchangeTest$ErrorsOfEndpoints, 6 of 8 failed before, none now; the tests of core.exchange pass. x86-64.

--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -52,6 +52,9 @@
     /** The endpoint of the latest attempt, or of the one that goes on; for the log; null before the first. */
     private EndpointLoadState endpoint;
 
+    /** The latest complete response that is no success, for the caller if no other attempt succeeds. */
+    private Optional<ResponseBuffer> errorResponse = Optional.empty();
+
     /** Whether an endpoint for one more attempt is being searched for. */
     private boolean searching;
 
@@ -121,10 +124,7 @@
     private void keepOnly(EndpointAttempt kept) {
         endpoint = kept.endpoint();
         open.remove(kept);
-        if (searching) {
-            searching = false;
-            search.cancel();
-        }
+        stopSearch();
         long now = now();
         for (EndpointAttempt other : open) {
             countRun(other.supersede(now));
@@ -137,6 +137,11 @@
         open.add(kept);
     }
 
+    private void stopSearch() {
+        searching = false;
+        search.cancel();
+    }
+
     private void countRun(boolean mayHave) {
         if (mayHave) {
             mayHaveRun = true;
@@ -171,16 +176,6 @@
         return context.loads().isBrittle(request.service().name(), now);
     }
 
-    private void forwardErrorResponse(EndpointAttempt failed) {
-        ResponseHead head = failed.response().head();
-        if (head.impliesNotExecuted() || response.started()) {
-            failAfterRun(RejectReason.ENDPOINT_FAILED);
-            return;
-        }
-        failed.response().complete();
-        end("endpoint failed", head.status());
-    }
-
     /** Goes on after an attempt that has ended without a response for the caller. */
     private void goOnWithout(EndpointAttempt attempt, RejectReason reason, BooleanSupplier mayRetry) {
         if (!close(attempt)) {
@@ -289,13 +284,18 @@
         };
     }
 
+    /** Ends a request that may have run: the caller gets the error of an endpoint if one has answered with one. */
     private void failAfterRun(RejectReason reason) {
+        stopSearch();
         if (response.started()) {
             out.abort();
             end("cut", 0);
-            return;
+        } else if (errorResponse.isPresent()) {
+            errorResponse.get().complete();
+            end("endpoint failed", errorResponse.get().head().status());
+        } else {
+            reject(reason, 0);
         }
-        reject(reason, 0);
     }
 
     private void reject(RejectReason reason, long retryAfterMs) {
@@ -417,7 +417,7 @@
 
     private void end(String outcome, int status) {
         ended = true;
-        search.cancel();
+        stopSearch();
         log.ended(outcome, status, Optional.ofNullable(endpoint), times, now());
     }
 
@@ -472,15 +472,11 @@
         @Override
         public void onErrorResponse(EndpointAttempt attempt) {
             countRun(true);
-            if (!close(attempt)) {
-                scheduleTimer();
-            } else if (attempt.response().head().status() >= 500 && mayRetry(now())) {
-                searchNext();
-            } else if (open.isEmpty()) {
-                forwardErrorResponse(attempt);
-            } else {
-                waitOrFail(RejectReason.ENDPOINT_FAILED, 0);
+            ResponseHead head = attempt.response().head();
+            if (!head.impliesNotExecuted()) {
+                errorResponse = Optional.of(attempt.response());
             }
+            goOnWithout(attempt, RejectReason.ENDPOINT_FAILED, () -> head.status() >= 500 && mayRetry(now()));
         }
 
         @Override
--- a/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/ExchangeTest.java
@@ -205,6 +205,98 @@
         }
     }
 
+    /** Guards against callers who get a 502 of this host in place of the error that an endpoint has answered. */
+    @Nested
+    final class ErrorsOfEndpoints {
+        private StartedExchange failAtTheFirst() {
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            x.onHead(signedHead(500));
+            x.onBody(bytes("error"));
+            return x;
+        }
+
+        private void assertForwarded() {
+            assertThat(f.rejections).isEmpty();
+            assertThat(f.head.status()).isEqualTo(500);
+            assertThat(f.body.toString()).isEqualTo("error");
+            assertThat(f.finished).isTrue();
+        }
+
+        @Test
+        void areForwardedWhenNobodyElseCanServe() {
+            StartedExchange x = failAtTheFirst();
+            for (int i = 1; i <= 3; i++) {
+                f.loads.onRemoved(ExchangeFixture.endpoint("e" + i));
+            }
+            x.onComplete();
+            assertForwarded();
+        }
+
+        @Test
+        void areForwardedWhenAllOthersTurnTheRequestAway() {
+            StartedExchange x = failAtTheFirst();
+            x.onComplete();
+            x.onHead(notExecutedHead(503));
+            x.onHead(notExecutedHead(503));
+            assertForwarded();
+        }
+
+        @Test
+        void areForwardedWhenNoConnectionCanBeOpened() {
+            StartedExchange x = failAtTheFirst();
+            x.onComplete();
+            x.onAttemptFailed(AttemptFailure.CONNECT_REFUSED);
+            x.onAttemptFailed(AttemptFailure.CONNECT_REFUSED);
+            assertForwarded();
+        }
+
+        @Test
+        void areForwardedWhenTheNextAttemptIsLost() {
+            StartedExchange x = failAtTheFirst();
+            x.onComplete();
+            x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
+            assertForwarded();
+        }
+
+        @Test
+        void areForwardedAtTheDeadline() {
+            StartedExchange x = failAtTheFirst();
+            x.onComplete();
+            f.clock.advanceMs(1_500);
+            x.onTimer();
+            assertForwarded();
+            assertThat(f.cancelled).isEqualTo(1);
+        }
+
+        @Test
+        void areForwardedWhenTheProcessExits() {
+            StartedExchange x = failAtTheFirst();
+            x.onComplete();
+            x.onStopping();
+            assertForwarded();
+        }
+
+        @Test
+        void giveWayToALaterSuccess() {
+            StartedExchange x = failAtTheFirst();
+            x.onComplete();
+            x.onHead(signedHead(200));
+            x.onBody(bytes("whole"));
+            x.onComplete();
+            assertThat(f.head.status()).isEqualTo(200);
+            assertThat(f.body.toString()).isEqualTo("whole");
+        }
+
+        @Test
+        void thatSayNotRunAreReplacedSinceTheRequestMayHaveRun() {
+            StartedExchange x = f.start(route(RouteKind.IDEMPOTENT, false));
+            x.onHead(signedHead(503));
+            x.onComplete();
+            x.onAttemptFailed(AttemptFailure.CONNECTION_LOST);
+            assertThat(f.rejections.get(0).reason().status()).isEqualTo(502);
+        }
+    }
+
     @Nested
     final class Deadlines {
         @Test
