Split the list of open attempts and the time to return from Exchange

No behaviour changes but one: an attempt that was silent and went on no longer counts as silent, so it is not logged as going on a second time when its response ends.

--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
@@ -311,6 +311,11 @@
         }
     }
 
+    /** Records that the endpoint, which was silent, goes on with its response. */
+    void onWentOn() {
+        silent = false;
+    }
+
     /**
      * Gives the attempt up because another one goes on with the response.
      *
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -1,7 +1,5 @@
 package org.dragonflygw.core.exchange;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.dragonflygw.core.dispatch.Choice;
@@ -26,12 +24,6 @@
     /** Least remaining time, in milliseconds, for which a retry is attempted. */
     private static final long MIN_RETRY_REMAINING_MS = 30;
 
-    /**
-     * Time after the head of a response within which its first part is due, in nanoseconds. Then the silent attempts before it
-     * are given up, since two engines must not work on one stream for long.
-     */
-    private static final long FIRST_PART_NANOS = 300_000_000L;
-
     /** Reason in the log for keeping a silent attempt: the retry budget of the service is used up. */
     private static final String RETRY_DENIED = "RETRY_DENIED";
 
@@ -43,11 +35,11 @@
     private final AttemptCounts attempts;
     private final CrashBlock block;
     private final ExchangeLog log;
+    private final RejectionDelay rejectionDelay;
     private final EndpointSearch search;
     private final AttemptOwner owner = new AttemptOwner();
 
-    /** The attempts that may still be answered, in the order in which they were sent; all but the last one are silent. */
-    private final List<EndpointAttempt> open = new ArrayList<>(1);
+    private final OpenAttempts open = new OpenAttempts();
 
     /** The endpoint of the latest attempt, or of the one that goes on; for the log; null before the first. */
     private EndpointLoadState endpoint;
@@ -76,6 +68,7 @@
         this.attempts = new AttemptCounts(request.route());
         this.block = new CrashBlock(request, context);
         this.log = new ExchangeLog(request, context.log());
+        this.rejectionDelay = new RejectionDelay(context, block);
         this.search = new EndpointSearch(request, context, block, attempts, log, new Found());
     }
 
@@ -109,32 +102,19 @@
                 sent));
     }
 
-    private EndpointAttempt newest() {
-        return open.get(open.size() - 1);
-    }
-
-    /** Removes an attempt that has ended; returns whether nothing is under way that was to take its place. */
-    private boolean close(EndpointAttempt attempt) {
-        boolean last = attempt == newest();
-        open.remove(attempt);
-        return last && !searching;
-    }
-
-    /** Gives up all attempts but one, which goes on with the response. */
-    private void keepOnly(EndpointAttempt kept) {
-        endpoint = kept.endpoint();
-        open.remove(kept);
+    /** Goes on with the response of an attempt and gives up all others. */
+    private void goOnWith(EndpointAttempt attempt) {
+        endpoint = attempt.endpoint();
         stopSearch();
         long now = now();
-        for (EndpointAttempt other : open) {
+        for (EndpointAttempt other : open.removeAllBut(attempt)) {
             countRun(other.supersede(now));
         }
-        if (kept.silent()) {
-            log.silent(kept.endpoint(), "goes on", kept.silentNanos(now));
+        if (attempt.silent()) {
+            log.silent(attempt.endpoint(), "goes on", attempt.silentNanos(now));
             context.silences().onWentOn();
+            attempt.onWentOn();
         }
-        open.clear();
-        open.add(kept);
     }
 
     private void stopSearch() {
@@ -178,7 +158,8 @@
 
     /** Goes on after an attempt that has ended without a response for the caller. */
     private void goOnWithout(EndpointAttempt attempt, RejectReason reason, BooleanSupplier mayRetry) {
-        if (!close(attempt)) {
+        boolean newest = open.remove(attempt);
+        if (!newest || searching) {
             scheduleTimer();
         } else if (mayRetry.getAsBoolean()) {
             searchNext();
@@ -204,7 +185,7 @@
 
     /** Asks another endpoint beside one that is silent, if one can serve and a retry is left. */
     private void replaceIfSilent(long now) {
-        if (!mayReplaceIfSilent(now) || now < newest().silentFromNanos()) {
+        if (!mayReplaceIfSilent(now) || now < open.newest().silentFromNanos()) {
             return;
         }
         Choice choice = search.candidate();
@@ -216,7 +197,7 @@
             keepSilent(RETRY_DENIED, now);
             return;
         }
-        EndpointAttempt silent = newest();
+        EndpointAttempt silent = open.newest();
         log.silent(silent.endpoint(), "another endpoint is asked", silent.silentNanos(now));
         context.silences().onReplacing();
         silent.onSilent(now);
@@ -226,10 +207,10 @@
 
     /** Waits on for a silent attempt, as nobody else can take over now. */
     private void keepSilent(String reason, long now) {
-        newest().silence().postpone(now);
+        open.newest().silence().postpone(now);
         if (!reason.equals(keptReason)) {
             keptReason = reason;
-            log.kept(newest().endpoint(), reason, newest().silentNanos(now));
+            log.kept(open.newest().endpoint(), reason, open.newest().silentNanos(now));
             context.silences().onKept();
         }
     }
@@ -263,25 +244,7 @@
         }
         long remainingMs = remainingMs(now());
         log.refused(reason, expectedMs, remainingMs);
-        reject(reason, retryAfterMs(reason, expectedMs, remainingMs));
-    }
-
-    private long retryAfterMs(RejectReason reason, long expectedMs, long remainingMs) {
-        long blockMs = block.remainingNanos(now()) / NANOS_PER_MS;
-        if (blockMs > 0) {
-            return blockMs;
-        }
-        if (reason == RejectReason.STREAM_ORIGIN_UNKNOWN) {
-            return 0; // It will not be known later either.
-        }
-        if (reason == RejectReason.BUSY && expectedMs > 0) {
-            return context.retryAfterDelays().whenRoomMs(expectedMs, remainingMs);
-        }
-        return switch (reason) {
-            case ENDPOINTS_QUIET, ENDPOINTS_LIMITED, ZONE_EVACUATED ->
-                context.retryAfterDelays().afterMs(expectedMs);
-            default -> context.retryAfterDelays().nextMs(remainingMs);
-        };
+        reject(reason, rejectionDelay.afterMs(reason, expectedMs, remainingMs));
     }
 
     /** Ends a request that may have run: the caller gets the error of an endpoint if one has answered with one. */
@@ -318,10 +281,10 @@
             return;
         }
         if (!outputPaused) {
-            open.forEach(a -> a.checkStall(now));
+            open.checkStalls(now);
         }
-        if (now >= handoverNanos()) {
-            keepOnly(newest());
+        if (now >= open.handoverNanos()) {
+            goOnWith(open.newest());
         }
         replaceIfSilent(now);
         if (!ended && !open.isEmpty()) {
@@ -338,36 +301,24 @@
                 && remainingMs(now) > request.route().objectiveMs();
     }
 
-    /** Returns when the silent attempts are given up for a newer one whose response has begun. */
-    private long handoverNanos() {
-        boolean begun = open.size() > 1 && newest().headNanos() != 0;
-        return begun ? newest().headNanos() + FIRST_PART_NANOS : Long.MAX_VALUE;
-    }
-
     private void onTimeout(long now) {
-        open.forEach(a -> a.timeOut(now));
-        open.clear();
+        open.removeAll().forEach(a -> a.timeOut(now));
         failAfterRun(RejectReason.TIMED_OUT);
     }
 
     /** Called when the caller reads so slowly that nothing more is to be read from the endpoint for now. */
     public void onOutputPaused() {
         outputPaused = true;
-        open.forEach(a -> a.setAutoRead(false));
+        open.pause();
     }
 
     /** Called when the endpoint's response can be read again. */
     public void onOutputResumed() {
         outputPaused = false;
-        if (open.isEmpty()) {
-            return;
-        }
-        long now = now();
-        for (EndpointAttempt a : open) {
-            a.setAutoRead(true);
-            a.silence().restart(now);
+        if (!open.isEmpty()) {
+            open.resume(now());
+            scheduleTimer();
         }
-        scheduleTimer();
     }
 
     /** Called when the caller has closed its connection. */
@@ -376,8 +327,7 @@
             return;
         }
         long now = now();
-        open.forEach(a -> a.leave(now));
-        open.clear();
+        open.removeAll().forEach(a -> a.leave(now));
         end("caller left", 0);
     }
 
@@ -387,10 +337,9 @@
             return;
         }
         long now = now();
-        for (EndpointAttempt a : open) {
+        for (EndpointAttempt a : open.removeAll()) {
             mayHaveRun |= a.stop(now);
         }
-        open.clear();
         refuseOrFail(RejectReason.STOPPING, 0);
     }
 
@@ -403,14 +352,12 @@
     }
 
     private void scheduleTimer() {
-        long wakeNanos = Math.min(request.expiryNanos(), handoverNanos());
+        long wakeNanos = Math.min(request.expiryNanos(), open.handoverNanos());
         if (mayReplaceIfSilent(now())) {
-            wakeNanos = Math.min(wakeNanos, newest().silentFromNanos());
+            wakeNanos = Math.min(wakeNanos, open.newest().silentFromNanos());
         }
         if (!outputPaused) {
-            for (EndpointAttempt a : open) {
-                wakeNanos = Math.min(wakeNanos, a.stallNanos());
-            }
+            wakeNanos = Math.min(wakeNanos, open.stallNanos());
         }
         out.wakeAt(wakeNanos);
     }
@@ -432,7 +379,7 @@
     private final class AttemptOwner implements EndpointAttempt.Owner {
         @Override
         public boolean mayStillSend(EndpointAttempt attempt) {
-            return attempt == newest() && search.mayStillSend(attempt.endpoint(), attempt.permittedNanos());
+            return attempt == open.newest() && search.mayStillSend(attempt.endpoint(), attempt.permittedNanos());
         }
 
         @Override
@@ -443,8 +390,8 @@
 
         @Override
         public void onForwarding(EndpointAttempt attempt) {
-            if (searching || open.size() > 1) {
-                keepOnly(attempt);
+            if (searching || open.size() > 1 || attempt.silent()) {
+                goOnWith(attempt);
             }
             if (!response.started()) {
                 recordOrigin(attempt);
@@ -453,8 +400,8 @@
 
         @Override
         public void onSuccess(EndpointAttempt attempt) {
-            keepOnly(attempt);
-            open.clear();
+            goOnWith(attempt);
+            open.removeAll();
             attempt.response().complete();
             end("ok", attempt.response().head().status());
         }
