Let the crash observer tell failures of attempts apart

EndpointAttempt had a switch over the failures to call the matching method of its CrashObserver; the observer takes the failure now. SilentEndpointTest ends its responses with one method.

--- a/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/CrashObserver.java
@@ -114,8 +114,21 @@
         }
     }
 
-    /** Called when the connection to the endpoint was lost before the response was complete. */
-    void onConnectionLost(long now) {
+    /** Called when the attempt ended without a complete response. */
+    void onFailed(AttemptFailure cause, long now) {
+        switch (cause) {
+            case CONNECT_TIMEOUT, WITHDRAWN -> onClosed();
+            case CONNECT_REFUSED -> {
+                onClosed();
+                context.crashes().onConnectionRefused(endpoint.instanceKey(), now);
+            }
+            case CONNECTION_LOST -> onConnectionLost(now);
+            case MALFORMED -> onMalformed(now);
+            default -> onUnfinished(now);
+        }
+    }
+
+    private void onConnectionLost(long now) {
         context.crashes().onConnectionLost(request.fingerprint(), endpoint.instanceKey(), now);
         if (!maySpeakAgainstParts()) {
             onClosed();
@@ -125,7 +138,7 @@
         probe();
     }
 
-    /** Called when the attempt ended otherwise; the endpoint may be ending under the request, which shows only later. */
+    /** Called when the time for the request is over; the endpoint may be ending under it, which shows only later. */
     void onUnfinished(long now) {
         onSilent(now);
         onCallerLeft(now);
@@ -146,8 +159,8 @@
         }
     }
 
-    /** Called when the endpoint sent something that is not a valid response; it answered, so parts are not suspected. */
-    void onMalformed(long now) {
+    /** The endpoint sent something that is not a valid response; it answered, so parts are not suspected. */
+    private void onMalformed(long now) {
         onClosed();
         recordUnfinished(now);
     }
--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
@@ -275,31 +275,13 @@
         logFailure(cause.name(), 0, now);
         end(now);
         endpoint.onFailure(cause.weight(), now);
-        if (cause.isBeforeSending()) {
-            onNotSent(cause, now);
-        } else {
-            recordCrash(cause, now);
+        crashes.onFailed(cause, now);
+        if (!cause.isBeforeSending()) {
             cancel();
-        }
-        owner.onFailed(this, cause);
-    }
-
-    private void onNotSent(AttemptFailure cause, long now) {
-        crashes.onClosed();
-        if (cause != AttemptFailure.WITHDRAWN) {
+        } else if (cause != AttemptFailure.WITHDRAWN) {
             endpoint.blockUntil(now + ENDPOINT_BLOCK_NANOS);
         }
-        if (cause == AttemptFailure.CONNECT_REFUSED) {
-            context.crashes().onConnectionRefused(endpoint.entry().instanceKey(), now);
-        }
-    }
-
-    private void recordCrash(AttemptFailure cause, long now) {
-        switch (cause) {
-            case CONNECTION_LOST -> crashes.onConnectionLost(now);
-            case MALFORMED -> crashes.onMalformed(now);
-            default -> crashes.onUnfinished(now);
-        }
+        owner.onFailed(this, cause);
     }
 
     /** Records that another endpoint is asked because this one is silent; it may still answer. */
--- a/core/src/test/java/org/dragonflygw/core/exchange/SilentEndpointTest.java
+++ b/core/src/test/java/org/dragonflygw/core/exchange/SilentEndpointTest.java
@@ -72,6 +72,12 @@
         return f.sent.get(attempt).endpoint().id();
     }
 
+    /** The endpoint of an attempt sends the last event and ends its response. */
+    private static void end(StartedExchange x, int attempt, int lastEvent) {
+        x.attempt(attempt).onBody(event(lastEvent));
+        x.attempt(attempt).onComplete();
+    }
+
     private void assertWhole(String body) {
         assertThat(f.finished).isTrue();
         assertThat(f.aborted).isFalse();
@@ -86,8 +92,7 @@
             StartedExchange x = startStream();
             removeAllBut(endpointOf(0));
             pass(x, SILENCE_MS);
-            x.onBody(event(2));
-            x.onComplete();
+            end(x, 0, 2);
             assertWhole(events(2));
             assertThat(f.sent).hasSize(1);
         }
@@ -99,8 +104,7 @@
             f.loads.onUpdated(
                     new DiscoveredEndpoint("new", ExchangeFixture.SERVICE, "10.0.0.2", 80, "a", 4, false, 0, 1, "v2"));
             pass(x, SILENCE_MS);
-            x.onBody(event(2));
-            x.onComplete();
+            end(x, 0, 2);
             assertWhole(events(2));
         }
 
@@ -110,8 +114,7 @@
             removeAllBut(endpointOf(0));
             pass(x, SILENCE_MS);
             x.onHead(signedHead(200));
-            x.onBody(event(1));
-            x.onComplete();
+            end(x, 0, 1);
             assertWhole(events(1));
         }
 
@@ -121,8 +124,7 @@
             removeAllBut(endpointOf(0));
             pass(x, SILENCE_MS);
             x.onHead(signedHead(200));
-            x.onBody(event(1));
-            x.onComplete();
+            end(x, 0, 1);
             assertWhole(events(1));
         }
 
@@ -174,8 +176,7 @@
             for (int i = 2; i < f.sent.size(); i++) {
                 turnsAway.accept(x.attempt(i));
             }
-            x.attempt(0).onBody(event(2));
-            x.attempt(0).onComplete();
+            end(x, 0, 2);
             assertWhole(events(2));
         }
 
@@ -237,8 +238,7 @@
             x.attempt(2).onHead(notExecutedHead(503));
             pass(x, SILENCE_MS);
             x.attempt(0).onHead(signedHead(200));
-            x.attempt(0).onBody(event(1));
-            x.attempt(0).onComplete();
+            end(x, 0, 1);
             assertWhole(events(1));
         }
     }
@@ -260,8 +260,7 @@
             assertThat(f.cancelled).isEqualTo(1);
             x.attempt(1).onHead(signedHead(200));
             x.attempt(1).onBody(event(2));
-            x.attempt(0).onBody(event(3));
-            x.attempt(0).onComplete();
+            end(x, 0, 3);
             assertWhole(events(3));
         }
 
@@ -271,11 +270,9 @@
             x.attempt(1).onHead(signedHead(200));
             x.attempt(1).onBody(event(2));
             assertThat(f.cancelled).isEqualTo(1);
-            x.attempt(0).onBody(event(2));
-            x.attempt(0).onComplete();
+            end(x, 0, 2);
             assertThat(f.finished).isFalse();
-            x.attempt(1).onBody(event(3));
-            x.attempt(1).onComplete();
+            end(x, 1, 3);
             assertWhole(events(3));
         }
 
@@ -309,8 +306,7 @@
             x.attempt(1).onHead(signedHead(200));
             pass(x, 350);
             assertThat(f.cancelled).isEqualTo(1);
-            x.attempt(1).onBody(event(2));
-            x.attempt(1).onComplete();
+            end(x, 1, 2);
             assertWhole(events(2));
         }
 
@@ -320,8 +316,7 @@
             x.attempt(0).onFailed(AttemptFailure.CONNECTION_LOST);
             assertThat(f.aborted).isFalse();
             x.attempt(1).onHead(signedHead(200));
-            x.attempt(1).onBody(event(2));
-            x.attempt(1).onComplete();
+            end(x, 1, 2);
             assertWhole(events(2));
         }
 
@@ -377,8 +372,7 @@
             x.attempt(1).onHead(signedHead(200));
             x.attempt(1).onBody(event(5));
             x.attempt(0).onHead(signedHead(200));
-            x.attempt(0).onBody(event(1));
-            x.attempt(0).onComplete();
+            end(x, 0, 1);
             x.attempt(1).onComplete();
             assertWhole(events(1));
             assertThat(f.cancelled).isEqualTo(1);
