--- a/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
+++ b/edge/src/main/java/org/dragonflygw/edge/EdgeNode.java
@@ -68,6 +68,7 @@
 import org.dragonflygw.edge.memory.HeaderBudget;
 import org.dragonflygw.edge.ops.EdgeMetrics;
 import org.dragonflygw.edge.ops.EndpointGauges;
+import org.dragonflygw.edge.ops.ExchangeGauges;
 import org.dragonflygw.edge.ops.OpsServer;
 import org.dragonflygw.edge.peers.LoadExchange;
 import org.dragonflygw.edge.peers.PeerMessages;
@@ -121,7 +122,6 @@
     private final WarmupTracker warmups;
     private final FleetRetryShare retries;
     private final CrashSuspects crashes;
-    private final SilenceCounts silences = new SilenceCounts();
     private final CrashingParts crashingParts;
     private final PeerTable peers;
     private final Admission admission;
@@ -223,19 +223,14 @@
      * @param metricsPort port of this host that serves the metrics
      */
     public void start(int metricsPort) {
+        ExchangeContext exchanges = exchangeContext();
         new EndpointGauges(loads, System::nanoTime).register(metrics);
+        new ExchangeGauges(exchanges).register(metrics);
         metrics.registerGauge("open_requests", frontState::openCalls);
         metrics.registerGauge("caller_connections", frontState::connectionCount);
         metrics.registerGauge("header_memory_bytes", headerBudget::usedBytes);
         metrics.registerGauge("config_version", catalogs::version);
         metrics.registerGauge("config_age_ms", contact::ageMs);
-        metrics.registerGauge("retries_granted_total", retries::grantedCount);
-        metrics.registerGauge("retries_denied_total", retries::deniedCount);
-        metrics.registerGauge("crash_suspects", crashes::count);
-        metrics.registerGauge("crash_suspects_blocked", () -> crashes.blockedCount(System.nanoTime()));
-        metrics.registerGauge("crashing_parts", crashingParts::count);
-        metrics.registerGauge("crashing_parts_blocked", () -> crashingParts.blockedCount(System.nanoTime()));
-        metrics.registerGauge("crash_lost_prompts_total", crashingParts::lostPromptCount);
         metrics.registerGauge("services_out_of_reach", paths::lostCount);
         metrics.registerGauge("permits_granted_total", permitIssuer::grantedCount);
         metrics.registerGauge("permits_denied_total", permitIssuer::deniedCount);
@@ -243,23 +238,13 @@
         metrics.registerGauge("load_sum_age_ms", fleetLoads::ageMs);
         metrics.registerGauge("load_sum_hosts", fleetLoads::includedHosts);
         metrics.registerGauge("load_relay_active", () -> fleetLoads.isActing() ? 1 : 0);
-        metrics.registerGauge("requests_waiting", admission::waitingCount);
-        metrics.registerGauge("waits_started_total", admission.counts()::started);
-        metrics.registerGauge("waits_served_total", admission.counts()::served);
-        metrics.registerGauge("waits_refused_total", admission.counts()::refused);
-        metrics.registerGauge("waits_left_total", admission.counts()::left);
-        metrics.registerGauge("silent_attempts_replacing_total", silences::replacing);
-        metrics.registerGauge("silent_attempts_kept_total", silences::kept);
-        metrics.registerGauge("silent_attempts_went_on_total", silences::wentOn);
-        metrics.registerGauge("stream_origins", origins::size);
-        metrics.registerGauge("stream_origins_unknown_total", origins::unknownCount);
         OpsServer ops = new OpsServer(group, this::isReady, metrics::text, headerBudget);
         ops.listen(identity.readiness());
         ops.listen(new HostAddress(identity.ip(), metricsPort));
         startStoreAndPeers();
         scheduleWithFixedDelay(WARMUP_CHECK_MS, warmups::refresh);
         scheduleWithFixedDelay(PATH_CHECK_MS, paths::check);
-        FrontContext front = frontParts();
+        FrontContext front = frontContext(exchanges);
         new FrontServer(group, front.forIncomingRelays()).listen(identity.internal());
         listener = new FrontServer(group, front).listen(identity.callers());
         releaseHeldRequests();
@@ -360,8 +345,8 @@
         };
     }
 
-    private FrontContext frontParts() {
-        ExchangeContext exchanges = new ExchangeContext(
+    private ExchangeContext exchangeContext() {
+        return new ExchangeContext(
                 endpointChoice(),
                 loads,
                 admission,
@@ -372,10 +357,13 @@
                 crashes,
                 crashingParts,
                 new ConnectProbe(group, metrics, "after a lost connection", log),
-                silences,
+                new SilenceCounts(),
                 new RetryAfterDelays(new SplittableRandom()),
                 log,
                 System::nanoTime);
+    }
+
+    private FrontContext frontContext(ExchangeContext exchanges) {
         return new FrontContext(
                 catalogs,
                 new RequestResolver(catalogs, contact),
