--- a/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/EndpointAttempt.java
@@ -5,8 +5,8 @@
 import org.dragonflygw.core.dispatch.SpeedSample;
 
 /**
- * One attempt of an exchange at one endpoint: reads the response, keeps the books on the endpoint, and tells its owner how
- * it goes. The owner decides what follows. Not thread-safe.
+ * One attempt of an exchange at one endpoint: reads the response, records load, failures and crashes of the endpoint, and
+ * tells its owner what happens. The owner decides what follows. Not thread-safe.
  */
 final class EndpointAttempt implements AttemptListener {
     /**
@@ -45,7 +45,7 @@
     private boolean promptRead;
     private boolean ended;
 
-    /** Receives what happens to an attempt; unless it says so, the attempt goes on. */
+    /** Receives what happens to an attempt. */
     interface Owner {
         /** Returns whether the request may still be sent, now that a connection to the endpoint was opened. */
         boolean mayStillSend(EndpointAttempt attempt);
--- a/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/Exchange.java
@@ -138,7 +138,7 @@
         }
     }
 
-    /** Right before the first part of the response goes to the caller: later attempts go on where the stream begins. */
+    /** Records where a stream begins, right before its first part goes to the caller; later attempts go on there. */
     private void recordOrigin(EndpointAttempt begins) {
         if (!request.route().streaming()
                 || !request.route().resumable()
--- a/core/src/main/java/org/dragonflygw/core/exchange/OpenAttempts.java
+++ b/core/src/main/java/org/dragonflygw/core/exchange/OpenAttempts.java
@@ -39,7 +39,7 @@
         return newest;
     }
 
-    /** Removes and returns all attempts but one, which is open or has just ended. */
+    /** Removes and returns all attempts but one, which may have just ended. */
     List<EndpointAttempt> removeAllBut(EndpointAttempt kept) {
         List<EndpointAttempt> others = removeAll();
         others.remove(kept);
