Name a silent endpoint in the likely cause of a failed request

`dragonflygw explain` said only which endpoint had the request when it was cut or out of time. It now adds that an endpoint had been silent, for how long, and why nobody else took over, from the SILENCE lines. RequestHistoryTest: the two new cases failed before.

--- a/cli/src/main/java/org/dragonflygw/cli/logs/LikelyCause.java
+++ b/cli/src/main/java/org/dragonflygw/cli/logs/LikelyCause.java
@@ -73,9 +73,11 @@
         return switch (outcome) {
             case "TIMED_OUT" ->
                 "its time ran out" + after + " while endpoint " + endpoint + " had it"
+                        + describeSilence(history)
                         + describeOtherRequests(history, endpoint);
             case "ENDPOINT_FAILED", "cut" ->
                 "endpoint " + endpoint + " broke off" + after + ", and it may have run"
+                        + describeSilence(history)
                         + describeDeniedRetry(history)
                         + describeOtherRequests(history, endpoint);
             case "endpoint failed" ->
@@ -87,6 +89,19 @@
         };
     }
 
+    private static String describeSilence(RequestHistory history) {
+        return lastRequestLine(history, "SILENCE")
+                .map(e -> "; endpoint " + e.text("endpoint") + " had been silent for " + e.number("silentMs") + " ms"
+                        + describeSilenceOutcome(e))
+                .orElse("");
+    }
+
+    private static String describeSilenceOutcome(LogEntry silence) {
+        return silence.text("reason").isEmpty()
+                ? ": " + silence.text("outcome")
+                : ", and nobody else could take over: " + silence.text("reason");
+    }
+
     private static String describeDeniedRetry(RequestHistory history) {
         return lastRequestLine(history, "RETRY")
                 .filter(e -> e.text("granted").equals("false"))
--- a/cli/src/test/java/org/dragonflygw/cli/logs/RequestHistoryTest.java
+++ b/cli/src/test/java/org/dragonflygw/cli/logs/RequestHistoryTest.java
@@ -72,6 +72,30 @@
         }
     }
 
+    @Nested
+    final class AtASilentEndpoint {
+        private String cause(String outcome, String silence) throws IOException {
+            return LikelyCause.describe(history(
+                    "q",
+                    attempt(3, "h1", "DISPATCH", "q", ""),
+                    attempt(4, "h1", "SILENCE", "q", ",\"silentMs\":1003," + silence),
+                    attempt(9, "h1", "END", "q", ",\"outcome\":\"" + outcome + "\",\"totalMs\":9000")));
+        }
+
+        @Test
+        void causeSaysWhyNobodyTookOver() throws IOException {
+            assertThat(cause("TIMED_OUT", "\"outcome\":\"kept\",\"reason\":\"NO_ENDPOINT_OF_VERSION\""))
+                    .contains(
+                            "i-1 had been silent for 1003 ms, and nobody else could take over: NO_ENDPOINT_OF_VERSION");
+        }
+
+        @Test
+        void causeSaysThatAnotherEndpointWasAsked() throws IOException {
+            assertThat(cause("cut", "\"outcome\":\"another endpoint is asked\""))
+                    .contains("i-1 had been silent for 1003 ms: another endpoint is asked");
+        }
+    }
+
     @Nested
     final class PassedToOtherHosts {
         private String cause(String... relayOutcomes) throws IOException {
