--- a/review/harness-3/review3/CopyCase.java
+++ b/review/harness-3/review3/CopyCase.java
@@ -11,7 +11,7 @@
 public final class CopyCase {
     private static final int EVENTS = 20;
     private static final long GAP_MS = 100;
-    private static final double PER_S = 40;
+    private static final double PER_S = 60;
 
     public static void main(String[] args) throws IOException {
         Run.play(CopyCase::play);
@@ -36,7 +36,7 @@
         Run.sleep(2_000);
         if (run.trouble) {
             run.note("the store is away");
-            fleet.store.fault(Store.Fault.SILENT);
+            fleet.store.fault(Store.Fault.BUSY);
             Run.sleep(500);
             fleet.store.restore();
             run.note("the store is back from the copy");
--- a/review/harness-3/review3/Store.java
+++ b/review/harness-3/review3/Store.java
@@ -215,8 +215,8 @@
                 }
             }
             long leftMs = (endNanos - System.nanoTime()) / 1_000_000;
-            if (fault == Fault.SILENT) {
-                return null;
+            if (fault != Fault.NONE) {
+                return fault == Fault.SILENT ? null : "503{}";
             }
             if (after > version || asked != era) {
                 return "410{}";
