--- a/review/harness-3/review3/Engine.java
+++ b/review/harness-3/review3/Engine.java
@@ -19,6 +19,10 @@
     private final Store store;
     private final Run run;
     private final long gapMs;
+
+    /** Time after which it closes an idle connection, in seconds; 0 for none. */
+    private final int idleS;
+
     private final AtomicInteger running = new AtomicInteger();
     private volatile String version;
     private volatile long bornMs;
@@ -27,13 +31,14 @@
     private volatile boolean draining;
     private int seq;
 
-    Engine(Run run, Store store, String ip, String id, String service, long gapMs) {
+    Engine(Run run, Store store, String ip, String id, String service, long gapMs, int idleS) {
         super(ip);
         this.run = run;
         this.store = store;
         this.id = id;
         this.service = service;
         this.gapMs = gapMs;
+        this.idleS = idleS;
     }
 
     /** Starts, with a version of its software; registers at once if the store is up. */
@@ -95,6 +100,7 @@
     @Override
     void serve(Socket connection, InputStream in) throws IOException, InterruptedException {
         OutputStream out = connection.getOutputStream();
+        connection.setSoTimeout(idleS * 1_000);
         Http request;
         while ((request = Http.readRequest(in)) != null) {
             String path = request.target();
@@ -140,6 +146,7 @@
         run.note("engine " + id + " (software " + software + ") runs " + attempt + " from event " + from);
         out.write(Http.bytes("HTTP/1.1 200 OK\r\n" + echo(request) + "Dragonflygw-Response-Signature: s." + id
                 + "\r\nDragonflygw-Backend-Load: " + running.get() + ",0," + SLOTS
+                + (idleS > 0 ? "\r\nKeep-Alive: timeout=" + idleS : "")
                 + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
         for (int i = from; i <= events; i++) {
             Thread.sleep(gapMs);
--- a/review/harness-3/review3/Fleet.java
+++ b/review/harness-3/review3/Fleet.java
@@ -10,12 +10,12 @@
     final List<Engine> engines = new ArrayList<>();
     final List<Edge> edges = new ArrayList<>();
 
-    Fleet(Run run, int engineCount, int edgeCount, long gapMs) throws IOException {
+    Fleet(Run run, int engineCount, int edgeCount, long gapMs, int idleS) throws IOException {
         store = new Store(run.ip(1));
         store.listen();
         store.put("op", "config", Run.configuration(7, Run.KEY));
         for (int i = 1; i <= engineCount; i++) {
-            Engine e = new Engine(run, store, run.ip(10 + i), "i-e" + i, "huvo11a", gapMs);
+            Engine e = new Engine(run, store, run.ip(10 + i), "i-e" + i, "huvo11a", gapMs, idleS);
             e.start("v1");
             engines.add(e);
         }
--- a/review/harness-3/review3/Stream.java
+++ b/review/harness-3/review3/Stream.java
@@ -27,6 +27,11 @@
     private boolean complete;
     private String ending = "";
 
+    /** Whether the client took the stream up, and whether it then got a further event. */
+    private boolean takenUp;
+
+    private boolean wentOn;
+
     Stream(Run run, String path, String parts, int events) {
         this.run = run;
         this.path = path;
@@ -39,7 +44,10 @@
         long endNanos = System.nanoTime() + DEADLINE_MS * 1_000_000L;
         attempt(first, endNanos);
         if (!complete && lastEvent > 0) {
+            takenUp = true;
+            int before = lastEvent;
             attempt(second, endNanos);
+            wentOn = lastEvent > before;
         }
         run.note("stream " + attempts + " ends: " + ending + ", events up to " + lastEvent + " of " + events
                 + ", software " + versions);
@@ -49,6 +57,14 @@
         return complete;
     }
 
+    boolean isTakenUp() {
+        return takenUp;
+    }
+
+    boolean wentOn() {
+        return wentOn;
+    }
+
     int lastEvent() {
         return lastEvent;
     }
--- a/review/harness-3/review3/VersionCase.java
+++ b/review/harness-3/review3/VersionCase.java
@@ -19,7 +19,7 @@
     }
 
     private static void play(Run run) throws IOException {
-        Fleet fleet = new Fleet(run, 8, 3, GAP_MS);
+        Fleet fleet = new Fleet(run, 8, 3, GAP_MS, 0);
         Traffic traffic = new Traffic(run, fleet.edges, CALM_PER_S, BUSY_PER_S, EVENTS);
         double startS = run.seconds() + CALM_MS / 1e3;
         traffic.start(startS + 4.5, startS + 14);
